--- /dev/null
+++ b/src/model/call.ts
@@ -0,0 +1,88 @@
+/**
+ * Messages between an entry and the agent beside a target.
+ *
+ * @module
+ */
+
+import type {
+  CallId,
+  CustomerId,
+  IdempotencyKey,
+  PipelineName,
+  RequestId,
+  StageName,
+  TargetId,
+} from "./ids.ts";
+import type { Priority, StageKind } from "./lists.ts";
+import type { Refusal } from "./refusal.ts";
+import type { TargetLoad } from "./target.ts";
+
+/** One attempt at one stage. */
+export interface StageCall {
+  readonly callId: CallId;
+  readonly requestId: RequestId;
+  readonly customer: CustomerId;
+  readonly pipeline: PipelineName;
+  readonly stage: StageName;
+  readonly kind: StageKind;
+  /** Target the call is meant for; an agent refuses a call for another. */
+  readonly target: TargetId;
+  readonly idempotent: boolean;
+  /** Present on every non-idempotent call. */
+  readonly idempotencyKey?: IdempotencyKey;
+  readonly priority: Priority;
+  /** Weight of the customer's plan. */
+  readonly weight: number;
+  /** Time left before the whole answer is due, in milliseconds. */
+  readonly remainingMs: number;
+  /** Version of the lists that the sender acts on. */
+  readonly listsVersion: number;
+  /** W3C trace context of the calling span. */
+  readonly traceparent?: string;
+  readonly model?: string;
+  readonly maxTokens?: number;
+  /** JSON input of the stage. */
+  readonly input: unknown;
+}
+
+/** Result of a stage. */
+export interface StageResult {
+  readonly callId: CallId;
+  readonly target: TargetId;
+  /** JSON output of the stage. */
+  readonly output: unknown;
+  /** Hash of the output, see `digest` in `model/digest.ts`. */
+  readonly digest: string;
+  /** Tokens generated; zero for plain services. */
+  readonly tokens: number;
+  /** Time at the target, in milliseconds. */
+  readonly serviceMs: number;
+  /** Time in the gate's queue, in milliseconds. */
+  readonly queuedMs: number;
+  /** True when the result comes from the record of an earlier run. */
+  readonly replayed: boolean;
+}
+
+/** Event on the answer stream of a call. A stream ends with one of the last two kinds. */
+export type CallEvent =
+  | { readonly kind: "heartbeat"; readonly load: TargetLoad }
+  | {
+    readonly kind: "chunk";
+    readonly callId: CallId;
+    /** Position in the stream, from zero. */
+    readonly seq: number;
+    readonly text: string;
+  }
+  | {
+    readonly kind: "result";
+    readonly result: StageResult;
+    readonly load: TargetLoad;
+    readonly listsVersion: number;
+  }
+  | {
+    readonly kind: "refused";
+    readonly callId: CallId;
+    readonly refusal: Refusal;
+    readonly load: TargetLoad;
+    readonly listsVersion: number;
+  };
--- /dev/null
+++ b/src/model/ids.ts
@@ -0,0 +1,45 @@
+/**
+ * Identifiers used in messages and records. They are plain strings on the
+ * wire; the aliases say which identifier a field holds.
+ *
+ * @module
+ */
+
+/** Name of a customer, unique in the operators' lists. */
+export type CustomerId = string;
+
+/** Name of a failure domain. */
+export type DomainName = string;
+
+/** Name of a host in the platform's host list. */
+export type HostId = string;
+
+/** Name of a target: one engine or service process on one host. */
+export type TargetId = string;
+
+/** Name of a pool of interchangeable targets. */
+export type PoolName = string;
+
+/** Name of a pipeline. */
+export type PipelineName = string;
+
+/** Name of a stage, unique within its pipeline. */
+export type StageName = string;
+
+/** Identifier of one request, given by the entry that accepted it. */
+export type RequestId = string;
+
+/** Identifier of one attempt of one stage of one request. */
+export type CallId = string;
+
+/** Caller's key that makes repeats of a request recognisable. */
+export type IdempotencyKey = string;
+
+/** Builds the identifier of one attempt at a stage. */
+export function callId(
+  requestId: RequestId,
+  stage: StageName,
+  attempt: number,
+): CallId {
+  return `${requestId}/${stage}/${attempt}`;
+}
--- /dev/null
+++ b/src/model/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Vocabulary that every other layer shares.
+ *
+ * @module
+ */
+
+export * from "./call.ts";
+export * from "./digest.ts";
+export * from "./ids.ts";
+export * from "./lists.ts";
+export * from "./refusal.ts";
+export * from "./target.ts";
