--- /dev/null
+++ b/src/config/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Settings of a process and checks of the operators' lists.
+ *
+ * @module
+ */
+
+export * from "./finding.ts";
+export * from "./lists.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/src/freshness/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Freshness of the configuration.
+ *
+ * @module
+ */
+
+export * from "./freshness.ts";
--- /dev/null
+++ b/src/kernel/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Composition of a process: services, clocks and invariants.
+ *
+ * @module
+ */
+
+export * from "./invariant.ts";
+export * from "./kernel.ts";
+export * from "./queue.ts";
+export * from "./sleep.ts";
--- /dev/null
+++ b/src/ledger/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Records that keep non-idempotent calls from running twice.
+ *
+ * @module
+ */
+
+export * from "./claim.ts";
--- /dev/null
+++ b/src/limits/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Limits of the work that reaches a target.
+ *
+ * @module
+ */
+
+export * from "./gate.ts";
--- /dev/null
+++ b/src/membership/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Membership of targets and hosts.
+ *
+ * @module
+ */
+
+export * from "./view.ts";
--- a/src/model/call.ts
+++ b/src/model/call.ts
@@ -30,6 +30,8 @@
   readonly idempotent: boolean;
   /** Present on every non-idempotent call. */
   readonly idempotencyKey?: IdempotencyKey;
+  /** Digest of the caller's request; a repeat of a key must carry the same. */
+  readonly fingerprint: string;
   readonly priority: Priority;
   /** Weight of the customer's plan. */
   readonly weight: number;
--- /dev/null
+++ b/src/pipeline/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Progress of requests through their stages.
+ *
+ * @module
+ */
+
+export * from "./run.ts";
--- /dev/null
+++ b/src/platform/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Interfaces and clients of the platform's services.
+ *
+ * @module
+ */
+
+export * from "./error.ts";
+export * from "./http.ts";
+export * from "./stores.ts";
+export * from "./table.ts";
--- /dev/null
+++ b/src/platform/stores.ts
@@ -0,0 +1,51 @@
+/**
+ * The platform's object store, host list and weight store.
+ *
+ * @module
+ */
+
+import type { ResultAsync } from "neverthrow";
+import type { DomainName, HostId } from "../model/mod.ts";
+import type { PlatformError } from "./error.ts";
+
+/** Client of the object store. Objects are JSON values. */
+export interface ObjectStore {
+  /** Reads an object; null when there is none. */
+  get(
+    key: string,
+    signal?: AbortSignal,
+  ): ResultAsync<unknown | null, PlatformError>;
+  /** Writes an object unless one exists; tells whether it was written. */
+  putIfAbsent(
+    key: string,
+    value: unknown,
+    signal?: AbortSignal,
+  ): ResultAsync<boolean, PlatformError>;
+  /** Deletes an object; no error when there is none. */
+  delete(key: string, signal?: AbortSignal): ResultAsync<void, PlatformError>;
+}
+
+/** State of a host in the host list. */
+export const HostState = { Live: "live", Leaving: "leaving" } as const;
+export type HostState = typeof HostState[keyof typeof HostState];
+
+/** One host of the list. */
+export interface HostEntry {
+  readonly host: HostId;
+  readonly domain: DomainName;
+  readonly state: HostState;
+}
+
+/** Client of the host list, which lags behind the hosts. */
+export interface HostList {
+  list(signal?: AbortSignal): ResultAsync<readonly HostEntry[], PlatformError>;
+}
+
+/** Client of the rate-limited weight store. */
+export interface WeightStore {
+  /** Reserves a transfer of a model's weights; resolves when it may start. */
+  reserve(
+    model: string,
+    signal?: AbortSignal,
+  ): ResultAsync<{ bytes: number; waitMs: number }, PlatformError>;
+}
--- /dev/null
+++ b/src/retry/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Retries.
+ *
+ * @module
+ */
+
+export * from "./budget.ts";
--- /dev/null
+++ b/src/routing/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Choice of targets.
+ *
+ * @module
+ */
+
+export * from "./choose.ts";
--- /dev/null
+++ b/src/telemetry/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Logs, metrics and traces.
+ *
+ * @module
+ */
+
+export * from "./log.ts";
+export * from "./metrics.ts";
+export * from "./trace.ts";
--- /dev/null
+++ b/src/wire/client.ts
@@ -0,0 +1,120 @@
+/**
+ * tRPC clients of agents and peers.
+ *
+ * @module
+ */
+
+import { createTRPCClient, httpBatchStreamLink, httpLink } from "@trpc/client";
+import { Agent, fetch as undiciFetch } from "undici";
+import type { CallEvent, Lists, StageCall } from "../model/mod.ts";
+import type { PeerState, TargetState } from "./api.ts";
+import { type AgentRouter, type PeerRouter, TRPC_PATH } from "./router.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const ANSWER_TIMEOUT_MS = 2_000;
+const KEEP_ALIVE_MS = 10_000;
+/** Connections to one process; streams share none with each other. */
+const MAX_CONNECTIONS = 256;
+
+/** Speaks to the agent beside a target. */
+export interface AgentClient extends PeerClient {
+  /** Starts a stage call. The iteration throws when the connection fails. */
+  call(call: StageCall, signal: AbortSignal): Promise<AsyncIterable<CallEvent>>;
+  targetState(signal?: AbortSignal): Promise<TargetState>;
+}
+
+/** Speaks to any process of the system. */
+export interface PeerClient {
+  peerState(signal?: AbortSignal): Promise<PeerState>;
+  listsSince(version: number, signal?: AbortSignal): Promise<Lists | null>;
+  /** Abandons every connection. */
+  close(): Promise<void>;
+}
+
+/** Client of an agent over tRPC. */
+export class TrpcAgentClient implements AgentClient {
+  readonly #dispatcher = createDispatcher();
+  readonly #unary;
+  readonly #streaming;
+
+  /** `url` is the base URL of the agent's control address. */
+  constructor(url: string) {
+    const link = { url: url + TRPC_PATH, fetch: fetchBy(this.#dispatcher) };
+    this.#unary = createTRPCClient<AgentRouter>({ links: [httpLink(link)] });
+    this.#streaming = createTRPCClient<AgentRouter>({
+      links: [httpBatchStreamLink({ ...link, maxItems: 1 })],
+    });
+  }
+
+  async call(
+    call: StageCall,
+    signal: AbortSignal,
+  ): Promise<AsyncIterable<CallEvent>> {
+    const events = await this.#streaming.call.mutate(call, { signal });
+    return events as AsyncIterable<CallEvent>;
+  }
+
+  targetState(signal?: AbortSignal): Promise<TargetState> {
+    return this.#unary.targetState.query(undefined, withTimeout(signal));
+  }
+
+  peerState(signal?: AbortSignal): Promise<PeerState> {
+    return this.#unary.peerState.query(undefined, withTimeout(signal));
+  }
+
+  listsSince(version: number, signal?: AbortSignal): Promise<Lists | null> {
+    return this.#unary.listsSince.query({ version }, withTimeout(signal));
+  }
+
+  close(): Promise<void> {
+    return this.#dispatcher.destroy();
+  }
+}
+
+/** Client of any process over tRPC. */
+export class TrpcPeerClient implements PeerClient {
+  readonly #dispatcher = createDispatcher();
+  readonly #unary;
+
+  /** `url` is the base URL of the process's control address. */
+  constructor(url: string) {
+    this.#unary = createTRPCClient<PeerRouter>({
+      links: [
+        httpLink({ url: url + TRPC_PATH, fetch: fetchBy(this.#dispatcher) }),
+      ],
+    });
+  }
+
+  peerState(signal?: AbortSignal): Promise<PeerState> {
+    return this.#unary.peerState.query(undefined, withTimeout(signal));
+  }
+
+  listsSince(version: number, signal?: AbortSignal): Promise<Lists | null> {
+    return this.#unary.listsSince.query({ version }, withTimeout(signal));
+  }
+
+  close(): Promise<void> {
+    return this.#dispatcher.destroy();
+  }
+}
+
+function createDispatcher(): Agent {
+  return new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connections: MAX_CONNECTIONS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
+function fetchBy(dispatcher: Agent): typeof fetch {
+  const send = (url: unknown, init?: unknown) =>
+    undiciFetch(url as string, { ...(init as object), dispatcher });
+  return send as unknown as typeof fetch;
+}
+
+function withTimeout(signal?: AbortSignal): { signal: AbortSignal } {
+  const timeout = AbortSignal.timeout(ANSWER_TIMEOUT_MS);
+  return { signal: signal ? AbortSignal.any([signal, timeout]) : timeout };
+}
--- /dev/null
+++ b/src/wire/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Protocol between the system's processes.
+ *
+ * @module
+ */
+
+export * from "./api.ts";
+export * from "./client.ts";
+export * from "./router.ts";
+export * from "./schema.ts";
--- /dev/null
+++ b/src/wire/router.ts
@@ -0,0 +1,56 @@
+/**
+ * tRPC routers over the process APIs.
+ *
+ * @module
+ */
+
+import { initTRPC } from "@trpc/server";
+import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
+import type { AgentApi, PeerApi } from "./api.ts";
+import { listsSinceSchema, stageCallSchema } from "./schema.ts";
+
+const trpc = initTRPC.create();
+
+/** Path below which a process serves tRPC. */
+export const TRPC_PATH = "/trpc";
+
+/** Router of the procedures that every process serves. */
+export function createPeerRouter(api: PeerApi) {
+  return trpc.router({
+    peerState: trpc.procedure.query(() => api.peerState()),
+    listsSince: trpc.procedure
+      .input(listsSinceSchema)
+      .query(({ input }) => api.listsSince(input.version)),
+  });
+}
+
+/** Router of an agent. */
+export function createAgentRouter(api: AgentApi) {
+  const own = trpc.router({
+    targetState: trpc.procedure.query(() => api.targetState()),
+    call: trpc.procedure
+      .input(stageCallSchema)
+      .mutation(async function* ({ input, signal }) {
+        yield* api.call(input, signal ?? new AbortController().signal);
+      }),
+  });
+  return trpc.mergeRouters(createPeerRouter(api), own);
+}
+
+/** Type of the peer router, for its client. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
+/** Type of the agent router, for its client. */
+export type AgentRouter = ReturnType<typeof createAgentRouter>;
+
+/** Serves a router to one fetch-style request. */
+export function serveRouter(
+  router: PeerRouter | AgentRouter,
+  req: Request,
+): Promise<Response> {
+  return fetchRequestHandler({
+    endpoint: TRPC_PATH,
+    req,
+    router,
+    createContext: () => ({}),
+  });
+}
--- /dev/null
+++ b/src/wire/schema.ts
@@ -0,0 +1,38 @@
+/**
+ * Checked forms of the messages that enter a process from another one.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { Priority, StageKind } from "../model/mod.ts";
+
+/** Checks a stage call. */
+export const stageCallSchema = z.object({
+  callId: z.string().min(1),
+  requestId: z.string().min(1),
+  customer: z.string().min(1),
+  pipeline: z.string().min(1),
+  stage: z.string().min(1),
+  kind: z.enum(StageKind),
+  target: z.string().min(1),
+  idempotent: z.boolean(),
+  idempotencyKey: z.string().min(1).optional(),
+  fingerprint: z.string().min(1),
+  priority: z.enum(Priority),
+  weight: z.number().positive(),
+  remainingMs: z.number(),
+  listsVersion: z.number().int().nonnegative(),
+  traceparent: z.string().optional(),
+  model: z.string().optional(),
+  maxTokens: z.number().int().positive().optional(),
+  input: z.unknown(),
+}).refine(
+  (call) => call.idempotent || call.idempotencyKey !== undefined,
+  { message: "A non-idempotent call needs an idempotency key" },
+);
+
+/** Checks a question for what changed since a version of the lists. */
+export const listsSinceSchema = z.object({
+  version: z.number().int().nonnegative(),
+});
