--- /dev/null
+++ b/src/agent/engine_client.ts
@@ -0,0 +1,126 @@
+/**
+ * Client of a model engine: the completion form with streamed tokens.
+ *
+ * @module
+ */
+
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { Agent, request } from "undici";
+import { canonicalJson, Priority, type StageCall } from "../model/mod.ts";
+import {
+  connectionFailure,
+  protocolFailure,
+  statusFailure,
+} from "./failure.ts";
+import { readSse } from "./sse.ts";
+import type {
+  RunOptions,
+  TargetAnswer,
+  TargetClient,
+  TargetFailure,
+} from "./target_client.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const HTTP_OK = 200;
+const DEFAULT_MAX_TOKENS = 256;
+const END_MARK = "[DONE]";
+/** Engine priorities: a lower number is served first. */
+const ENGINE_PRIORITY = {
+  [Priority.Interactive]: 0,
+  [Priority.Batch]: 1,
+} as const;
+
+/** One streamed piece of a completion. */
+interface CompletionChunk {
+  readonly choices: readonly {
+    readonly text: string;
+    readonly finish_reason: string | null;
+  }[];
+}
+
+/** Speaks to a model engine by `POST /v1/completions`. */
+export class EngineClient implements TargetClient {
+  readonly #url: string;
+  readonly #dispatcher = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  constructor(url: string) {
+    this.#url = url;
+  }
+
+  run(
+    call: StageCall,
+    opts: RunOptions,
+  ): ResultAsync<TargetAnswer, TargetFailure> {
+    return ResultAsync.fromPromise(this.#send(call, opts), connectionFailure)
+      .andThen((outcome) =>
+        "failure" in outcome ? errAsync(outcome.failure) : okAsync(outcome)
+      );
+  }
+
+  close(): Promise<void> {
+    return this.#dispatcher.destroy();
+  }
+
+  async #send(
+    call: StageCall,
+    opts: RunOptions,
+  ): Promise<TargetAnswer | { failure: TargetFailure }> {
+    const res = await request(`${this.#url}/v1/completions`, {
+      method: "POST",
+      headers: {
+        "content-type": "application/json",
+        "x-call-id": call.callId,
+      },
+      body: JSON.stringify(completionBody(call)),
+      dispatcher: this.#dispatcher,
+      signal: opts.signal,
+    });
+    if (res.statusCode !== HTTP_OK) {
+      await res.body.dump();
+      return { failure: statusFailure(res.statusCode, res.headers) };
+    }
+    return await collect(res.body, opts.onText);
+  }
+}
+
+/** Prompt of a generate stage: the shared instructions first, so that engines can cache them. */
+export function promptOf(call: StageCall): string {
+  return `Pipeline ${call.pipeline}, stage ${call.stage}.\n` +
+    canonicalJson(call.input);
+}
+
+function completionBody(call: StageCall) {
+  return {
+    model: call.model ?? "default",
+    prompt: promptOf(call),
+    max_tokens: call.maxTokens ?? DEFAULT_MAX_TOKENS,
+    stream: true,
+    priority: ENGINE_PRIORITY[call.priority],
+  };
+}
+
+async function collect(
+  body: AsyncIterable<Uint8Array>,
+  onText: (text: string) => void,
+): Promise<TargetAnswer | { failure: TargetFailure }> {
+  const pieces: string[] = [];
+  let ended = false;
+  for await (const data of readSse(body)) {
+    if (data === END_MARK) {
+      ended = true;
+      break;
+    }
+    const text = (JSON.parse(data) as CompletionChunk).choices[0]?.text ?? "";
+    if (text === "") continue;
+    pieces.push(text);
+    onText(text);
+  }
+  if (!ended) {
+    return { failure: protocolFailure("The stream has no end mark") };
+  }
+  return { output: { text: pieces.join("") }, tokens: pieces.length };
+}
--- /dev/null
+++ b/src/cli/daemon.ts
@@ -0,0 +1,31 @@
+/**
+ * Running a daemon until it is told to stop.
+ *
+ * @module
+ */
+
+import { type Checked, formatFindings } from "../config/mod.ts";
+import type { Kernel } from "../kernel/mod.ts";
+import { CommandError, ExitCode } from "./exit.ts";
+
+/** Time after which a stopping process ends with work in hand, in ms. */
+const GRACE_MS = 5_000;
+
+/** Value of a check, or a command error that lists every finding. */
+export function checkedOrFail<T>(what: string, checked: Checked<T>): T {
+  if (checked.isOk()) return checked.value;
+  throw new CommandError(
+    ExitCode.Usage,
+    `${what} has faults:\n${formatFindings(checked.error)}`,
+  );
+}
+
+/** Runs until SIGTERM or SIGINT, then drains and ends the process. */
+export function runDaemon(kernel: Kernel, opts: { drainMs: number }): void {
+  const stop = () => {
+    setTimeout(() => process.exit(1), opts.drainMs + GRACE_MS).unref();
+    void kernel.stop().then(() => process.exit(0));
+  };
+  process.once("SIGTERM", stop);
+  process.once("SIGINT", stop);
+}
--- a/src/config/mod.ts
+++ b/src/config/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./file.ts";
 export * from "./finding.ts";
 export * from "./lists.ts";
 export * from "./settings.ts";
--- /dev/null
+++ b/src/entry/directory.ts
@@ -0,0 +1,136 @@
+/**
+ * The targets that an entry knows, with their loads and clients.
+ *
+ * @module
+ */
+
+import { every } from "../kernel/mod.ts";
+import { serviceable } from "../membership/mod.ts";
+import {
+  type HostId,
+  type PoolName,
+  type Target,
+  type TargetId,
+  type TargetLoad,
+} from "../model/mod.ts";
+import { HostState } from "../platform/mod.ts";
+import { type ListsSync, type Platform, readTargets } from "../process/mod.ts";
+import type { Candidate } from "../routing/mod.ts";
+import type { Logger } from "../telemetry/mod.ts";
+import { type AgentClient, TrpcAgentClient } from "../wire/mod.ts";
+
+const REFRESH_MS = 1_000;
+/** Time that an unreachable target gets no work, in milliseconds. */
+const SUSPECT_MS = 2_000;
+
+interface Known {
+  readonly client: AgentClient;
+  readonly url: string;
+  load?: TargetLoad;
+  outstanding: number;
+  suspectedUntil: number;
+}
+
+/** What an entry knows of the targets. */
+export class Directory {
+  readonly #known = new Map<TargetId, Known>();
+  readonly #platform: Platform;
+  readonly #lists: ListsSync;
+  readonly #log: Logger;
+  #targets: readonly Target[] = [];
+  #leavingHosts: ReadonlySet<HostId> = new Set();
+
+  constructor(opts: { platform: Platform; lists: ListsSync; log: Logger }) {
+    this.#platform = opts.platform;
+    this.#lists = opts.lists;
+    this.#log = opts.log;
+  }
+
+  /** Follows the registrations and the host list until `signal` aborts. */
+  run(signal: AbortSignal): void {
+    void every(REFRESH_MS, () => this.#refresh(signal), signal);
+  }
+
+  /** Targets of a pool that may get new work. */
+  candidates(pool: PoolName): readonly Candidate[] {
+    return this.#serviceable()
+      .filter((target) => target.pool === pool)
+      .map((target) => {
+        const { load, outstanding } = this.#entry(target);
+        return { target, load, outstanding };
+      });
+  }
+
+  /** Client of the agent beside a target. */
+  client(target: Target): AgentClient {
+    return this.#entry(target).client;
+  }
+
+  /** Counts a call that starts; the result ends the count. */
+  begin(target: Target): () => void {
+    const entry = this.#entry(target);
+    entry.outstanding += 1;
+    let ended = false;
+    return () => {
+      if (ended) return;
+      ended = true;
+      entry.outstanding -= 1;
+    };
+  }
+
+  /** Takes notice of a load report. */
+  report(target: Target, load: TargetLoad): void {
+    this.#entry(target).load = load;
+  }
+
+  /** Takes notice of a target that could not be reached. */
+  suspect(target: Target): void {
+    this.#entry(target).suspectedUntil = Date.now() + SUSPECT_MS;
+  }
+
+  #serviceable(): readonly Target[] {
+    const now = Date.now();
+    const suspected = this.#targets
+      .filter(({ id }) => (this.#known.get(id)?.suspectedUntil ?? 0) > now)
+      .map(({ id }) => id);
+    return serviceable({
+      registered: this.#targets,
+      availability: this.#lists.current.availability,
+      leavingHosts: this.#leavingHosts,
+      suspected: new Set(suspected),
+    });
+  }
+
+  #entry(target: Target): Known {
+    const found = this.#known.get(target.id);
+    if (found?.url === target.agentUrl) return found;
+    void found?.client.close();
+    const fresh: Known = {
+      client: new TrpcAgentClient(target.agentUrl),
+      url: target.agentUrl,
+      outstanding: 0,
+      suspectedUntil: 0,
+    };
+    this.#known.set(target.id, fresh);
+    return fresh;
+  }
+
+  async #refresh(signal: AbortSignal): Promise<void> {
+    const { table, hosts } = this.#platform;
+    const [targets, hostList] = await Promise.all([
+      readTargets(table, signal),
+      hosts.list(signal),
+    ]);
+    targets.map((read) => {
+      this.#targets = read;
+    }).mapErr((err) =>
+      this.#log.warn("targets_read_failed", { detail: err.message })
+    );
+    hostList.map((entries) => {
+      const leaving = entries.filter(({ state }) =>
+        state === HostState.Leaving
+      );
+      this.#leavingHosts = new Set(leaving.map(({ host }) => host));
+    });
+  }
+}
--- /dev/null
+++ b/src/launch/demo.ts
@@ -0,0 +1,87 @@
+/**
+ * Demonstration: both sample deployments under load, with a domain taken out
+ * and put back and processes killed.
+ *
+ * @module
+ */
+
+import { sleep } from "../kernel/mod.ts";
+import { audit, type Outcome, runLoad, summarise } from "../load/mod.ts";
+import { RunningDeployment } from "./deployment.ts";
+
+const SEED = 1;
+const RATE_PER_S = 40;
+const DURATION_S = 16;
+const PORTS_PER_DEPLOYMENT = 400;
+const FIRST_PORT = 21_000;
+const DOMAIN_OUT_AT_MS = 3_000;
+const DOMAIN_IN_AT_MS = 8_000;
+const KILL_AT_MS = 10_000;
+const RESTART_AT_MS = 11_000;
+
+const startedAt = Date.now();
+const deployments = await Promise.all(
+  ["lindqvist", "abay"].map((name, i) =>
+    RunningDeployment.start(name, {
+      basePort: FIRST_PORT + i * PORTS_PER_DEPLOYMENT,
+      seed: SEED,
+    })
+  ),
+);
+console.error(`ready_after_ms=${Date.now() - startedAt}`);
+
+const results = await Promise.all(deployments.map(drive));
+await Promise.all(deployments.map(({ fleet }) => fleet.stopAll()));
+
+const total = (read: (result: typeof results[number]) => number) =>
+  results.reduce((sum, result) => sum + read(result), 0);
+const requests = total((r) => r.outcomes.length);
+const attained = total((r) => r.report.attainment * r.report.requests);
+const doubled = total((r) => r.audit.doubled);
+const lost = total((r) => r.audit.lost);
+const misdelivered = total((r) => r.audit.misdelivered);
+const violations = total((r) => r.violations);
+const falselyNotRun = total((r) => r.audit.falselyNotRun);
+console.log(
+  `requests=${requests} attainment=${(attained / requests).toFixed(4)} ` +
+    `false_not_run=${falselyNotRun} doubled=${doubled} lost=${lost} ` +
+    `misdelivered=${misdelivered} invariant_violations=${violations}`,
+);
+const broken = doubled + lost + misdelivered + violations + falselyNotRun;
+process.exitCode = broken === 0 ? 0 : 1;
+
+/** Drives one deployment while a domain leaves and processes die. */
+async function drive(deployment: RunningDeployment) {
+  const cfg = deployment.load({
+    ratePerS: RATE_PER_S,
+    durationS: DURATION_S,
+    seed: SEED,
+  });
+  const outcomes: Outcome[] = [];
+  const load = runLoad(cfg, (outcome) => outcomes.push(outcome));
+  await Promise.all([load, disturb(deployment)]);
+  const report = summarise(outcomes);
+  console.error(JSON.stringify({ deployment: deployment.name, ...report }));
+  return {
+    outcomes,
+    report,
+    audit: audit(outcomes, await deployment.filings()),
+    violations: await deployment.violations(),
+  };
+}
+
+/** Takes a domain out and back, then kills an agent and an entry. */
+async function disturb(deployment: RunningDeployment): Promise<void> {
+  const { fleet, topology } = deployment;
+  const domain = topology.entries[0]?.domain ?? "";
+  await sleep(DOMAIN_OUT_AT_MS);
+  await deployment.setDomainOut(domain, true);
+  await sleep(DOMAIN_IN_AT_MS - DOMAIN_OUT_AT_MS);
+  await deployment.setDomainOut(domain, false);
+  await sleep(KILL_AT_MS - DOMAIN_IN_AT_MS);
+  const killed = [fleet.names("agent-")[0], fleet.names("entry-")[0]]
+    .filter((name) => name !== undefined);
+  killed.forEach((name) => fleet.signal(name, "SIGKILL"));
+  await sleep(RESTART_AT_MS - KILL_AT_MS);
+  killed.forEach((name) => fleet.restart(name));
+}
--- /dev/null
+++ b/src/launch/deployment.ts
@@ -0,0 +1,152 @@
+/**
+ * One deployment on loopback: its processes, lists and load.
+ *
+ * @module
+ */
+
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { EMPTY_LISTS, type UseList } from "../model/mod.ts";
+import { type FilingRecord, type LoadSettings } from "../load/mod.ts";
+import { HttpTable } from "../platform/mod.ts";
+import { changeLists, readLists } from "../process/mod.ts";
+import { Fleet, waitReady } from "./fleet.ts";
+import { deploymentSchema, planTopology, type Topology } from "./topology.ts";
+
+const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
+const METRIC_VIOLATIONS = "cassiapost_invariant_violations_total";
+
+/** A running deployment. */
+export class RunningDeployment {
+  readonly name: string;
+  readonly fleet: Fleet;
+  readonly topology: Topology;
+  readonly #samples: string;
+
+  private constructor(
+    opts: { name: string; fleet: Fleet; topology: Topology; samples: string },
+  ) {
+    this.name = opts.name;
+    this.fleet = opts.fleet;
+    this.topology = opts.topology;
+    this.#samples = opts.samples;
+  }
+
+  /** Starts a sample deployment and waits until it serves. */
+  static async start(
+    name: string,
+    opts: { basePort: number; seed: number },
+  ): Promise<RunningDeployment> {
+    const samples = join(ROOT, "samples", name);
+    const deployment = deploymentSchema.parse(
+      readJson(join(samples, "deployment.json")),
+    );
+    const topology = planTopology(deployment, opts);
+    const fleet = new Fleet(join(ROOT, ".run", name));
+    const running = new RunningDeployment({ name, fleet, topology, samples });
+    fleet.startStandIns(topology);
+    await waitReady(`${topology.tableUrl}/healthz`);
+    await running.#applyLists();
+    fleet.startSystem(topology);
+    await running.ready();
+    return running;
+  }
+
+  /** Resolves when every agent and entry takes work. */
+  async ready(): Promise<void> {
+    const { agents, entries } = this.topology;
+    await Promise.all(
+      [...agents, ...entries].map(({ control }) =>
+        waitReady(`http://${control.address}:${control.port}/readyz`)
+      ),
+    );
+  }
+
+  /** Load settings that use every pipeline of the deployment. */
+  load(opts: Pick<LoadSettings, "ratePerS" | "durationS" | "seed">) {
+    const { customers } = readJson(join(this.#samples, "customers.json")) as {
+      customers: { id: string }[];
+    };
+    return {
+      ...opts,
+      entryUrls: [...this.topology.entryUrls],
+      customers: customers.map(({ id }) => ({
+        id,
+        key: `sample-key-${id}`,
+        weight: 1,
+      })),
+      mix: this.#use().pipelines.map((pipeline) => ({
+        pipeline: pipeline.name,
+        weight: 1,
+        deadlineMs: pipeline.deadlineMs,
+        files: pipeline.stages.some(({ idempotent }) => !idempotent),
+      })),
+    } satisfies LoadSettings;
+  }
+
+  /** Filings that the services recorded. */
+  async filings(): Promise<readonly FilingRecord[]> {
+    const all = await Promise.all(
+      this.topology.filingUrls.map((url) => getJson(`${url}/filings`)),
+    );
+    return all.flat() as FilingRecord[];
+  }
+
+  /** Violations counted by the agents and entries that are running. */
+  async violations(): Promise<number> {
+    const { agents, entries } = this.topology;
+    const counts = await Promise.all(
+      [...agents, ...entries].map(({ control }) =>
+        violationsAt(`http://${control.address}:${control.port}/metrics`)
+      ),
+    );
+    return counts.reduce((sum, count) => sum + count, 0);
+  }
+
+  /** Takes a domain out of service, or puts it back. */
+  async setDomainOut(domain: string, out: boolean): Promise<void> {
+    const table = new HttpTable(this.topology.tableUrl);
+    const { version, availability } = (await readLists(table))._unsafeUnwrap();
+    const others = availability.domainsOut.filter((name) => name !== domain);
+    const domainsOut = out ? [...others, domain] : others;
+    const change = { availability: { ...availability, domainsOut } };
+    (await changeLists(table, version, change))._unsafeUnwrap();
+  }
+
+  async #applyLists(): Promise<void> {
+    const table = new HttpTable(this.topology.tableUrl);
+    const customers = readJson(join(this.#samples, "customers.json"));
+    const change = {
+      customers: customers as typeof EMPTY_LISTS.customers,
+      use: this.#use(),
+    };
+    (await changeLists(table, 0, change))._unsafeUnwrap();
+  }
+
+  #use(): UseList {
+    return readJson(join(this.#samples, "use.json")) as UseList;
+  }
+}
+
+function readJson(path: string): unknown {
+  return JSON.parse(readFileSync(path, "utf8"));
+}
+
+async function getJson(url: string): Promise<unknown> {
+  const res = await request(url);
+  return await res.body.json();
+}
+
+async function violationsAt(url: string): Promise<number> {
+  try {
+    const res = await request(url);
+    const text = await res.body.text();
+    const line = text.split("\n")
+      .find((one) => one.startsWith(METRIC_VIOLATIONS));
+    return Number(line?.split(" ").at(-1) ?? 0);
+  } catch {
+    return 0;
+  }
+}
--- a/src/limits/gate.ts
+++ b/src/limits/gate.ts
@@ -46,15 +46,25 @@
   readonly queue: readonly GateCall[];
 }
 
+/** How a started call ended. */
+export type CallOutcome =
+  | { readonly kind: "ok"; readonly serviceMs: number }
+  | {
+    readonly kind: "failed";
+    readonly serviceMs: number;
+    /** True when the target says that it is in cold start. */
+    readonly cold: boolean;
+  }
+  /** The call was permitted and not sent. */
+  | { readonly kind: "unused" };
+
 /** Something that happened at the gate. */
 export type GateEvent =
   | { readonly kind: "arrive"; readonly call: GateCall }
   | {
     readonly kind: "finish";
     readonly callId: CallId;
-    /** False when the target failed or was too slow. */
-    readonly ok: boolean;
-    readonly serviceMs: number;
+    readonly outcome: CallOutcome;
   }
   | { readonly kind: "cancel"; readonly callId: CallId }
   | { readonly kind: "turned-cold" }
@@ -144,16 +154,25 @@
 
 function finish(
   state: GateState,
-  event: { callId: CallId; ok: boolean },
+  event: { callId: CallId; outcome: CallOutcome },
 ): GateState {
   const running = new Map(state.running);
   running.delete(event.callId);
-  const limit = event.ok
-    ? Math.min(state.cfg.maxLimit, state.limit + 1)
-    : state.cfg.coldLimit;
+  const limit = nextLimit(state, event.outcome);
   return { ...state, running, limit, cold: limit <= state.cfg.coldLimit };
 }
 
+function nextLimit(state: GateState, outcome: CallOutcome): number {
+  switch (outcome.kind) {
+    case "ok":
+      return Math.min(state.cfg.maxLimit, state.limit + 1);
+    case "failed":
+      return state.cfg.coldLimit;
+    case "unused":
+      return state.limit;
+  }
+}
+
 /** Refuses the calls that are past their deadline and starts what fits. */
 function settle({ state, effects }: GateStep, now: number): GateStep {
   const late = state.queue.filter((call) => call.deadlineAt <= now);
--- /dev/null
+++ b/src/load/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Load and experiment tool.
+ *
+ * @module
+ */
+
+export * from "./arrivals.ts";
+export * from "./audit.ts";
+export * from "./report.ts";
+export * from "./run.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/src/load/report.ts
@@ -0,0 +1,88 @@
+/**
+ * Figures of a load run.
+ *
+ * @module
+ */
+
+import { Durations, type DurationSummary } from "../telemetry/mod.ts";
+import { type Outcome, Told } from "./run.ts";
+
+/** Mean cost of one stage for each finished request. */
+export interface StageCostSummary {
+  readonly requests: number;
+  readonly meanServiceMs: number;
+  readonly meanQueuedMs: number;
+  readonly tokens: number;
+}
+
+/** Summary of a load run. */
+export interface LoadReport {
+  readonly requests: number;
+  /** Share of the requests that were done within their deadline. */
+  readonly attainment: number;
+  readonly done: number;
+  readonly refused: number;
+  readonly outcomeUnknown: number;
+  readonly unanswered: number;
+  readonly latency: DurationSummary;
+  readonly reasons: Readonly<Record<string, number>>;
+  /** By `pipeline/stage`. */
+  readonly costByStage: Readonly<Record<string, StageCostSummary>>;
+}
+
+/** Summarises the outcomes of a run. */
+export function summarise(outcomes: readonly Outcome[]): LoadReport {
+  const done = outcomes.filter(({ told }) => told === Told.Done);
+  const inTime = done.filter(({ latencyMs, arrival }) =>
+    latencyMs <= arrival.work.deadlineMs
+  );
+  const latency = new Durations();
+  done.forEach(({ latencyMs }) => latency.record(latencyMs));
+  return {
+    requests: outcomes.length,
+    attainment: outcomes.length === 0 ? 1 : inTime.length / outcomes.length,
+    done: done.length,
+    refused: count(outcomes, Told.NotRun),
+    outcomeUnknown: count(outcomes, Told.OutcomeUnknown),
+    unanswered: count(outcomes, Told.Nothing),
+    latency: latency.summary(),
+    reasons: reasonsOf(outcomes),
+    costByStage: costsOf(done),
+  };
+}
+
+function count(outcomes: readonly Outcome[], told: Told): number {
+  return outcomes.filter((outcome) => outcome.told === told).length;
+}
+
+function reasonsOf(outcomes: readonly Outcome[]): Record<string, number> {
+  const reasons: Record<string, number> = {};
+  outcomes.forEach(({ reason }) => {
+    if (reason) reasons[reason] = (reasons[reason] ?? 0) + 1;
+  });
+  return reasons;
+}
+
+function costsOf(
+  done: readonly Outcome[],
+): Record<string, StageCostSummary> {
+  const rows = done.flatMap(({ arrival, stages }) =>
+    stages.map((cost) => ({
+      name: `${arrival.work.pipeline}/${cost.stage}`,
+      cost,
+    }))
+  );
+  const names = [...new Set(rows.map(({ name }) => name))].sort();
+  return Object.fromEntries(names.map((name) => {
+    const costs = rows.filter((row) => row.name === name)
+      .map(({ cost }) => cost);
+    const total = (read: (cost: typeof costs[number]) => number) =>
+      costs.reduce((sum, cost) => sum + read(cost), 0);
+    return [name, {
+      requests: costs.length,
+      meanServiceMs: total(({ serviceMs }) => serviceMs) / costs.length,
+      meanQueuedMs: total(({ queuedMs }) => queuedMs) / costs.length,
+      tokens: total(({ tokens }) => tokens),
+    }];
+  }));
+}
--- /dev/null
+++ b/src/load/settings.ts
@@ -0,0 +1,34 @@
+/**
+ * Settings of the load tool.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+
+/** Schema of the settings of a load run. */
+export const loadSettingsSchema = z.strictObject({
+  entryUrls: z.array(z.url()).min(1)
+    .describe("Base URLs of the entries; requests take them in turn"),
+  customers: z.array(z.strictObject({
+    id: z.string().describe("Name of the customer"),
+    key: z.string().describe("Key of the customer"),
+    weight: z.number().positive().default(1)
+      .describe("Share of the requests"),
+  })).min(1),
+  mix: z.array(z.strictObject({
+    pipeline: z.string().describe("Name of the pipeline"),
+    weight: z.number().positive().default(1)
+      .describe("Share of the requests"),
+    deadlineMs: z.int().positive().default(4_000)
+      .describe("Deadline of each request, in ms"),
+    files: z.boolean().default(false)
+      .describe("True when the pipeline makes a filing"),
+  })).min(1),
+  ratePerS: z.number().positive().describe("Mean arrivals per second"),
+  durationS: z.number().positive().describe("Length of the run, in s"),
+  seed: z.int().default(1).describe("Seed of arrivals and choices"),
+});
+
+/** Settings of a load run. */
+export type LoadSettings = z.infer<typeof loadSettingsSchema>;
--- /dev/null
+++ b/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * cassiapost as a library: the processes and their vocabulary.
+ *
+ * @module
+ */
+
+export { startAgent } from "./agent/mod.ts";
+export { startEntry } from "./entry/mod.ts";
+export * from "./config/mod.ts";
+export * from "./model/mod.ts";
+export * from "./platform/mod.ts";
--- /dev/null
+++ b/src/process/base.ts
@@ -0,0 +1,79 @@
+/**
+ * Services that every process starts with.
+ *
+ * @module
+ */
+
+import type { ProcessSettings } from "../config/mod.ts";
+import {
+  onViolation,
+  service,
+  type ServiceSpec,
+  violationCount,
+} from "../kernel/mod.ts";
+import {
+  HttpHostList,
+  HttpObjectStore,
+  HttpTable,
+  HttpWeightStore,
+} from "../platform/mod.ts";
+import { createLogger, Metrics, Tracing } from "../telemetry/mod.ts";
+import { LISTS, LOG, METRICS, PLATFORM, TRACING } from "./keys.ts";
+import { ListsSync } from "./lists_sync.ts";
+
+/** Telemetry, the platform's clients and the lists, in starting order. */
+export function baseServices(cfg: ProcessSettings): readonly ServiceSpec[] {
+  return [
+    service({
+      key: LOG,
+      start: () =>
+        createLogger({
+          level: cfg.telemetry.logLevel,
+          fields: { process: cfg.name },
+        }),
+    }),
+    service({ key: METRICS, start: (ctx) => startMetrics(ctx.signal) }),
+    service({
+      key: TRACING,
+      start: (ctx) =>
+        new Tracing({
+          to: cfg.telemetry.traceExport,
+          url: cfg.telemetry.traceUrl,
+          log: ctx.get(LOG),
+          process: cfg.name,
+        }),
+      drain: (tracing) => tracing.flush(),
+    }),
+    service({ key: PLATFORM, start: () => createPlatform(cfg) }),
+    service({
+      key: LISTS,
+      start: (ctx) => {
+        const log = ctx.get(LOG);
+        onViolation(
+          ({ name, detail }) =>
+            log.error("invariant_violated", { invariant: name, detail }),
+          ctx.signal,
+        );
+        const sync = new ListsSync({ table: ctx.get(PLATFORM).table, log });
+        sync.run(ctx.signal);
+        return sync;
+      },
+    }),
+  ];
+}
+
+function startMetrics(_signal: AbortSignal): Metrics {
+  const metrics = new Metrics();
+  metrics.gauge("invariant_violations_total", violationCount);
+  metrics.gauge("resident_bytes", () => process.memoryUsage().rss);
+  return metrics;
+}
+
+function createPlatform(cfg: ProcessSettings) {
+  return {
+    table: new HttpTable(cfg.platform.tableUrl),
+    objects: new HttpObjectStore(cfg.platform.objectStoreUrl),
+    hosts: new HttpHostList(cfg.platform.hostListUrl),
+    weights: new HttpWeightStore(cfg.platform.weightStoreUrl),
+  };
+}
--- /dev/null
+++ b/src/process/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Services that entries and agents share.
+ *
+ * @module
+ */
+
+export * from "./base.ts";
+export * from "./control.ts";
+export * from "./keys.ts";
+export * from "./lists_store.ts";
+export * from "./lists_sync.ts";
+export * from "./registry.ts";
+export * from "./server.ts";
--- /dev/null
+++ b/src/standin/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Small stand-ins for what the system serves and what it stands on.
+ *
+ * @module
+ */
+
+export * from "./engine.ts";
+export * from "./faults.ts";
+export * from "./service.ts";
+export * from "./start.ts";
+export * from "./stores.ts";
+export * from "./table.ts";
--- /dev/null
+++ b/src/standin/service.ts
@@ -0,0 +1,102 @@
+/**
+ * Stand-in for a plain service: encoder, retriever, reranker or application
+ * service. It counts each filing by its idempotency key.
+ *
+ * @module
+ */
+
+import { Hono } from "hono";
+import { sleep } from "../kernel/mod.ts";
+import { sha256 } from "../model/mod.ts";
+import { type Faults, withFaults } from "./faults.ts";
+
+/** Bounds and speeds of the service. */
+export interface ServiceConfig {
+  /** Time of one call, in milliseconds. */
+  readonly callMs: number;
+  /** Calls that run at once; further ones wait. */
+  readonly workers: number;
+}
+
+/** Usual small service. */
+export const DEFAULT_SERVICE: ServiceConfig = { callMs: 5, workers: 16 };
+
+/** One filing as the service recorded it. */
+export interface Filing {
+  readonly key: string;
+  readonly marker: string;
+  count: number;
+}
+
+/** Plain service. */
+export class PlainService {
+  readonly #cfg: ServiceConfig;
+  readonly #filings = new Map<string, Filing>();
+  readonly #waiting: (() => void)[] = [];
+  #active = 0;
+
+  constructor(cfg: ServiceConfig = DEFAULT_SERVICE) {
+    this.#cfg = cfg;
+  }
+
+  /** All filings so far. */
+  get filings(): readonly Filing[] {
+    return [...this.#filings.values()];
+  }
+
+  /** Runs one operation. */
+  async run(op: string, call: { input: unknown; key: string }) {
+    await this.#acquire();
+    try {
+      await sleep(this.#cfg.callMs);
+      return this.#perform(op, call);
+    } finally {
+      this.#release();
+    }
+  }
+
+  #perform(op: string, { input, key }: { input: unknown; key: string }) {
+    const text = JSON.stringify(input);
+    const marker = /"marker":"([^"]*)"/.exec(text)?.[1] ?? "none";
+    if (op === "file") return this.#file(key, marker);
+    return { op, marker, digest: sha256(text) };
+  }
+
+  #file(key: string, marker: string) {
+    const filing = this.#filings.get(key) ?? { key, marker, count: 0 };
+    filing.count += 1;
+    this.#filings.set(key, filing);
+    return { filed: true, marker, receipt: sha256(key) };
+  }
+
+  async #acquire(): Promise<void> {
+    if (this.#active < this.#cfg.workers) {
+      this.#active += 1;
+      return;
+    }
+    await new Promise<void>((resolve) => this.#waiting.push(resolve));
+  }
+
+  #release(): void {
+    const next = this.#waiting.shift();
+    if (next) return next();
+    this.#active -= 1;
+  }
+}
+
+/** HTTP form of a plain service. */
+export function createServiceApp(
+  plain: PlainService,
+  opts: { faults: Faults; seed: number },
+): Hono {
+  const app = new Hono();
+  app.post("/ops/:op", async (c) => {
+    const { input } = await c.req.json<{ input: unknown }>();
+    const key = c.req.header("idempotency-key") ?? "";
+    const output = await plain.run(c.req.param("op"), { input, key });
+    c.header("x-call-id", c.req.header("x-call-id") ?? "");
+    return c.json(output);
+  });
+  app.get("/filings", (c) => c.json(plain.filings));
+  return withFaults(app, opts);
+}
--- /dev/null
+++ b/src/standin/start.ts
@@ -0,0 +1,104 @@
+/**
+ * A process that serves stand-ins on the ports of its settings.
+ *
+ * @module
+ */
+
+import type { Hono } from "hono";
+import { z } from "zod";
+import { HostState } from "../platform/mod.ts";
+import { listen, type Listening } from "../process/mod.ts";
+import { createEngineApp, DEFAULT_ENGINE, Engine } from "./engine.ts";
+import { NO_FAULTS } from "./faults.ts";
+import { createServiceApp, DEFAULT_SERVICE, PlainService } from "./service.ts";
+import {
+  createHostListApp,
+  createObjectStoreApp,
+  createWeightStoreApp,
+  MemoryHostList,
+  MemoryObjectStore,
+  MemoryWeightStore,
+} from "./stores.ts";
+import { createTableApp, MemoryTable } from "./table.ts";
+
+/** Kinds of stand-ins. */
+export const StandInKind = {
+  Engine: "engine",
+  Service: "service",
+  Table: "table",
+  ObjectStore: "object-store",
+  HostList: "host-list",
+  WeightStore: "weight-store",
+} as const;
+export type StandInKind = typeof StandInKind[keyof typeof StandInKind];
+
+const MODEL_BYTES = 16_000_000_000;
+const WEIGHT_BYTES_PER_S = 8_000_000_000;
+
+/** Schema of the settings of a stand-in process. */
+export const standInSettingsSchema = z.strictObject({
+  address: z.string(),
+  seed: z.int(),
+  hostListLagMs: z.number().nonnegative().default(2_000),
+  hosts: z.array(z.strictObject({
+    host: z.string(),
+    domain: z.string(),
+    state: z.enum(HostState),
+  })).default([]),
+  standIns: z.array(z.strictObject({
+    kind: z.enum(StandInKind),
+    port: z.int().positive(),
+    /** Replaces members of the usual configuration of the kind. */
+    tune: z.record(z.string(), z.number()).default({}),
+  })),
+});
+
+/** Settings of a stand-in process. */
+export type StandInSettings = z.infer<typeof standInSettingsSchema>;
+
+/** Starts every stand-in of the settings. */
+export function startStandIns(
+  cfg: StandInSettings,
+): Promise<readonly Listening[]> {
+  return Promise.all(cfg.standIns.map((standIn, i) => {
+    const app = appOf(cfg, standIn, cfg.seed + i);
+    return listen(app, { address: cfg.address, port: standIn.port });
+  }));
+}
+
+function appOf(
+  cfg: StandInSettings,
+  standIn: StandInSettings["standIns"][number],
+  seed: number,
+): Hono {
+  const opts = { faults: { ...NO_FAULTS }, seed };
+  switch (standIn.kind) {
+    case StandInKind.Engine:
+      return createEngineApp(
+        new Engine({ ...DEFAULT_ENGINE, ...standIn.tune }),
+        opts,
+      );
+    case StandInKind.Service:
+      return createServiceApp(
+        new PlainService({ ...DEFAULT_SERVICE, ...standIn.tune }),
+        opts,
+      );
+    case StandInKind.Table:
+      return createTableApp(new MemoryTable(), opts);
+    case StandInKind.ObjectStore:
+      return createObjectStoreApp(new MemoryObjectStore(), opts);
+    case StandInKind.HostList:
+      return createHostListApp(
+        new MemoryHostList({ hosts: cfg.hosts, lagMs: cfg.hostListLagMs }),
+        opts,
+      );
+    case StandInKind.WeightStore:
+      return createWeightStoreApp(
+        new MemoryWeightStore({
+          modelBytes: MODEL_BYTES,
+          bytesPerS: WEIGHT_BYTES_PER_S,
+        }),
+        opts,
+      );
+  }
+}
