--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -6,7 +6,7 @@
 
 import { err, ok, type Result, type ResultAsync } from "neverthrow";
 import { randomUUID } from "node:crypto";
-import { AsyncQueue, monotonicMs } from "../kernel/mod.ts";
+import { AsyncQueue, monotonicMs, timeoutSignal } from "../kernel/mod.ts";
 import {
   type CallEvent,
   digest,
@@ -240,8 +240,9 @@
    * its caller is gone, so that its outcome can be recorded.
    */
   #runSignal({ call, signal }: Session): AbortSignal {
-    const deadline = AbortSignal.timeout(Math.max(1, call.remainingMs));
-    return call.idempotent ? AbortSignal.any([signal, deadline]) : deadline;
+    return call.idempotent
+      ? timeoutSignal(call.remainingMs, signal)
+      : timeoutSignal(call.remainingMs);
   }
 
   #result(
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -5,7 +5,7 @@
  */
 
 import { err, ok, type Result } from "neverthrow";
-import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
 import {
   type CallEvent,
   callId,
@@ -233,11 +233,7 @@
   #silent = false;
 
   constructor(signal: AbortSignal, remainingMs: number) {
-    this.signal = AbortSignal.any([
-      signal,
-      this.#abort.signal,
-      AbortSignal.timeout(Math.max(1, remainingMs)),
-    ]);
+    this.signal = timeoutSignal(remainingMs, signal, this.#abort.signal);
     this.heard();
   }
 
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -13,6 +13,7 @@
 import {
   type Customer,
   notRun,
+  outcomeUnknown,
   type PipelineSpec,
   type Plan,
   type Refusal,
@@ -21,7 +22,7 @@
   type StageResult,
 } from "../model/mod.ts";
 import type { ListsSync } from "../process/mod.ts";
-import type { Metrics, Tracing } from "../telemetry/mod.ts";
+import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
 import { problemHeaders, problemOf } from "./problem.ts";
 import type { PipelineRequest, Runner } from "./runner.ts";
 
@@ -35,6 +36,7 @@
   readonly lists: ListsSync;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
+  readonly log: Logger;
   readonly maxBodyBytes: number;
 }
 
@@ -70,12 +72,20 @@
     app.notFound(() =>
       refuse(notRun(RefusalReason.UnknownPipeline, "No such resource"))
     );
-    app.onError(() =>
-      refuse(notRun(RefusalReason.Internal, "The request was not started"))
-    );
+    app.onError((failure) => this.#onError(failure));
     return app;
   }
 
+  #onError(failure: Error): Response {
+    this.#parts.log.error("request_failed", {
+      detail: failure.stack ?? failure.message,
+    });
+    return refuse(outcomeUnknown(
+      RefusalReason.Internal,
+      "The request failed inside the entry",
+    ));
+  }
+
   /** Stops taking requests and resolves once none is in hand. */
   async drain(): Promise<void> {
     this.#leaving = true;
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -76,6 +76,7 @@
         lists: ctx.get(LISTS),
         metrics,
         tracing,
+        log: ctx.get(LOG),
         maxBodyBytes: cfg.maxBodyBytes,
       });
     },
--- a/src/kernel/sleep.ts
+++ b/src/kernel/sleep.ts
@@ -34,3 +34,25 @@
     await sleep(ms, signal);
   }
 }
+
+/** Signal that aborts after `ms` milliseconds, or with one of `others`. */
+export function timeoutSignal(
+  ms: number,
+  ...others: readonly AbortSignal[]
+): AbortSignal {
+  const abort = new AbortController();
+  const delay = Math.max(0, Math.ceil(ms));
+  setTimeout(() => abort.abort(new TimeoutError(delay)), delay).unref();
+  return others.length === 0
+    ? abort.signal
+    : AbortSignal.any([abort.signal, ...others]);
+}
+
+/** Reason of a signal that aborted by time. */
+export class TimeoutError extends Error {
+  override readonly name = "TimeoutError";
+
+  constructor(ms: number) {
+    super(`No answer within ${ms} ms`);
+  }
+}
--- a/src/launch/fleet.ts
+++ b/src/launch/fleet.ts
@@ -38,6 +38,7 @@
   constructor(dir: string) {
     mkdirSync(dir, { recursive: true });
     this.#dir = dir;
+    process.once("exit", () => this.#killAll());
   }
 
   /** Starts the platform and the targets. */
@@ -91,6 +92,10 @@
     await Promise.all(names.filter(isStandIn).map((name) => this.stop(name)));
   }
 
+  #killAll(): void {
+    this.#members.forEach(({ child }) => child.kill("SIGKILL"));
+  }
+
   #startDaemon(role: "agent" | "entry", cfg: { name: string }): void {
     const file = this.#write(cfg.name, cfg);
     this.#start(cfg.name, [CLI_PATH, role, "--settings", file]);
--- a/src/load/run.ts
+++ b/src/load/run.ts
@@ -5,7 +5,7 @@
  */
 
 import { Agent, request } from "undici";
-import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
 import { Proof } from "../model/mod.ts";
 import { type Arrival, planArrivals } from "./arrivals.ts";
 import type { LoadSettings } from "./settings.ts";
@@ -88,7 +88,7 @@
         input: { marker, text: `Text of request ${marker}` },
       }),
       dispatcher: opts.dispatcher,
-      signal: AbortSignal.timeout(work.deadlineMs + ANSWER_SLACK_MS),
+      signal: timeoutSignal(work.deadlineMs + ANSWER_SLACK_MS),
     });
     const body = await res.body.json() as AnswerBody;
     return outcomeOf(arrival, body, latencyMs());
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -9,6 +9,7 @@
 
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import { Agent, request } from "undici";
+import { timeoutSignal } from "../kernel/mod.ts";
 import { PlatformError, PlatformErrorKind } from "./error.ts";
 import type {
   HostEntry,
@@ -72,13 +73,14 @@
   }
 
   async #send(path: string, body: unknown, signal?: AbortSignal) {
-    const timeout = AbortSignal.timeout(PLATFORM_TIMEOUT_MS);
     const res = await request(this.#url + path, {
       method: "POST",
       headers: { "content-type": "application/json" },
       body: JSON.stringify(body),
       dispatcher: this.#dispatcher,
-      signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
+      signal: signal
+        ? timeoutSignal(PLATFORM_TIMEOUT_MS, signal)
+        : timeoutSignal(PLATFORM_TIMEOUT_MS),
     });
     const text = await res.body.text();
     return {
--- a/src/wire/client.ts
+++ b/src/wire/client.ts
@@ -6,6 +6,7 @@
 
 import { createTRPCClient, httpBatchStreamLink, httpLink } from "@trpc/client";
 import { Agent, fetch as undiciFetch } from "undici";
+import { timeoutSignal } from "../kernel/mod.ts";
 import type { CallEvent, Lists, StageCall } from "../model/mod.ts";
 import type { PeerState, TargetState } from "./api.ts";
 import { type AgentRouter, type PeerRouter, TRPC_PATH } from "./router.ts";
@@ -50,7 +51,7 @@
     call: StageCall,
     signal: AbortSignal,
   ): Promise<AsyncIterable<CallEvent>> {
-    const events = await this.#streaming.call.mutate(call, { signal });
+    const events = await this.#streaming.runStage.mutate(call, { signal });
     return events as AsyncIterable<CallEvent>;
   }
 
@@ -115,6 +116,9 @@
 }
 
 function withTimeout(signal?: AbortSignal): { signal: AbortSignal } {
-  const timeout = AbortSignal.timeout(ANSWER_TIMEOUT_MS);
-  return { signal: signal ? AbortSignal.any([signal, timeout]) : timeout };
+  return {
+    signal: signal
+      ? timeoutSignal(ANSWER_TIMEOUT_MS, signal)
+      : timeoutSignal(ANSWER_TIMEOUT_MS),
+  };
 }
--- a/src/wire/router.ts
+++ b/src/wire/router.ts
@@ -28,7 +28,7 @@
 export function createAgentRouter(api: AgentApi) {
   const own = trpc.router({
     targetState: trpc.procedure.query(() => api.targetState()),
-    call: trpc.procedure
+    runStage: trpc.procedure
       .input(stageCallSchema)
       .mutation(async function* ({ input, signal }) {
         yield* api.call(input, signal ?? new AbortController().signal);
