--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -7,6 +7,7 @@
 import { every } from "../kernel/mod.ts";
 import { serviceable } from "../membership/mod.ts";
 import {
+  type DomainName,
   type HostId,
   type PoolName,
   type Target,
@@ -15,8 +16,9 @@
 } from "../model/mod.ts";
 import { HostState } from "../platform/mod.ts";
 import { type ListsSync, type Platform, readTargets } from "../process/mod.ts";
-import type { Candidate } from "../routing/mod.ts";
+import { type Candidate, chooseTarget } from "../routing/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
+import type { StageRequest } from "./dispatcher.ts";
 import { type AgentClient, TrpcAgentClient } from "../wire/mod.ts";
 
 const REFRESH_MS = 1_000;
@@ -31,19 +33,43 @@
   suspectedUntil: number;
 }
 
+/** What the choice of a target depends on. */
+export interface ChoiceRequest {
+  /** Targets that were tried already. */
+  readonly tried: ReadonlySet<TargetId>;
+  /** Input of the stage, for the affinity of shared prompt prefixes. */
+  readonly stage: StageRequest;
+}
+
+/** What a directory is made of. */
+export interface DirectoryOptions {
+  readonly platform: Platform;
+  readonly lists: ListsSync;
+  readonly log: Logger;
+  /** Failure domain of the entry. */
+  readonly homeDomain: DomainName;
+  /** Makes the client of an agent; by default over tRPC. */
+  readonly connect?: (target: Target) => AgentClient;
+}
+
 /** What an entry knows of the targets. */
 export class Directory {
   readonly #known = new Map<TargetId, Known>();
   readonly #platform: Platform;
   readonly #lists: ListsSync;
   readonly #log: Logger;
+  readonly #homeDomain: DomainName;
+  readonly #connect: (target: Target) => AgentClient;
   #targets: readonly Target[] = [];
   #leavingHosts: ReadonlySet<HostId> = new Set();
 
-  constructor(opts: { platform: Platform; lists: ListsSync; log: Logger }) {
+  constructor(opts: DirectoryOptions) {
     this.#platform = opts.platform;
     this.#lists = opts.lists;
     this.#log = opts.log;
+    this.#homeDomain = opts.homeDomain;
+    this.#connect = opts.connect ??
+      ((target) => new TrpcAgentClient(target.agentUrl));
   }
 
   /** Follows the registrations and the host list until `signal` aborts. */
@@ -51,8 +77,17 @@
     void every(REFRESH_MS, () => this.#refresh(signal), signal);
   }
 
+  /** Picks a target of a pool for a call, or undefined when there is none. */
+  choose(pool: PoolName, call: ChoiceRequest): Target | undefined {
+    return chooseTarget(this.#candidates(pool), {
+      random: Math.random,
+      homeDomain: this.#homeDomain,
+      exclude: call.tried,
+    });
+  }
+
   /** Targets of a pool that may get new work. */
-  candidates(pool: PoolName): readonly Candidate[] {
+  #candidates(pool: PoolName): readonly Candidate[] {
     return this.#serviceable()
       .filter((target) => target.pool === pool)
       .map((target) => {
@@ -106,7 +141,7 @@
     if (found?.url === target.agentUrl) return found;
     void found?.client.close();
     const fresh: Known = {
-      client: new TrpcAgentClient(target.agentUrl),
+      client: this.#connect(target),
       url: target.agentUrl,
       outstanding: 0,
       suspectedUntil: 0,
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -20,7 +20,6 @@
   type TargetId,
 } from "../model/mod.ts";
 import { type Budget, createBudget, earn, spend } from "../retry/mod.ts";
-import { chooseTarget } from "../routing/mod.ts";
 import type { Metrics, Tracing } from "../telemetry/mod.ts";
 import type { Directory } from "./directory.ts";
 
@@ -54,7 +53,6 @@
   readonly #directory: Directory;
   readonly #metrics: Metrics;
   readonly #tracing: Tracing;
-  readonly #homeDomain: string;
   #budget: Budget = createBudget({
     ratio: RETRY_RATIO,
     max: MAX_SAVED_RETRIES,
@@ -65,13 +63,11 @@
       directory: Directory;
       metrics: Metrics;
       tracing: Tracing;
-      homeDomain: string;
     },
   ) {
     this.#directory = opts.directory;
     this.#metrics = opts.metrics;
     this.#tracing = opts.tracing;
-    this.#homeDomain = opts.homeDomain;
   }
 
   /** Runs a stage call to its final result or refusal. */
@@ -125,7 +121,7 @@
   ): Promise<Result<StageResult, Refusal>> {
     const remainingMs = opts.deadlineAt - monotonicMs();
     if (remainingMs <= 0) return err(tooLate());
-    const target = this.#choose(opts.pool, tried);
+    const target = this.#directory.choose(opts.pool, { tried, stage: req });
     if (!target) return err(noTarget(opts.pool));
     tried.add(target.id);
     const span = this.#tracing.start("entry.stage", {
@@ -145,14 +141,6 @@
     return outcome;
   }
 
-  #choose(pool: string, tried: ReadonlySet<TargetId>): Target | undefined {
-    return chooseTarget(this.#directory.candidates(pool), {
-      random: Math.random,
-      homeDomain: this.#homeDomain,
-      exclude: tried,
-    });
-  }
-
   async #send(
     call: StageCall,
     target: Target,
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -17,6 +17,7 @@
   listen,
   type Listening,
   LISTS,
+  type ListsSync,
   LOG,
   METRICS,
   PLATFORM,
@@ -37,14 +38,14 @@
 export function startEntry(cfg: EntrySettings): Promise<Kernel> {
   return Kernel.start([
     ...baseServices(cfg),
-    directoryService(),
+    directoryService(cfg),
     frontService(cfg),
     controlService(cfg),
     listenService(cfg),
   ]);
 }
 
-function directoryService(): ServiceSpec {
+function directoryService(cfg: EntrySettings): ServiceSpec {
   return service({
     key: DIRECTORY,
     start: (ctx) => {
@@ -52,6 +53,7 @@
         platform: ctx.get(PLATFORM),
         lists: ctx.get(LISTS),
         log: ctx.get(LOG),
+        homeDomain: cfg.domain,
       });
       directory.run(ctx.signal);
       return directory;
@@ -69,7 +71,6 @@
         directory: ctx.get(DIRECTORY),
         metrics,
         tracing,
-        homeDomain: cfg.domain,
       });
       return new Front({
         runner: new Runner(dispatcher),
@@ -114,7 +115,7 @@
 
 function peerApi(
   cfg: EntrySettings,
-  lists: import("../process/mod.ts").ListsSync,
+  lists: ListsSync,
   front: Front,
 ): PeerApi {
   return {
--- a/src/launch/demo.ts
+++ b/src/launch/demo.ts
@@ -13,7 +13,11 @@
 const RATE_PER_S = 40;
 const DURATION_S = 16;
 const PORTS_PER_DEPLOYMENT = 400;
-const FIRST_PORT = 21_000;
+const DEFAULT_BASE_PORT = 21_000;
+/** Lets several demonstrations run on one machine. */
+const FIRST_PORT = Number(
+  process.env.CASSIAPOST_BASE_PORT ?? DEFAULT_BASE_PORT,
+);
 const DOMAIN_OUT_AT_MS = 3_000;
 const DOMAIN_IN_AT_MS = 8_000;
 const KILL_AT_MS = 10_000;
