--- a/src/config/finding.ts
+++ b/src/config/finding.ts
@@ -7,8 +7,9 @@
  * @module
  */
 
+import { closest, distance } from "fastest-levenshtein";
 import { Err, Ok, type Result } from "ts-results-es";
-import type { z } from "zod";
+import { z } from "zod";
 
 /** One fault in a checked document. */
 export interface Finding {
@@ -24,7 +25,9 @@
 export function check<T>(schema: z.ZodType<T>, value: unknown): Checked<T> {
   const parsed = schema.safeParse(value);
   if (parsed.success) return Ok(parsed.data);
-  return Err(parsed.error.issues.map(toFinding));
+  return Err(
+    parsed.error.issues.flatMap((issue) => toFindings(schema, issue)),
+  );
 }
 
 /** Parses JSON text and checks it. */
@@ -52,6 +55,52 @@
   );
 }
 
-function toFinding(issue: z.core.$ZodIssue): Finding {
-  return { path: jsonPath(issue.path), message: issue.message };
+function toFindings(schema: z.ZodType, issue: z.core.$ZodIssue): Finding[] {
+  if (issue.code !== "unrecognized_keys") {
+    return [{ path: jsonPath(issue.path), message: issue.message }];
+  }
+  const known = knownKeys(schema, issue.path);
+  return issue.keys.map((key) => ({
+    path: jsonPath([...issue.path, key]),
+    message: `Unknown key${suggestion(key, known)}`,
+  }));
+}
+
+/** Most edits between a mistyped key and the key that is suggested for it. */
+const MAX_EDITS = 3;
+
+function suggestion(key: string, known: readonly string[]): string {
+  if (known.length === 0) return "";
+  const nearest = closest(key, known);
+  return distance(key, nearest) <= MAX_EDITS
+    ? `; did you mean ${nearest}?`
+    : `; known are ${known.join(", ")}`;
+}
+
+/** Keys that the schema knows in the object at `path`. */
+function knownKeys(
+  schema: z.ZodType,
+  path: readonly PropertyKey[],
+): readonly string[] {
+  const at = path.reduce<z.ZodType | undefined>(memberSchema, schema);
+  const object = unwrap(at);
+  return object instanceof z.ZodObject ? Object.keys(object.shape) : [];
+}
+
+function memberSchema(
+  schema: z.ZodType | undefined,
+  segment: PropertyKey,
+): z.ZodType | undefined {
+  const inner = unwrap(schema);
+  if (inner instanceof z.ZodObject) return inner.shape[String(segment)];
+  if (inner instanceof z.ZodArray) return inner.element as z.ZodType;
+  return undefined;
+}
+
+/** The schema below defaults and optional marks. */
+function unwrap(schema: z.ZodType | undefined): z.ZodType | undefined {
+  if (schema instanceof z.ZodDefault || schema instanceof z.ZodOptional) {
+    return unwrap(schema.unwrap() as z.ZodType);
+  }
+  return schema;
 }
--- /dev/null
+++ b/src/config/finding_test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Checked } from "./finding.ts";
+import { check, checkJson, formatFindings } from "./finding.ts";
+import { checkCustomerList, checkTogether, checkUseList } from "./lists.ts";
+import { agentSettingsSchema, entrySettingsSchema } from "./settings.ts";
+
+const PLATFORM = {
+  tableUrl: "http://127.0.0.1:1",
+  objectStoreUrl: "http://127.0.0.1:2",
+  hostListUrl: "http://127.0.0.1:3",
+  weightStoreUrl: "http://127.0.0.1:4",
+};
+const ENTRY = {
+  name: "e",
+  host: "h",
+  domain: "d",
+  control: { address: "127.0.0.1", port: 1 },
+  listen: { address: "127.0.0.1", port: 2 },
+  platform: PLATFORM,
+};
+
+const findings = (checked: Checked<unknown>) =>
+  checked.isErr() ? formatFindings(checked.error).split("\n") : [];
+
+test("check() accepts settings and fills in the defaults", () => {
+  const checked = check(entrySettingsSchema, ENTRY);
+  assert.equal(checked.isOk() && checked.value.drainMs, 30_000);
+});
+
+test("check() reports every finding with its JSON path", () => {
+  const wrong = { ...ENTRY, listen: { address: "", port: 70_000 }, name: 3 };
+  const paths = findings(check(entrySettingsSchema, wrong))
+    .map((line) => line.split(":")[0]);
+  assert.deepEqual(paths, ["$.name", "$.listen.address", "$.listen.port"]);
+});
+
+test("check() suggests the known key nearest to an unknown one", () => {
+  const wrong = {
+    ...ENTRY,
+    drainMS: 3,
+    platform: { ...PLATFORM, tableUri: "x" },
+  };
+  assert.deepEqual(findings(check(entrySettingsSchema, wrong)), [
+    "$.platform.tableUri: Unknown key; did you mean tableUrl?",
+    "$.drainMS: Unknown key; did you mean drainMs?",
+  ]);
+});
+
+test("check() lists the known keys when none is near", () => {
+  const wrong = { ...ENTRY, control: { ...ENTRY.control, encryption: true } };
+  assert.match(
+    findings(check(agentSettingsSchema, wrong)).join("\n"),
+    /\$\.control\.encryption: Unknown key; known are address, port/,
+  );
+});
+
+test("checkJson() reports text that is not JSON", () => {
+  assert.match(
+    findings(checkJson(entrySettingsSchema, "{,"))[0] ?? "",
+    /^\$: Not JSON/,
+  );
+});
+
+test("checkTogether() finds repeated and unknown names with their place", () => {
+  const hash = "0".repeat(64);
+  const customer = { id: "c", plan: "none", keySha256: hash };
+  const customers = checkCustomerList({ customers: [customer, customer] })
+    .unwrap();
+  const plan = { name: "p", weight: 1, maxConcurrent: 1, pipelines: ["x"] };
+  const use = checkUseList({ plans: [plan], pipelines: [] }).unwrap();
+  assert.deepEqual(findings(checkTogether(customers, use)), [
+    "$.customers[1]: c stands here twice",
+    `$.customers[1]: ${hash} stands here twice`,
+    "$.customers[0].plan: No plan is called none",
+    "$.customers[1].plan: No plan is called none",
+    "$.plans[0].pipelines[0]: No pipeline is called x",
+  ]);
+});
