--- a/src/config/mod.ts
+++ b/src/config/mod.ts
@@ -7,4 +7,5 @@
 export * from "./file.ts";
 export * from "./finding.ts";
 export * from "./lists.ts";
+export * from "./reference.ts";
 export * from "./settings.ts";
--- /dev/null
+++ b/src/config/reference_main.ts
@@ -0,0 +1,9 @@
+/**
+ * Program that prints the settings reference.
+ *
+ * @module
+ */
+
+import { settingsReference } from "./reference.ts";
+
+process.stdout.write(settingsReference());
--- /dev/null
+++ b/src/config/reference_test.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { readChecked } from "./file.ts";
+import { settingsReference } from "./reference.ts";
+import { agentSettingsSchema, entrySettingsSchema } from "./settings.ts";
+
+const pathOf = (path: string) =>
+  fileURLToPath(new URL(`../../../${path}`, import.meta.url));
+const cells = (text: string) => text.replaceAll(/[ -]+/g, " ");
+
+test("settingsReference() is what docs/CONFIGURATION.md holds", () => {
+  const page = readFileSync(pathOf("docs/CONFIGURATION.md"), "utf8");
+  assert.equal(cells(page), cells(settingsReference()));
+});
+
+test("The sample settings pass their check", () => {
+  const entry = readChecked(
+    pathOf("samples/settings/entry.json"),
+    entrySettingsSchema,
+  );
+  const agent = readChecked(
+    pathOf("samples/settings/agent.json"),
+    agentSettingsSchema,
+  );
+  assert.deepEqual([entry.isOk(), agent.isOk()], [true, true]);
+});
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -74,3 +74,17 @@
 export type AgentSettings = z.infer<typeof agentSettingsSchema>;
 /** Settings that entries and agents share. */
 export type ProcessSettings = Omit<EntrySettings, "listen" | "maxBodyBytes">;
+
+/** Settings that are described in the reference. */
+export const loadableSchemas = [
+  {
+    title: "Entry",
+    command: "cassiapost entry --settings FILE",
+    schema: entrySettingsSchema,
+  },
+  {
+    title: "Agent",
+    command: "cassiapost agent --settings FILE",
+    schema: agentSettingsSchema,
+  },
+] as const;
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -32,8 +32,8 @@
 
 /** What the front is made of. */
 export interface FrontParts {
-  readonly runner: Runner;
-  readonly lists: ListsSync;
+  readonly runner: Pick<Runner, "run">;
+  readonly lists: Pick<ListsSync, "current" | "isConfirmed">;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
   readonly log: Logger;
@@ -61,7 +61,7 @@
     app.use(bodyLimit({
       maxSize: this.#parts.maxBodyBytes,
       onError: () =>
-        refuse(notRun(RefusalReason.BadRequest, "The body is too large")),
+        refuse(notRun(RefusalReason.BodyTooLarge, "The body is too large")),
     }));
     app.post("/v1/pipelines/:name", (c) => this.#serve(c));
     app.get(
@@ -72,18 +72,19 @@
     app.notFound(() =>
       refuse(notRun(RefusalReason.UnknownPipeline, "No such resource"))
     );
-    app.onError((failure) => this.#onError(failure));
+    app.onError((failure) => refuse(this.#internal(failure)));
     return app;
   }
 
-  #onError(failure: Error): Response {
+  /** Refusal of a request that failed by a fault of the entry itself. */
+  #internal(failure: Error): Refusal {
     this.#parts.log.error("request_failed", {
       detail: failure.stack ?? failure.message,
     });
-    return refuse(outcomeUnknown(
+    return outcomeUnknown(
       RefusalReason.Internal,
       "The request failed inside the entry",
-    ));
+    );
   }
 
   /** Stops taking requests and resolves once none is in hand. */
@@ -143,7 +144,8 @@
       parent: req.traceparent,
       attributes: { request: req.requestId, pipeline: req.spec.name },
     });
-    const work = runner.run({ ...req, traceparent: span.traceparent });
+    const work = runner.run({ ...req, traceparent: span.traceparent })
+      .catch((failure: Error) => err(this.#internal(failure)));
     this.#inHand.add(work);
     const outcome = await work.finally(() => this.#inHand.delete(work));
     const result = outcome.isOk() ? "done" : outcome.error.reason;
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -13,6 +13,7 @@
 /** HTTP status of a refusal. */
 const STATUS: Partial<Record<RefusalReason, number>> = {
   [RefusalReason.BadRequest]: 400,
+  [RefusalReason.BodyTooLarge]: 413,
   [RefusalReason.Unauthenticated]: 401,
   [RefusalReason.NotPermitted]: 403,
   [RefusalReason.UnknownPipeline]: 404,
--- a/src/model/refusal.ts
+++ b/src/model/refusal.ts
@@ -17,6 +17,7 @@
 /** Why a request or a stage call was refused. */
 export const RefusalReason = {
   BadRequest: "bad-request",
+  BodyTooLarge: "body-too-large",
   Unauthenticated: "unauthenticated",
   NotPermitted: "not-permitted",
   UnknownPipeline: "unknown-pipeline",
