--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -5,6 +5,7 @@
  */
 
 import type { CAC } from "cac";
+import type { z } from "zod";
 import { startAgent } from "../agent/mod.ts";
 import {
   agentSettingsSchema,
@@ -12,31 +13,50 @@
   readChecked,
 } from "../config/mod.ts";
 import { startEntry } from "../entry/mod.ts";
+import type { Kernel } from "../kernel/mod.ts";
+import { requireFlag } from "./command.ts";
 import { checkedOrFail, runDaemon } from "./daemon.ts";
 
 interface DaemonFlags {
-  settings: string;
-  check?: boolean;
+  readonly settings?: string;
+  readonly check?: boolean;
+}
+
+/** A daemon that the command line can run. */
+interface Daemon<T extends { drainMs: number }> {
+  readonly name: string;
+  readonly summary: string;
+  readonly schema: z.ZodType<T>;
+  start(cfg: T): Promise<Kernel>;
 }
 
 /** Adds `entry` and `agent`. */
 export function daemonCommands(cli: CAC): void {
-  cli.command("entry", "Run an entry")
-    .option("--settings <file>", "Settings in JSON")
-    .option("--check", "Only check the settings")
-    .action(async (flags: DaemonFlags) => {
-      const checked = readChecked(flags.settings, entrySettingsSchema);
-      const cfg = checkedOrFail(flags.settings, checked);
-      if (flags.check) return;
-      runDaemon(await startEntry(cfg), cfg);
-    });
-  cli.command("agent", "Run an agent")
+  addDaemon(cli, {
+    name: "entry",
+    summary: "Run an entry, which takes requests and runs pipelines",
+    schema: entrySettingsSchema,
+    start: startEntry,
+  });
+  addDaemon(cli, {
+    name: "agent",
+    summary: "Run an agent, which guards the target beside it",
+    schema: agentSettingsSchema,
+    start: startAgent,
+  });
+}
+
+function addDaemon<T extends { drainMs: number }>(
+  cli: CAC,
+  daemon: Daemon<T>,
+): void {
+  cli.command(daemon.name, daemon.summary)
     .option("--settings <file>", "Settings in JSON")
     .option("--check", "Only check the settings")
     .action(async (flags: DaemonFlags) => {
-      const checked = readChecked(flags.settings, agentSettingsSchema);
-      const cfg = checkedOrFail(flags.settings, checked);
+      const path = requireFlag(flags.settings, "--settings");
+      const cfg = checkedOrFail(path, readChecked(path, daemon.schema));
       if (flags.check) return;
-      runDaemon(await startAgent(cfg), cfg);
+      runDaemon(await daemon.start(cfg), cfg);
     });
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,14 +1,14 @@
 #!/usr/bin/env node
 /**
- * The command line of cassiapost.
+ * Program of the command line.
  *
  * @module
  */
 
-import { cac } from "cac";
+import { readFileSync } from "node:fs";
+import { runApp } from "./app.ts";
 import type { RegisterCommands } from "./command.ts";
 import { daemonCommands } from "./daemon_commands.ts";
-import { CommandError, ExitCode } from "./exit.ts";
 import { listsCommands } from "./lists_commands.ts";
 
 const GROUPS: readonly RegisterCommands[] = [
@@ -16,14 +16,11 @@
   listsCommands,
 ];
 
-const cli = cac("cassiapost");
-GROUPS.forEach((register) => register(cli));
-cli.help();
+const PACKAGE_URL = new URL("../../../package.json", import.meta.url);
+const { version } = JSON.parse(readFileSync(PACKAGE_URL, "utf8"));
 
-try {
-  cli.parse(process.argv, { run: false });
-  await cli.runMatchedCommand();
-} catch (err) {
-  console.error((err as Error).message);
-  process.exitCode = err instanceof CommandError ? err.code : ExitCode.Usage;
-}
+process.exitCode = await runApp(process.argv, {
+  version,
+  groups: GROUPS,
+  complain: (line) => console.error(line),
+});
