--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -4,27 +4,31 @@
  * @module
  */
 
-import { err, ok, type Result, type ResultAsync } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
-import { AsyncQueue, monotonicMs, timeoutSignal } from "../kernel/mod.ts";
+import {
+  AsyncQueue,
+  monotonicMs,
+  timeoutSignal,
+  Watchdog,
+} from "../kernel/mod.ts";
+import { LATE_OUTCOME_MS } from "../ledger/mod.ts";
 import {
   type CallEvent,
   digest,
   type Lists,
   notRun,
   outcomeUnknown,
-  Proof,
   type Refusal,
   RefusalReason,
   type StageCall,
   type StageResult,
   type Target,
 } from "../model/mod.ts";
-import type { PlatformError } from "../platform/mod.ts";
 import type { ListsSync } from "../process/mod.ts";
 import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
 import type { AgentApi, PeerState, TargetState } from "../wire/mod.ts";
-import type { ClaimService, HeldClaim } from "./claim_service.ts";
+import type { ClaimService } from "./claim_service.ts";
 import type { GateService, Permit } from "./gate_service.ts";
 import type {
   TargetAnswer,
@@ -36,6 +40,10 @@
 export const HEARTBEAT_MS = 500;
 const LEAVING_RETRY_MS = 100;
 const RETRY_AFTER_MS = 1_000;
+/** Longest silence of a target during an idempotent call, in milliseconds. */
+const TARGET_SILENCE_MS = 2_000;
+/** Longest wait for unwritten records on a planned stop, in milliseconds. */
+const RECORD_DRAIN_MS = 5_000;
 
 /** What an agent is made of. */
 export interface AgentParts {
@@ -89,6 +97,7 @@
     this.#leaving = true;
     this.#parts.gate.leave();
     while (this.#inHand.size > 0) await Promise.allSettled(this.#inHand);
+    await this.#parts.claims.drain(RECORD_DRAIN_MS);
   }
 
   async *call(
@@ -97,11 +106,12 @@
   ): AsyncGenerator<CallEvent> {
     const { gate } = this.#parts;
     const events = new AsyncQueue<CallEvent>();
+    const stream: Stream = { events, chunks: 0 };
     const timer = setInterval(
       () => events.push({ kind: "heartbeat", load: gate.load }),
       HEARTBEAT_MS,
     );
-    const work = this.#settle(call, events, signal);
+    const work = this.#settle(call, stream, signal);
     this.#inHand.add(work);
     void work.finally(() => {
       this.#inHand.delete(work);
@@ -114,7 +124,7 @@
   /** Runs the call and queues its last event. */
   async #settle(
     call: StageCall,
-    events: AsyncQueue<CallEvent>,
+    stream: Stream,
     signal: AbortSignal,
   ): Promise<void> {
     const { tracing, metrics } = this.#parts;
@@ -122,26 +132,33 @@
       parent: call.traceparent,
       attributes: { call: call.callId, target: call.target },
     });
-    const outcome = await this.#perform(call, events, signal);
+    const outcome = await this.#perform(call, stream, signal);
     const failure = outcome.isErr() ? outcome.error.reason : undefined;
     metrics.count("stage_calls_total", {
       stage: call.stage,
       result: failure ?? "done",
     });
     span.end(failure);
-    events.push(this.#lastEvent(call, outcome));
+    stream.events.push(this.#lastEvent(call, stream, outcome));
   }
 
   async #perform(
     call: StageCall,
-    events: AsyncQueue<CallEvent>,
+    stream: Stream,
     signal: AbortSignal,
   ): Promise<Result<StageResult, Refusal>> {
+    const deadlineAt = monotonicMs() + call.remainingMs;
     const refusal = this.#refusalBeforeGate(call);
     if (refusal) return err(refusal);
     const permit = await this.#parts.gate.enter(call, signal);
     if (permit.isErr()) return err(permit.error);
-    const session = { call, events, signal, permit: permit.value };
+    const session: Session = {
+      call,
+      stream,
+      signal,
+      permit: permit.value,
+      deadlineAt,
+    };
     try {
       return call.idempotent
         ? await this.#run(session)
@@ -181,48 +198,36 @@
   }
 
   async #runClaimed(session: Session): Promise<Result<StageResult, Refusal>> {
-    const { claims, log } = this.#parts;
-    const { call } = session;
+    const { claims } = this.#parts;
+    const { call, deadlineAt } = session;
     const asked = await claims.claim(call, randomUUID());
     if (asked.isErr()) return err(asked.error);
-    const { decision, held } = asked.value;
-    if (decision.kind === "refuse") return err(decision.refusal);
-    if (decision.kind === "replay") {
-      return ok({ ...decision.result, callId: call.callId, replayed: true });
+    const answer = asked.value;
+    if (answer.kind === "replay") {
+      return ok({ ...answer.result, callId: call.callId, replayed: true });
     }
-    const outcome = await this.#run(session);
-    const recorded = await this.#record(held, outcome);
-    recorded.mapErr((failure) =>
-      log.error("outcome_not_recorded", {
-        call: call.callId,
-        detail: failure.message,
-      })
-    );
+    if (answer.kind !== "held") return err(answer.refusal);
+    const outcome = monotonicMs() < deadlineAt
+      ? await this.#run(session)
+      : err(claimedLate());
+    await claims.record(answer.held, outcome);
     return outcome;
   }
 
-  /** Writes the outcome of a claimed call into its record. */
-  #record(
-    held: HeldClaim,
-    outcome: Result<StageResult, Refusal>,
-  ): ResultAsync<void, PlatformError> {
-    const { claims } = this.#parts;
-    if (outcome.isOk()) return claims.done(held, outcome.value);
-    return outcome.error.proof === Proof.NotRun
-      ? claims.withdraw(held)
-      : claims.unknown(held);
-  }
-
   /** Runs a permitted call at the target. */
   async #run(session: Session): Promise<Result<StageResult, Refusal>> {
-    const { call, events, permit } = session;
+    const { call, stream, permit, deadlineAt } = session;
     const startedAt = monotonicMs();
-    let seq = 0;
+    const watch = new Watchdog(silenceMs(call));
     const answer = await this.#parts.client.run(call, {
-      signal: this.#runSignal(session),
-      onText: (text) =>
-        events.push({ kind: "chunk", callId: call.callId, seq: seq++, text }),
+      signal: this.#runSignal(session, watch),
+      onText: (text) => {
+        watch.heard();
+        const seq = stream.chunks++;
+        stream.events.push({ kind: "chunk", callId: call.callId, seq, text });
+      },
     });
+    watch.end();
     const serviceMs = monotonicMs() - startedAt;
     return answer
       .map((value) => {
@@ -231,18 +236,26 @@
       })
       .mapErr((failure) => {
         permit.release({ kind: "failed", serviceMs, cold: failure.cold });
-        return refusalOf(failure);
+        if (watch.isExpired) return targetSilent();
+        return monotonicMs() >= deadlineAt && failure.mayHaveRun
+          ? deadlinePassed()
+          : refusalOf(failure);
       });
   }
 
   /**
    * Signal of the exchange with the target. A non-idempotent call goes on when
-   * its caller is gone, so that its outcome can be recorded.
+   * its caller is gone and for a time after its deadline, so that its outcome
+   * can be recorded.
    */
-  #runSignal({ call, signal }: Session): AbortSignal {
+  #runSignal(
+    { call, signal, deadlineAt }: Session,
+    watch: Watchdog,
+  ): AbortSignal {
+    const remainingMs = deadlineAt - monotonicMs();
     return call.idempotent
-      ? timeoutSignal(call.remainingMs, signal)
-      : timeoutSignal(call.remainingMs);
+      ? timeoutSignal(remainingMs, signal, watch.signal)
+      : timeoutSignal(remainingMs + LATE_OUTCOME_MS, watch.signal);
   }
 
   #result(
@@ -252,6 +265,8 @@
   ): StageResult {
     return {
       callId: call.callId,
+      stage: call.stage,
+      fingerprint: call.fingerprint,
       target: call.target,
       output: answer.output,
       digest: digest(answer.output ?? null),
@@ -264,6 +279,7 @@
 
   #lastEvent(
     call: StageCall,
+    { chunks }: Stream,
     outcome: Result<StageResult, Refusal>,
   ): CallEvent {
     const report = {
@@ -271,7 +287,7 @@
       listsVersion: this.#parts.lists.current.version,
     };
     return outcome.match<CallEvent>(
-      (result) => ({ kind: "result", result, ...report }),
+      (result) => ({ kind: "result", result, chunks, ...report }),
       (refusal) => ({
         kind: "refused",
         callId: call.callId,
@@ -285,9 +301,48 @@
 /** One call in hand. */
 interface Session {
   readonly call: StageCall;
-  readonly events: AsyncQueue<CallEvent>;
+  readonly stream: Stream;
   readonly signal: AbortSignal;
   readonly permit: Permit;
+  /** Monotonic time at which the whole answer is due, in milliseconds. */
+  readonly deadlineAt: number;
+}
+
+/** Answer stream of a call. */
+interface Stream {
+  readonly events: AsyncQueue<CallEvent>;
+  /** Chunks that were streamed so far. */
+  chunks: number;
+}
+
+/** Longest silence of the target during a call, in milliseconds. */
+function silenceMs(call: StageCall): number {
+  return call.idempotent ? TARGET_SILENCE_MS : call.remainingMs +
+    LATE_OUTCOME_MS;
+}
+
+function targetSilent(): Refusal {
+  return outcomeUnknown(
+    RefusalReason.Silent,
+    "The target made no progress",
+    RETRY_AFTER_MS,
+  );
+}
+
+function deadlinePassed(): Refusal {
+  return outcomeUnknown(
+    RefusalReason.DeadlineExceeded,
+    "The deadline passed while the call was at the target",
+    RETRY_AFTER_MS,
+  );
+}
+
+function claimedLate(): Refusal {
+  return notRun(
+    RefusalReason.DeadlineExceeded,
+    "The claim came after the deadline, so the call was not sent",
+    RETRY_AFTER_MS,
+  );
 }
 
 function refusalOf(failure: TargetFailure): Refusal {
--- a/src/agent/claim_service.ts
+++ b/src/agent/claim_service.ts
@@ -4,25 +4,39 @@
  * @module
  */
 
-import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
+import { sleep } from "../kernel/mod.ts";
 import {
   type Claim,
   type ClaimDecision,
-  claimKey,
-  ClaimState,
   createClaim,
   decideClaim,
+  doneClaim,
+  notRunClaim,
+  unknownClaim,
 } from "../ledger/mod.ts";
 import {
   notRun,
+  Proof,
   type Refusal,
   RefusalReason,
   type StageCall,
   type StageResult,
 } from "../model/mod.ts";
-import type { PlatformError, Row, Table } from "../platform/mod.ts";
+import type { Table } from "../platform/mod.ts";
+import {
+  type GroupCommitOptions,
+  Ledger,
+  type StandingClaim,
+} from "../process/mod.ts";
+import type { Logger, Metrics } from "../telemetry/mod.ts";
 
 const RETRY_AFTER_MS = 2_000;
+/**
+ * Longest time that an answer waits for its record, in milliseconds. The
+ * record goes on being written after that.
+ */
+const RECORD_WAIT_MS = 500;
 
 /** A claim that this attempt holds. */
 export interface HeldClaim {
@@ -32,80 +46,145 @@
 }
 
 /** What follows from asking for a claim. */
-export type ClaimOutcome = {
-  readonly decision: ClaimDecision;
-  readonly held: HeldClaim;
-};
+export type ClaimOutcome =
+  | { readonly kind: "held"; readonly held: HeldClaim }
+  | Exclude<ClaimDecision, { kind: "run" }>;
+
+/** Options of a {@linkcode ClaimService}. */
+export interface ClaimServiceOptions extends GroupCommitOptions {
+  readonly log?: Logger;
+  readonly metrics?: Metrics;
+}
 
 /** Makes claims and records outcomes. */
 export class ClaimService {
-  readonly #table: Table;
+  readonly #ledger: Ledger;
+  readonly #log: Logger | undefined;
+  readonly #metrics: Metrics | undefined;
+  readonly #abort = new AbortController();
+  readonly #unrecorded = new Set<Promise<unknown>>();
 
-  constructor(table: Table) {
-    this.#table = table;
+  constructor(table: Table, opts: ClaimServiceOptions = {}) {
+    this.#ledger = new Ledger(table, opts);
+    this.#log = opts.log;
+    this.#metrics = opts.metrics;
+    this.#metrics?.gauge("claims_unrecorded", () => this.#unrecorded.size);
   }
 
   /** Asks for the claim of a call, immediately before the call runs. */
-  claim(call: StageCall, token: string): ResultAsync<ClaimOutcome, Refusal> {
+  async claim(
+    call: StageCall,
+    token: string,
+  ): Promise<Result<ClaimOutcome, Refusal>> {
     const own = createClaim(call, { token, now: Date.now() });
-    const key = claimKey(own.customer, own.key);
-    return this.#table
-      .commit({ checks: [{ key, version: 0 }], puts: [{ key, value: own }] })
-      .map((result) => result.committed ? result.rows[0] : result.conflicts[0])
-      .orElse((err) => this.#readBack(key, err))
-      .andThen((row) =>
-        row && row.version > 0 ? okAsync(row) : errAsync(unclaimed())
-      )
-      .map((row) => ({
-        decision: decideClaim(row.value as Claim, own, Date.now()),
-        held: { claim: own, version: row.version },
-      }));
+    const version = call.claimVersion ?? 0;
+    const answer = await this.#ledger.write(own, version);
+    if (answer.isErr()) {
+      if (answer.error.mayHaveApplied) this.#release(own, version);
+      return err(unclaimed());
+    }
+    return ok(outcomeOf(own, answer.value.standing));
   }
 
-  /** Records the result of a call that ran. */
-  done(
+  /** Records how a call that holds a claim ended. */
+  async record(
     held: HeldClaim,
-    result: StageResult,
-  ): ResultAsync<void, PlatformError> {
-    const { claim } = held;
-    return this.#replace(held, { ...claim, state: ClaimState.Done, result });
+    outcome: Result<StageResult, Refusal>,
+  ): Promise<void> {
+    const after = outcome.match(
+      (result) => doneClaim(held.claim, result),
+      ({ proof }) =>
+        proof === Proof.NotRun
+          ? notRunClaim(held.claim)
+          : unknownClaim(held.claim),
+    );
+    if (outcome.isErr() && outcome.error.proof === Proof.OutcomeUnknown) {
+      this.#reportUnknown(held.claim, outcome.error.detail);
+    }
+    const written = this.#keep(this.#replace(after, held.version));
+    await Promise.race([written, sleep(RECORD_WAIT_MS)]);
+  }
+
+  /** Resolves when every record is written, or after `ms` milliseconds. */
+  async drain(ms: number): Promise<void> {
+    await Promise.race([
+      Promise.allSettled(this.#unrecorded),
+      sleep(ms),
+    ]);
+    this.#abort.abort();
+  }
+
+  async #replace(after: Claim, version: number): Promise<void> {
+    const { signal } = this.#abort;
+    const done = await this.#ledger.writeUntilAnswered(after, version, signal);
+    done.match(
+      ({ written, standing }) => {
+        if (written) return;
+        this.#log?.error("outcome_not_recorded", {
+          call: after.callId,
+          outcome: after.state,
+          standing: standing.claim?.state ?? "absent",
+        });
+      },
+      (failure) =>
+        this.#log?.error("outcome_not_recorded", {
+          call: after.callId,
+          outcome: after.state,
+          detail: failure.message,
+        }),
+    );
   }
 
-  /** Records that the outcome of a call is unknown. */
-  unknown(held: HeldClaim): ResultAsync<void, PlatformError> {
-    return this.#replace(held, { ...held.claim, state: ClaimState.Unknown });
+  /** Closes the key for an insert whose answer was lost and may come late. */
+  #release(own: Claim, version: number): void {
+    void this.#keep(this.#releaseInserted(own, version));
   }
 
-  /** Withdraws the claim of a call that is certain not to have run. */
-  withdraw({ claim, version }: HeldClaim): ResultAsync<void, PlatformError> {
-    const key = claimKey(claim.customer, claim.key);
-    return this.#table
-      .commit({ checks: [{ key, version }], puts: [], deletes: [key] })
-      .map(() => undefined);
+  async #releaseInserted(own: Claim, version: number): Promise<void> {
+    const { signal } = this.#abort;
+    const closed = await this.#ledger
+      .writeUntilAnswered(notRunClaim(own), version, signal);
+    if (closed.isErr() || closed.value.written) return;
+    const { standing } = closed.value;
+    if (standing.claim?.token !== own.token) return;
+    await this.#replace(notRunClaim(own), standing.version);
   }
 
-  #replace(held: HeldClaim, after: Claim): ResultAsync<void, PlatformError> {
-    const key = claimKey(after.customer, after.key);
-    return this.#table
-      .commit({
-        checks: [{ key, version: held.version }],
-        puts: [{ key, value: after }],
-      })
-      .map(() => undefined);
+  #reportUnknown(claim: Claim, detail: string): void {
+    this.#metrics?.count("outcomes_unknown_total", {
+      customer: claim.customer,
+    });
+    this.#log?.error("outcome_unknown", {
+      call: claim.callId,
+      customer: claim.customer,
+      idempotency_key: claim.key,
+      detail,
+    });
   }
 
-  /** After a lost answer the stored token tells whose claim stands. */
-  #readBack(
-    key: string,
-    err: PlatformError,
-  ): ResultAsync<Row | undefined, Refusal> {
-    if (!err.mayHaveApplied) return errAsync(unclaimed());
-    return this.#table.read([key])
-      .map(([row]) => row)
-      .mapErr(unclaimed);
+  #keep(work: Promise<void>): Promise<void> {
+    this.#unrecorded.add(work);
+    return work.finally(() => this.#unrecorded.delete(work));
   }
 }
 
+function outcomeOf(own: Claim, standing: StandingClaim): ClaimOutcome {
+  const { claim, version } = standing;
+  if (!claim) return { kind: "refuse", refusal: superseded() };
+  const decision = decideClaim(claim, own, Date.now());
+  return decision.kind === "run"
+    ? { kind: "held", held: { claim: own, version } }
+    : decision;
+}
+
+function superseded(): Refusal {
+  return notRun(
+    RefusalReason.Superseded,
+    "The record of the key was removed before the call could run",
+    RETRY_AFTER_MS,
+  );
+}
+
 function unclaimed(): Refusal {
   return notRun(
     RefusalReason.PlatformUnavailable,
--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -72,7 +72,10 @@
           maxLimit: cfg.target.maxLimit,
           maxQueued: MAX_QUEUED,
         }, ctx.signal),
-        claims: new ClaimService(ctx.get(PLATFORM).table),
+        claims: new ClaimService(ctx.get(PLATFORM).table, {
+          log: ctx.get(LOG),
+          metrics: ctx.get(METRICS),
+        }),
         client: clientFor(cfg),
         lists: ctx.get(LISTS),
         metrics: ctx.get(METRICS),
--- /dev/null
+++ b/src/entry/checkpoints.ts
@@ -0,0 +1,121 @@
+/**
+ * Results of the stages of durable pipelines, kept in the object store so that
+ * a repeat of a request goes on after the last finished stage.
+ *
+ * @module
+ */
+
+import { sleep, timeoutSignal } from "../kernel/mod.ts";
+import {
+  type CustomerId,
+  digest,
+  type IdempotencyKey,
+  type PipelineSpec,
+  sha256,
+  type StageName,
+  type StageResult,
+} from "../model/mod.ts";
+import type { ObjectStore } from "../platform/mod.ts";
+import type { Metrics } from "../telemetry/mod.ts";
+
+/** Longest wait for the object store, in milliseconds. */
+const STORE_WAIT_MS = 300;
+
+/** A request as its checkpoints know it. */
+export interface CheckpointedRequest {
+  readonly customer: CustomerId;
+  readonly key: IdempotencyKey;
+  readonly fingerprint: string;
+  readonly spec: PipelineSpec;
+}
+
+/** Checkpoints of durable pipelines. */
+export class Checkpoints {
+  readonly #objects: ObjectStore;
+  readonly #metrics: Metrics;
+
+  constructor(opts: { objects: ObjectStore; metrics: Metrics }) {
+    this.#objects = opts.objects;
+    this.#metrics = opts.metrics;
+  }
+
+  /**
+   * Results to resume from: the last stage's alone when the request is done,
+   * otherwise those of the finished stages in their order.
+   */
+  async load(req: CheckpointedRequest): Promise<readonly StageResult[]> {
+    const names = req.spec.stages.map(({ name }) => name);
+    const last = await this.#get(req, names.at(-1) ?? "");
+    if (last) return [last];
+    const found: StageResult[] = [];
+    for (const name of names.slice(0, -1)) {
+      const result = await this.#get(req, name);
+      if (!result) break;
+      found.push(result);
+    }
+    return found;
+  }
+
+  /**
+   * Keeps a result. Gives the one that counts, which is another one when an
+   * earlier attempt kept its own first.
+   */
+  async save(
+    req: CheckpointedRequest,
+    result: StageResult,
+  ): Promise<StageResult> {
+    const key = objectKey(req, result.stage);
+    const put = this.#objects
+      .putIfAbsent(key, result, timeoutSignal(STORE_WAIT_MS))
+      .unwrapOr(undefined);
+    const written = await Promise.race([put, sleep(STORE_WAIT_MS)]);
+    if (written === undefined) {
+      this.#count("checkpoints_failed_total");
+      return result;
+    }
+    this.#count("checkpoints_total");
+    return written ? result : await this.#get(req, result.stage) ?? result;
+  }
+
+  /** Deletes what a request that is done needs no more. */
+  async dropIntermediate(req: CheckpointedRequest): Promise<void> {
+    const stages = req.spec.stages.slice(0, -1);
+    await Promise.all(
+      stages.map(({ name }) => this.#objects.delete(objectKey(req, name))),
+    );
+  }
+
+  async #get(
+    req: CheckpointedRequest,
+    stage: StageName,
+  ): Promise<StageResult | undefined> {
+    const got = this.#objects
+      .get(objectKey(req, stage), timeoutSignal(STORE_WAIT_MS))
+      .unwrapOr(undefined);
+    const value = await Promise.race([got, sleep(STORE_WAIT_MS)]);
+    const result = value as StageResult | null | undefined;
+    if (!result) return undefined;
+    if (isWhole(result, { ...req, stage })) return result;
+    this.#count("checkpoints_rejected_total");
+    return undefined;
+  }
+
+  #count(name: string): void {
+    this.#metrics.count(name);
+  }
+}
+
+/** True when a stored result belongs to the stage and is undamaged. */
+function isWhole(
+  result: StageResult,
+  of: { fingerprint: string; stage: StageName },
+): boolean {
+  return result.stage === of.stage &&
+    result.fingerprint === of.fingerprint &&
+    result.digest === digest(result.output ?? null);
+}
+
+function objectKey(req: CheckpointedRequest, stage: StageName): string {
+  const id = sha256(`${req.key}\n${req.fingerprint}`);
+  return `checkpoint/${req.customer}/${id}/${stage}`;
+}
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -1,17 +1,15 @@
 /**
- * Sends a stage call to a target and retries where that is safe.
+ * Sends a stage call to a target; retries and hedges it where that is safe.
  *
  * @module
  */
 
 import { err, ok, type Result } from "neverthrow";
-import { monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
 import {
-  type CallEvent,
   callId,
   notRun,
   outcomeUnknown,
-  Proof,
   type Refusal,
   RefusalReason,
   type StageCall,
@@ -19,16 +17,28 @@
   type Target,
   type TargetId,
 } from "../model/mod.ts";
-import { type Budget, createBudget, earn, spend } from "../retry/mod.ts";
+import {
+  type BudgetBook,
+  createBook,
+  earnFor,
+  HEDGE_QUANTILE,
+  hedgeAfterMs,
+  mayRetry,
+  spendFor,
+} from "../retry/mod.ts";
 import type { Metrics, Tracing } from "../telemetry/mod.ts";
+import { Attempt, type AttemptOutcome } from "./attempt.ts";
 import type { Directory } from "./directory.ts";
+import {
+  isClosedByOwn,
+  type KeyRecord,
+  neverRuns,
+  type Settled,
+} from "./key_record.ts";
 
-const MAX_ATTEMPTS = 3;
 const RETRY_RATIO = 0.1;
 const MAX_SAVED_RETRIES = 20;
 const RETRY_PAUSE_MS = 20;
-/** Longest silence on an answer stream, in milliseconds. */
-const SILENCE_MS = 2_000;
 const RETRY_AFTER_MS = 1_000;
 
 /** A stage call before its target and attempt are chosen. */
@@ -44,235 +54,375 @@
   readonly deadlineAt: number;
   readonly signal: AbortSignal;
   readonly traceparent?: string;
-  /** Receives generated text; a retry after text was passed on is not made. */
+  /**
+   * Receives generated text. Once text was passed on the call is neither
+   * retried nor hedged.
+   */
   readonly onText?: (text: string) => void;
 }
 
+/** What a dispatcher is made of. */
+export interface DispatcherParts {
+  readonly directory: Directory;
+  readonly metrics: Metrics;
+  readonly tracing: Tracing;
+  /** Without it, calls whose answers were lost stay unknown. */
+  readonly record?: KeyRecord;
+}
+
 /** Sends stage calls. */
 export class Dispatcher {
-  readonly #directory: Directory;
-  readonly #metrics: Metrics;
-  readonly #tracing: Tracing;
-  #budget: Budget = createBudget({
+  readonly #parts: DispatcherParts;
+  #budgets: BudgetBook = createBook({
     ratio: RETRY_RATIO,
     max: MAX_SAVED_RETRIES,
   });
 
-  constructor(
-    opts: {
-      directory: Directory;
-      metrics: Metrics;
-      tracing: Tracing;
-    },
-  ) {
-    this.#directory = opts.directory;
-    this.#metrics = opts.metrics;
-    this.#tracing = opts.tracing;
+  constructor(parts: DispatcherParts) {
+    this.#parts = parts;
   }
 
   /** Runs a stage call to its final result or refusal. */
-  async dispatch(
+  dispatch(
     req: StageRequest,
     opts: DispatchOptions,
   ): Promise<Result<StageResult, Refusal>> {
-    const tried = new Set<TargetId>();
-    let passedOn = false;
-    const onText = (text: string) => {
-      passedOn = true;
-      opts.onText?.(text);
-    };
-    for (let attempt = 1;; attempt += 1) {
-      const outcome = await this.#attempt(req, attempt, tried, {
-        ...opts,
-        onText,
-      });
-      if (outcome.isOk()) {
-        this.#budget = earn(this.#budget);
-        return outcome;
-      }
-      const refusal = outcome.error;
-      const retry = !passedOn && attempt < MAX_ATTEMPTS &&
-        this.#mayRetry(req, refusal, opts);
-      if (!retry) return outcome;
-      this.#metrics.count("retries_total", { stage: req.stage });
-      await sleep(RETRY_PAUSE_MS, opts.signal);
+    const stage = new Dispatch(req, opts);
+    return this.#attemptUntilFinal(stage);
+  }
+
+  async #attemptUntilFinal(
+    stage: Dispatch,
+  ): Promise<Result<StageResult, Refusal>> {
+    while (true) {
+      const outcome = stage.req.idempotent
+        ? await this.#hedged(stage)
+        : await this.#single(stage);
+      if (outcome.isOk()) return outcome;
+      if (!this.#takeRetry(stage, outcome.error)) return outcome;
+      this.#count("retries_total", stage);
+      await sleep(RETRY_PAUSE_MS, stage.opts.signal);
     }
   }
 
-  #mayRetry(
-    req: StageRequest,
-    refusal: Refusal,
-    opts: DispatchOptions,
-  ): boolean {
-    if (opts.signal.aborted || monotonicMs() >= opts.deadlineAt) return false;
-    if (!isRetryable(refusal)) return false;
-    if (!req.idempotent && refusal.proof !== Proof.NotRun) return false;
-    const left = spend(this.#budget);
-    if (!left) return false;
-    this.#budget = left;
+  /** Pays for a retry; false when the call must not be sent again. */
+  #takeRetry(stage: Dispatch, refusal: Refusal): boolean {
+    const { req, opts, attempts: attempt } = stage;
+    if (stage.passedOn || opts.signal.aborted || stage.isLate) return false;
+    if (!mayRetry(refusal, { idempotent: req.idempotent, attempt })) {
+      return false;
+    }
+    return this.#spend(stage);
+  }
+
+  #spend(stage: Dispatch): boolean {
+    const left = spendFor(this.#budgets, stage.budgetNames);
+    if (!left) {
+      this.#count("retries_denied_total", stage);
+      return false;
+    }
+    this.#budgets = left;
     return true;
   }
 
-  async #attempt(
-    req: StageRequest,
-    attempt: number,
-    tried: Set<TargetId>,
-    opts: DispatchOptions,
-  ): Promise<Result<StageResult, Refusal>> {
-    const remainingMs = opts.deadlineAt - monotonicMs();
-    if (remainingMs <= 0) return err(tooLate());
-    const target = this.#directory.choose(opts.pool, { tried, stage: req });
+  /** One attempt at a non-idempotent call, settled by the record if cut off. */
+  async #single(stage: Dispatch): Promise<Result<StageResult, Refusal>> {
+    const ready = await this.#refreshVersion(stage);
+    if (ready.isErr()) return err(ready.error);
+    const sent = this.#send(stage, stage.opts.signal);
+    if (sent.isErr()) return err(sent.error);
+    const { call, ended } = sent.value;
+    const { outcome, unsettled } = await ended;
+    const { record } = this.#parts;
+    if (!unsettled || !record) return outcome;
+    const settled = await record.settle(call, stage.opts);
+    this.#count("calls_settled_total", stage);
+    return outcomeOf(settled, stage);
+  }
+
+  /** Before a retry, takes over the version that an agent's answer left. */
+  async #refreshVersion(stage: Dispatch): Promise<Result<void, Refusal>> {
+    const { record } = this.#parts;
+    const { customer, idempotencyKey: key, requestId } = stage.req;
+    if (!record || !key || stage.attempts === 0 || stage.hasFreshVersion) {
+      return ok(undefined);
+    }
+    const read = await record.read(customer, [key]);
+    if (read.isErr()) return err(read.error);
+    const { claim, version } = read.value[0] ?? { version: 0 };
+    if (version === stage.claimVersion) return ok(undefined);
+    if (!claim || !isClosedByOwn(claim, { requestId })) {
+      return err(superseded());
+    }
+    stage.claimVersion = version;
+    return ok(undefined);
+  }
+
+  /** An attempt at an idempotent call, and a second one if it is slow. */
+  async #hedged(stage: Dispatch): Promise<Result<StageResult, Refusal>> {
+    const abort = new AbortController();
+    const signal = AbortSignal.any([abort.signal, stage.opts.signal]);
+    const first = this.#send(stage, signal);
+    if (first.isErr()) return err(first.error);
+    try {
+      const racers = [first.value];
+      const waitMs = this.#hedgeWait(stage);
+      const early = waitMs === undefined
+        ? await first.value.ended
+        : await Promise.race([first.value.ended, sleep(waitMs, signal)]);
+      if (!early && !stage.passedOn && this.#spend(stage)) {
+        this.#count("hedges_total", stage);
+        this.#send(stage, signal).map((sent) => racers.push(sent));
+      }
+      return await firstSuccess(racers, stage);
+    } finally {
+      abort.abort();
+    }
+  }
+
+  #hedgeWait(stage: Dispatch): number | undefined {
+    const latency = this.#latency(stage);
+    const remainingMs = stage.opts.deadlineAt - monotonicMs();
+    return hedgeAfterMs({ idempotent: stage.req.idempotent, remainingMs }, {
+      count: latency.count,
+      slowMs: latency.quantile(HEDGE_QUANTILE),
+    });
+  }
+
+  /** Starts the next attempt. */
+  #send(stage: Dispatch, signal: AbortSignal): Result<Sent, Refusal> {
+    const { req, opts } = stage;
+    if (stage.isLate) return err(tooLate());
+    const { directory } = this.#parts;
+    const target = directory.choose(opts.pool, {
+      tried: stage.tried,
+      stage: req,
+    });
     if (!target) return err(noTarget(opts.pool));
-    tried.add(target.id);
-    const span = this.#tracing.start("entry.stage", {
+    const attempt = stage.begin(target);
+    const span = this.#parts.tracing.start("entry.stage", {
       parent: opts.traceparent,
       attributes: { stage: req.stage, target: target.id, attempt },
     });
     const call: StageCall = {
       ...req,
       callId: callId(req.requestId, req.stage, attempt),
+      claimVersion: req.idempotent ? undefined : stage.claimVersion,
       target: target.id,
-      remainingMs,
+      remainingMs: opts.deadlineAt - monotonicMs(),
       traceparent: span.traceparent,
     };
-    const end = this.#directory.begin(target);
-    const outcome = await this.#send(call, target, opts).finally(end);
-    span.end(outcome.isErr() ? outcome.error.reason : undefined);
-    return outcome;
+    const ended = this.#follow({ stage, call, target, signal })
+      .then((end) => {
+        span.end(end.outcome.isErr() ? end.outcome.error.reason : undefined);
+        return end;
+      });
+    return ok({ call, ended });
   }
 
-  async #send(
-    call: StageCall,
-    target: Target,
-    opts: DispatchOptions,
-  ): Promise<Result<StageResult, Refusal>> {
-    const watch = new Watch(opts.signal, call.remainingMs);
-    try {
-      const events = await this.#directory.client(target)
-        .call(call, watch.signal);
-      for await (const event of events) {
-        watch.heard();
-        const last = this.#onEvent(event, { call, target, opts });
-        if (last) return last;
-      }
-      return err(cutOff(call, "The answer stream has no last event"));
-    } catch (failure) {
-      return err(this.#connectionRefusal(call, target, failure, watch));
-    } finally {
-      watch.end();
-    }
+  async #follow(
+    { stage, call, target, signal }: {
+      stage: Dispatch;
+      call: StageCall;
+      target: Target;
+      signal: AbortSignal;
+    },
+  ): Promise<AttemptOutcome> {
+    const { directory, metrics } = this.#parts;
+    const end = directory.begin(target);
+    const startedAt = monotonicMs();
+    const attempt = new Attempt({ directory, metrics }, call, target);
+    const onText = stage.textSink(call.callId);
+    const ended = await attempt.run({ signal, onText }).finally(end);
+    this.#account(stage, {
+      ms: monotonicMs() - startedAt,
+      target,
+      outcome: ended.outcome,
+    });
+    return ended;
   }
 
-  #onEvent(
-    event: CallEvent,
-    { call, target, opts }: {
-      call: StageCall;
+  /** Counts the work of an attempt, and as wasted what no caller gets. */
+  #account(
+    stage: Dispatch,
+    { ms, target, outcome }: {
+      ms: number;
       target: Target;
-      opts: DispatchOptions;
+      outcome: Result<StageResult, Refusal>;
     },
-  ): Result<StageResult, Refusal> | undefined {
-    if ("load" in event) this.#directory.report(target, event.load);
-    switch (event.kind) {
-      case "heartbeat":
-        return undefined;
-      case "chunk":
-        if (event.callId === call.callId) opts.onText?.(event.text);
-        return undefined;
-      case "result":
-        return event.result.callId === call.callId
-          ? ok(event.result)
-          : this.#crossed(call);
-      case "refused":
-        return event.callId === call.callId
-          ? err(event.refusal)
-          : this.#crossed(call);
+  ): void {
+    const { metrics } = this.#parts;
+    const labels = { stage: stage.req.stage };
+    metrics.count("stage_work_ms_total", labels, ms);
+    if (outcome.isErr() || stage.won) {
+      metrics.count("stage_wasted_ms_total", labels, ms);
     }
+    if (outcome.isErr()) return;
+    stage.won = true;
+    this.#latency(stage).record(ms);
+    this.#budgets = earnFor(this.#budgets, [
+      customerBudget(stage.req),
+      targetBudget(target.id),
+    ]);
   }
 
-  #crossed(call: StageCall): undefined {
-    this.#metrics.count("answers_dropped_total", { stage: call.stage });
-    return undefined;
+  #latency({ req }: Dispatch) {
+    const { pipeline, stage } = req;
+    return this.#parts.metrics.durations("stage", { pipeline, stage });
   }
 
-  #connectionRefusal(
-    call: StageCall,
-    target: Target,
-    failure: unknown,
-    watch: Watch,
-  ): Refusal {
-    if (isNotSent(failure)) {
-      this.#directory.suspect(target);
-      return notRun(
-        RefusalReason.TargetUnreachable,
-        `No connection to the agent of ${target.id}`,
-        RETRY_AFTER_MS,
-      );
-    }
-    if (watch.isSilent) this.#directory.suspect(target);
-    return cutOff(call, `The connection to ${target.id} was lost`);
+  #count(name: string, { req: { stage } }: Dispatch): void {
+    this.#parts.metrics.count(name, { stage });
   }
 }
 
-/** Aborts an attempt that is silent for too long or past its deadline. */
-class Watch {
-  readonly #abort = new AbortController();
-  readonly signal: AbortSignal;
-  #timer: NodeJS.Timeout | undefined;
-  #silent = false;
+/** An attempt that was started. */
+interface Sent {
+  readonly call: StageCall;
+  readonly ended: Promise<AttemptOutcome>;
+}
+
+/** Progress of one stage call over its attempts. */
+class Dispatch {
+  readonly req: StageRequest;
+  readonly opts: DispatchOptions;
+  readonly tried = new Set<TargetId>();
+  attempts = 0;
+  /** True once an attempt succeeded. */
+  won = false;
+  /** Call whose text was passed on. */
+  #streaming: string | undefined;
+  #claimVersion: number;
+  #fresh = true;
+  #lastTarget: TargetId = "";
+
+  constructor(req: StageRequest, opts: DispatchOptions) {
+    this.req = req;
+    this.opts = opts;
+    this.#claimVersion = req.claimVersion ?? 0;
+  }
+
+  /** Version of the claim row for the next attempt. */
+  get claimVersion(): number {
+    return this.#claimVersion;
+  }
+
+  set claimVersion(version: number) {
+    this.#claimVersion = version;
+    this.#fresh = true;
+  }
+
+  /** True when the version was set after the last attempt. */
+  get hasFreshVersion(): boolean {
+    return this.#fresh;
+  }
+
+  get isLate(): boolean {
+    return monotonicMs() >= this.opts.deadlineAt;
+  }
+
+  /** True once text was passed on to the caller. */
+  get passedOn(): boolean {
+    return this.#streaming !== undefined;
+  }
+
+  /** Budgets that pay for the next retry. */
+  get budgetNames(): readonly string[] {
+    return [customerBudget(this.req), targetBudget(this.#lastTarget)];
+  }
 
-  constructor(signal: AbortSignal, remainingMs: number) {
-    this.signal = timeoutSignal(remainingMs, signal, this.#abort.signal);
-    this.heard();
+  /** Notes a new attempt; gives its number. */
+  begin(target: Target): number {
+    this.tried.add(target.id);
+    this.#lastTarget = target.id;
+    this.#fresh = false;
+    this.attempts += 1;
+    return this.attempts;
+  }
+
+  /** False when the caller was given the text of another attempt. */
+  mayWin({ callId }: StageCall): boolean {
+    return this.#streaming === undefined || this.#streaming === callId;
+  }
+
+  /** Passes on the text of the attempt that streams first, and of no other. */
+  textSink(callId: string): ((text: string) => void) | undefined {
+    const { onText } = this.opts;
+    if (!onText) return undefined;
+    return (text) => {
+      this.#streaming ??= callId;
+      if (this.#streaming === callId) onText(text);
+    };
   }
+}
 
-  get isSilent(): boolean {
-    return this.#silent;
+/** First result of the attempts that may win; the last refusal when all fail. */
+async function firstSuccess(
+  racers: readonly Sent[],
+  stage: Dispatch,
+): Promise<Result<StageResult, Refusal>> {
+  const results = racers.map(async ({ call, ended }) => {
+    const { outcome } = await ended;
+    if (outcome.isErr()) throw new AttemptError(outcome.error);
+    if (!stage.mayWin(call)) throw new AttemptError(overtaken());
+    return outcome.value;
+  });
+  try {
+    return ok(await Promise.any(results));
+  } catch (failure) {
+    const errors = (failure as AggregateError).errors as AttemptError[];
+    return err((errors.at(-1) as AttemptError).refusal);
   }
+}
 
-  /** Restarts the wait for the next event. */
-  heard(): void {
-    clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => {
-      this.#silent = true;
-      this.#abort.abort();
-    }, SILENCE_MS);
+/** Carries the refusal of a failed attempt. */
+class AttemptError extends Error {
+  override readonly name = "AttemptError";
+  readonly refusal: Refusal;
+
+  constructor(refusal: Refusal) {
+    super(refusal.detail);
+    this.refusal = refusal;
   }
+}
 
-  end(): void {
-    clearTimeout(this.#timer);
-    this.#abort.abort();
+function outcomeOf(
+  settled: Settled,
+  stage: Dispatch,
+): Result<StageResult, Refusal> {
+  switch (settled.kind) {
+    case "done":
+      return ok(settled.result);
+    case "refused":
+      return err(settled.refusal);
+    case "not-run":
+      stage.claimVersion = settled.version;
+      return err(neverRuns("The answer was lost before the call could run"));
   }
 }
 
-const RETRYABLE: ReadonlySet<string> = new Set([
-  RefusalReason.OverLimit,
-  RefusalReason.ColdTarget,
-  RefusalReason.TargetUnreachable,
-  RefusalReason.TargetFailed,
-  RefusalReason.Leaving,
-  RefusalReason.DomainOut,
-  RefusalReason.NotConfirmed,
-  RefusalReason.Silent,
-]);
-
-function isRetryable(refusal: Refusal): boolean {
-  return RETRYABLE.has(refusal.reason);
+function customerBudget({ customer }: StageRequest): string {
+  return `customer/${customer}`;
 }
 
-/** True when the error proves that nothing was written to the agent's socket. */
-function isNotSent(failure: unknown): boolean {
-  const codes = ["ECONNREFUSED", "EHOSTUNREACH", "UND_ERR_CONNECT_TIMEOUT"];
-  return causes(failure).some((cause) => codes.includes(String(cause.code)));
+function targetBudget(target: TargetId): string {
+  return `target/${target}`;
 }
 
-function causes(failure: unknown): { code?: unknown }[] {
-  if (!(failure instanceof Error)) return [];
-  return [failure as { code?: unknown }, ...causes(failure.cause)];
+function overtaken(): Refusal {
+  return outcomeUnknown(
+    RefusalReason.Cancelled,
+    "The text of another attempt was passed on",
+    RETRY_AFTER_MS,
+  );
 }
 
-function cutOff(call: StageCall, detail: string): Refusal {
-  const refusal = outcomeUnknown(RefusalReason.Silent, detail, RETRY_AFTER_MS);
-  return call.idempotent ? { ...refusal } : refusal;
+function superseded(): Refusal {
+  return notRun(
+    RefusalReason.Superseded,
+    "Another request with the key took over",
+    RETRY_AFTER_MS,
+  );
 }
 
 function tooLate(): Refusal {
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -32,7 +32,7 @@
 
 /** What the front is made of. */
 export interface FrontParts {
-  readonly runner: Pick<Runner, "run">;
+  readonly runner: Pick<Runner, "run"> & Partial<Pick<Runner, "confirm">>;
   readonly lists: Pick<ListsSync, "current" | "isConfirmed">;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
@@ -95,7 +95,9 @@
 
   async #serve(c: Context): Promise<Response> {
     const checked = await this.#check(c);
-    if (checked.isErr()) return refuse(checked.error);
+    if (checked.isErr()) {
+      return refuse(await this.#confirm(c, checked.error));
+    }
     const req = checked.value;
     c.header("x-request-id", req.requestId);
     c.header("idempotency-key", req.key);
@@ -184,15 +186,34 @@
       ...caller.value,
       spec: spec.value,
       key: key.value,
+      keyGiven: isKeyGiven(c),
       input: input.value,
       deadlineAt: monotonicMs() + deadlineMs.value,
       listsVersion: lists.current.version,
       signal: c.req.raw.signal,
       traceparent: c.req.header("traceparent"),
-      onText: () => {},
     });
   }
 
+  /** Makes sure that a "not run" of a request that is not let in is true. */
+  async #confirm(c: Context, refusal: Refusal): Promise<Refusal> {
+    const { runner, lists } = this.#parts;
+    const caller = this.#authenticate(c);
+    const key = keyOf(c);
+    if (caller.isErr() || key.isErr() || !runner.confirm) return refusal;
+    const spec = this.#pipeline(c, caller.value.plan);
+    if (spec.isErr()) return refusal;
+    return await runner.confirm({
+      requestId: randomUUID(),
+      ...caller.value,
+      spec: spec.value,
+      key: key.value,
+      keyGiven: isKeyGiven(c),
+      input: null,
+      listsVersion: lists.current.version,
+    }, refusal);
+  }
+
   #authenticate(
     c: Context,
   ): Result<{ customer: Customer; plan: Plan }, Refusal> {
@@ -244,6 +265,11 @@
   ));
 }
 
+/** True when the caller sent a key of its own. */
+function isKeyGiven(c: Context): boolean {
+  return c.req.header("idempotency-key") !== undefined;
+}
+
 async function inputOf(c: Context): Promise<Result<unknown, Refusal>> {
   try {
     const body: unknown = await c.req.json();
@@ -267,8 +293,8 @@
     output: last?.output ?? null,
     digest: last?.digest ?? "",
     replayed: last?.replayed ?? false,
-    stages: results.map((result, i) => ({
-      stage: req.spec.stages[i]?.name,
+    stages: results.map((result) => ({
+      stage: result.stage,
       target: result.target,
       tokens: result.tokens,
       serviceMs: result.serviceMs,
--- a/src/entry/front_test.ts
+++ b/src/entry/front_test.ts
@@ -41,6 +41,8 @@
 
 const RESULT: StageResult = {
   callId: "r/one/1",
+  stage: "one",
+  fingerprint: "f",
   target: "t",
   output: { text: "hello" },
   digest: digest({ text: "hello" }),
@@ -178,8 +180,8 @@
 
 test("Front streams text and ends with the result", async () => {
   const run = (req: PipelineRequest) => {
-    req.onText("one", "hel");
-    req.onText("one", "lo");
+    req.onText?.("one", "hel");
+    req.onText?.("one", "lo");
     return Promise.resolve(ok([RESULT]));
   };
   const res = await send({
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -14,6 +14,7 @@
 import {
   baseServices,
   createControlApp,
+  Ledger,
   listen,
   type Listening,
   LISTS,
@@ -24,9 +25,11 @@
   TRACING,
 } from "../process/mod.ts";
 import { createPeerRouter, type PeerApi } from "../wire/mod.ts";
+import { Checkpoints } from "./checkpoints.ts";
 import { Directory } from "./directory.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { Front } from "./front.ts";
+import { KeyRecord } from "./key_record.ts";
 import { Runner } from "./runner.ts";
 
 const DIRECTORY = serviceKey<Directory>("directory");
@@ -67,13 +70,17 @@
     start: (ctx) => {
       const metrics = ctx.get(METRICS);
       const tracing = ctx.get(TRACING);
+      const { table, objects } = ctx.get(PLATFORM);
+      const record = new KeyRecord(new Ledger(table));
       const dispatcher = new Dispatcher({
         directory: ctx.get(DIRECTORY),
         metrics,
         tracing,
+        record,
       });
+      const checkpoints = new Checkpoints({ objects, metrics });
       return new Front({
-        runner: new Runner(dispatcher),
+        runner: new Runner({ dispatcher, record, checkpoints }),
         lists: ctx.get(LISTS),
         metrics,
         tracing,
--- a/src/ledger/claim.ts
+++ b/src/ledger/claim.ts
@@ -1,19 +1,25 @@
 /**
  * Claims that make a non-idempotent call run at most once.
  *
- * A claim is a row that only one attempt can insert. Its state goes from
- * claimed to done or from claimed to unknown, and never back.
+ * A claim is a row that only one attempt can write, since the write demands
+ * the version that the attempt was started with. The states go from absent or
+ * not-run to claimed, and from claimed to done, unknown or not-run. Done is
+ * final; unknown is left only by an operator. Each write makes the version
+ * grow, so that calls started with an older version never get the claim.
  *
  * @module
  */
 
 import {
+  type CallId,
   type CustomerId,
+  digest,
   type IdempotencyKey,
   notRun,
   outcomeUnknown,
   type Refusal,
   RefusalReason,
+  type RequestId,
   type StageCall,
   type StageResult,
   type TargetId,
@@ -21,36 +27,55 @@
 
 /** States of a claim. */
 export const ClaimState = {
+  /** One attempt holds the key and may be running it. */
   Claimed: "claimed",
+  /** The call ran; its result is in the row. */
   Done: "done",
+  /** Nobody can tell whether the call ran. */
   Unknown: "unknown",
+  /** Nothing ran; a call started with the row's version may claim the key. */
+  NotRun: "not-run",
 } as const;
 export type ClaimState = typeof ClaimState[keyof typeof ClaimState];
 
 /** Value of a claim row. */
 export interface Claim {
   readonly state: ClaimState;
-  /** Identifies the attempt that inserted the row. */
+  /** Identifies the writer; no two attempts have the same. */
   readonly token: string;
+  readonly requestId: RequestId;
+  readonly callId: CallId;
   readonly fingerprint: string;
   readonly customer: CustomerId;
   readonly key: IdempotencyKey;
   readonly target: TargetId;
-  /** Wall-clock time of the insert, in milliseconds since the epoch. */
+  /** Wall-clock time of the write, in milliseconds since the epoch. */
   readonly claimedAt: number;
   /** Wall-clock time by which the attempt ends, in the same unit. */
   readonly endsBy: number;
   readonly result?: StageResult;
 }
 
-/** What an agent does about a call whose claim was refused. */
+/** What follows from a claim that stands in the table. */
 export type ClaimDecision =
   | { readonly kind: "run" }
   | { readonly kind: "replay"; readonly result: StageResult }
+  | { readonly kind: "running"; readonly refusal: Refusal }
   | { readonly kind: "refuse"; readonly refusal: Refusal };
 
+/** The call for which a standing claim is judged. */
+export interface ClaimSeeker {
+  readonly token: string;
+  readonly fingerprint: string;
+}
+
 /** Prefix of the keys of all claim rows. */
 export const CLAIM_PREFIX = "claim/";
+/**
+ * Time that an agent waits beyond the deadline for the outcome of a
+ * non-idempotent call, in milliseconds.
+ */
+export const LATE_OUTCOME_MS = 30_000;
 const RUNNING_RETRY_MS = 1_000;
 
 /** Key of the row that holds the claim of a call. */
@@ -66,23 +91,61 @@
   return {
     state: ClaimState.Claimed,
     token: opts.token,
+    requestId: call.requestId,
+    callId: call.callId,
     fingerprint: call.fingerprint,
     customer: call.customer,
     key: call.idempotencyKey ?? "",
     target: call.target,
     claimedAt: opts.now,
-    endsBy: opts.now + call.remainingMs,
+    endsBy: opts.now + call.remainingMs + LATE_OUTCOME_MS,
   };
 }
 
+/** Claim after the call ran. */
+export function doneClaim(claim: Claim, result: StageResult): Claim {
+  return { ...claim, state: ClaimState.Done, result };
+}
+
+/** Claim after the outcome was given up. */
+export function unknownClaim(claim: Claim): Claim {
+  return { ...claim, state: ClaimState.Unknown };
+}
+
+/** Claim after it became certain that nothing ran and nothing will. */
+export function notRunClaim(claim: Claim): Claim {
+  return { ...claim, state: ClaimState.NotRun };
+}
+
+/** True when the attempt that holds the claim is past its end. */
+export function isOverdue(claim: Claim, now: number): boolean {
+  return claim.state === ClaimState.Claimed && now >= claim.endsBy;
+}
+
+/** True when nobody can tell the outcome, whether the row says so yet or not. */
+export function isOutcomeUnknown(claim: Claim, now: number): boolean {
+  return claim.state === ClaimState.Unknown || isOverdue(claim, now);
+}
+
 /** Decides about a call from the claim that stands in the table. */
 export function decideClaim(
   standing: Claim,
-  own: Claim,
+  seeker: ClaimSeeker,
   now: number,
 ): ClaimDecision {
-  if (standing.token === own.token) return { kind: "run" };
-  if (standing.fingerprint !== own.fingerprint) {
+  if (
+    standing.token === seeker.token && standing.state === ClaimState.Claimed
+  ) {
+    return { kind: "run" };
+  }
+  if (standing.state === ClaimState.NotRun) {
+    return refuse(notRun(
+      RefusalReason.Superseded,
+      "The key was closed for this call before it could run",
+      RUNNING_RETRY_MS,
+    ));
+  }
+  if (standing.fingerprint !== seeker.fingerprint) {
     return refuse(notRun(
       RefusalReason.KeyConflict,
       "The idempotency key was used with another request body",
@@ -91,17 +154,50 @@
   if (standing.state === ClaimState.Done && standing.result) {
     return { kind: "replay", result: standing.result };
   }
-  if (standing.state === ClaimState.Claimed && now < standing.endsBy) {
-    return refuse(outcomeUnknown(
-      RefusalReason.KeyRunning,
-      "A request with this idempotency key is running",
-      RUNNING_RETRY_MS,
-    ));
-  }
-  return refuse(outcomeUnknown(
-    RefusalReason.KeyUnknown,
-    "The outcome of a request with this idempotency key is unknown",
-  ));
+  return isOutcomeUnknown(standing, now)
+    ? refuse(outcomeUnknown(
+      RefusalReason.KeyUnknown,
+      "The outcome of a request with this idempotency key is unknown",
+    ))
+    : { kind: "running", refusal: keyRunning() };
+}
+
+/** How an operator resolves an unknown outcome. */
+export const Resolution = { Run: "run", NotRun: "not-run" } as const;
+export type Resolution = typeof Resolution[keyof typeof Resolution];
+
+/**
+ * Claim after an operator found out what happened, or undefined when its
+ * outcome is not unknown. A call resolved as run has `{ resolvedAs: "run" }`
+ * for its output, since its own result was lost.
+ */
+export function resolveClaim(
+  claim: Claim,
+  opts: { as: Resolution; now: number },
+): Claim | undefined {
+  if (!isOutcomeUnknown(claim, opts.now)) return undefined;
+  if (opts.as === Resolution.NotRun) return notRunClaim(claim);
+  const output = { resolvedAs: Resolution.Run };
+  return doneClaim(claim, {
+    callId: claim.callId,
+    stage: claim.callId.split("/").at(-2) ?? "",
+    fingerprint: claim.fingerprint,
+    target: claim.target,
+    output,
+    digest: digest(output),
+    tokens: 0,
+    serviceMs: 0,
+    queuedMs: 0,
+    replayed: true,
+  });
+}
+
+function keyRunning(): Refusal {
+  return outcomeUnknown(
+    RefusalReason.KeyRunning,
+    "A request with this idempotency key is running",
+    RUNNING_RETRY_MS,
+  );
 }
 
 function refuse(refusal: Refusal): ClaimDecision {
--- a/src/ledger/claim_test.ts
+++ b/src/ledger/claim_test.ts
@@ -1,13 +1,30 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { StageCall } from "../model/mod.ts";
-import { type Claim, ClaimState, createClaim, decideClaim } from "./claim.ts";
+import type { StageCall, StageResult } from "../model/mod.ts";
+import {
+  type Claim,
+  ClaimState,
+  createClaim,
+  decideClaim,
+  LATE_OUTCOME_MS,
+  resolveClaim,
+} from "./claim.ts";
+import {
+  DONE_RETENTION_MS,
+  NOT_RUN_RETENTION_MS,
+  OVERDUE_GRACE_MS,
+  sweepAction,
+} from "./retention.ts";
 
-const NOW = 1_000_000;
+const NOW = 1_000_000_000;
+const END = NOW + 4_000 + LATE_OUTCOME_MS;
+const RESULT = { callId: "r/file/1" } as StageResult;
 
 const claim = (token: string, over: Partial<Claim> = {}): Claim => ({
   ...createClaim(
     {
+      requestId: "r",
+      callId: "r/file/1",
       customer: "c",
       fingerprint: "f",
       target: "t",
@@ -21,6 +38,13 @@
 const decide = (standing: Claim, now = NOW) =>
   decideClaim(standing, claim("own"), now);
 
+const reason = (standing: Claim, now = NOW) => {
+  const decision = decide(standing, now);
+  return "refusal" in decision
+    ? `${decision.refusal.reason} ${decision.refusal.proof}`
+    : decision.kind;
+};
+
 test("decideClaim() runs the attempt that holds the claim", () => {
   assert.deepEqual(decide(claim("own")), { kind: "run" });
 });
@@ -31,19 +55,60 @@
   );
 });
 
+test("decideClaim() runs nothing once the own claim has ended", () => {
+  [ClaimState.Done, ClaimState.Unknown, ClaimState.NotRun].forEach((state) =>
+    assert.notEqual(decide(claim("own", { state })).kind, "run")
+  );
+});
+
 test("decideClaim() refuses another body as a conflict", () => {
-  const decision = decide(claim("other", { fingerprint: "g" }));
   assert.equal(
-    decision.kind === "refuse" && decision.refusal.reason,
-    "key-conflict",
+    reason(claim("other", { fingerprint: "g" })),
+    "key-conflict not-run",
   );
 });
 
+test("decideClaim() replays the recorded result", () => {
+  const done = claim("other", { state: ClaimState.Done, result: RESULT });
+  assert.deepEqual(decide(done), { kind: "replay", result: RESULT });
+});
+
+test("decideClaim() refuses a call whose key was closed", () => {
+  const closed = claim("other", { state: ClaimState.NotRun });
+  assert.equal(reason(closed), "superseded not-run");
+});
+
 test("decideClaim() tells running from unknown by the attempt's end", () => {
-  const reasonAt = (now: number) => {
-    const decision = decide(claim("other"), now);
-    return decision.kind === "refuse" && decision.refusal.reason;
-  };
-  assert.equal(reasonAt(NOW), "key-running");
-  assert.equal(reasonAt(NOW + 4_001), "key-unknown");
+  assert.equal(reason(claim("other")), "key-running outcome-unknown");
+  assert.equal(reason(claim("other"), END), "key-unknown outcome-unknown");
+});
+
+test("resolveClaim() resolves only an unknown outcome", () => {
+  const as = (state: ClaimState, now: number) =>
+    resolveClaim(claim("t", { state }), { as: "not-run", now })?.state;
+  assert.equal(as(ClaimState.Unknown, NOW), "not-run");
+  assert.equal(as(ClaimState.Claimed, END), "not-run");
+  assert.equal(as(ClaimState.Claimed, NOW), undefined);
+  assert.equal(as(ClaimState.Done, END), undefined);
+  assert.equal(as(ClaimState.NotRun, END), undefined);
+});
+
+test("resolveClaim() as run leaves a result to replay", () => {
+  const unknown = claim("t", { state: ClaimState.Unknown });
+  const resolved = resolveClaim(unknown, { as: "run", now: NOW }) as Claim;
+  const decision = decide(resolved);
+  assert.equal(decision.kind, "replay");
+  assert.deepEqual(resolved.result?.output, { resolvedAs: "run" });
+});
+
+test("sweepAction() keeps what may still be asked for", () => {
+  const at = (state: ClaimState, now: number) =>
+    sweepAction(claim("t", { state }), now);
+  assert.equal(at(ClaimState.Done, NOW + DONE_RETENTION_MS), "keep");
+  assert.equal(at(ClaimState.Done, NOW + DONE_RETENTION_MS + 1), "delete");
+  assert.equal(at(ClaimState.NotRun, NOW + NOT_RUN_RETENTION_MS), "keep");
+  assert.equal(at(ClaimState.NotRun, NOW + NOT_RUN_RETENTION_MS + 1), "delete");
+  assert.equal(at(ClaimState.Claimed, END + OVERDUE_GRACE_MS - 1), "keep");
+  assert.equal(at(ClaimState.Claimed, END + OVERDUE_GRACE_MS), "mark-unknown");
+  assert.equal(at(ClaimState.Unknown, NOW * 9), "keep");
 });
--- a/src/ledger/mod.ts
+++ b/src/ledger/mod.ts
@@ -5,3 +5,4 @@
  */
 
 export * from "./claim.ts";
+export * from "./retention.ts";
--- a/src/model/call.ts
+++ b/src/model/call.ts
@@ -30,6 +30,11 @@
   readonly idempotent: boolean;
   /** Present on every non-idempotent call. */
   readonly idempotencyKey?: IdempotencyKey;
+  /**
+   * Version of the key's claim row that the call was started with, zero when
+   * there was no row. The claim is refused at any other version.
+   */
+  readonly claimVersion?: number;
   /** Digest of the caller's request; a repeat of a key must carry the same. */
   readonly fingerprint: string;
   readonly priority: Priority;
@@ -50,6 +55,9 @@
 /** Result of a stage. */
 export interface StageResult {
   readonly callId: CallId;
+  readonly stage: StageName;
+  /** Fingerprint of the call that produced the result. */
+  readonly fingerprint: string;
   readonly target: TargetId;
   /** JSON output of the stage. */
   readonly output: unknown;
@@ -78,6 +86,8 @@
   | {
     readonly kind: "result";
     readonly result: StageResult;
+    /** Number of chunks that were streamed before. */
+    readonly chunks: number;
     readonly load: TargetLoad;
     readonly listsVersion: number;
   }
--- a/src/model/refusal.ts
+++ b/src/model/refusal.ts
@@ -35,8 +35,10 @@
   KeyConflict: "key-conflict",
   KeyRunning: "key-running",
   KeyUnknown: "key-unknown",
+  Superseded: "superseded",
   NotConfirmed: "configuration-not-confirmed",
   Silent: "connection-silent",
+  BrokenAnswer: "broken-answer",
   Cancelled: "cancelled",
   Internal: "internal",
 } as const;
--- a/src/pipeline/mod.ts
+++ b/src/pipeline/mod.ts
@@ -4,4 +4,6 @@
  * @module
  */
 
+export * from "./answer.ts";
 export * from "./run.ts";
+export * from "./verdict.ts";
--- a/src/pipeline/run.ts
+++ b/src/pipeline/run.ts
@@ -20,6 +20,9 @@
   readonly requestId: RequestId;
   readonly spec: PipelineSpec;
   readonly input: unknown;
+  /** Number of stages that are done. */
+  readonly done: number;
+  /** Results of the done stages; those before a resumed one may be missing. */
   readonly results: readonly StageResult[];
   readonly refusal?: Refusal;
 }
@@ -31,29 +34,43 @@
     readonly stage: StageName;
     readonly result: StageResult;
   }
+  /** Recorded results of an earlier request with the same key. */
+  | { readonly kind: "resumed"; readonly results: readonly StageResult[] }
   | { readonly kind: "refused"; readonly refusal: Refusal };
 
 /** New run at its first stage. */
 export function createRun(
   opts: { requestId: RequestId; spec: PipelineSpec; input: unknown },
 ): Run {
-  return { ...opts, results: [] };
+  return { ...opts, done: 0, results: [] };
 }
 
 /** Stage that has to run next, or undefined when the run has ended. */
 export function nextStage(run: Run): StageSpec | undefined {
   if (run.refusal) return undefined;
-  return run.spec.stages[run.results.length];
+  return run.spec.stages[run.done];
 }
 
 /** Applies an event and gives the next state. */
 export function applyRun(run: Run, event: RunEvent): Run {
-  if (event.kind === "refused") return { ...run, refusal: event.refusal };
-  const { result } = event;
+  switch (event.kind) {
+    case "refused":
+      return { ...run, refusal: event.refusal };
+    case "resumed":
+      return event.results.reduce(resume, run);
+    case "stage-done":
+      return finishStage(run, event);
+  }
+}
+
+function finishStage(
+  run: Run,
+  { stage, result }: { stage: StageName; result: StageResult },
+): Run {
   invariant(
-    nextStage(run)?.name === event.stage,
+    nextStage(run)?.name === stage && result.stage === stage,
     "stage-order",
-    () => `stage=${event.stage} done=${run.results.length}`,
+    () => `stage=${stage} result=${result.stage} done=${run.done}`,
   );
   invariant(
     result.replayed || result.callId.startsWith(`${run.requestId}/`),
@@ -65,7 +82,15 @@
     "result-digest",
     () => `call=${result.callId}`,
   );
-  return { ...run, results: [...run.results, result] };
+  return { ...run, done: run.done + 1, results: [...run.results, result] };
+}
+
+/** Continues after the stage of a recorded result. */
+function resume(run: Run, result: StageResult): Run {
+  const at = run.spec.stages.findIndex(({ name }) => name === result.stage);
+  if (at < run.done) return run;
+  const replayed = { ...result, replayed: true };
+  return { ...run, done: at + 1, results: [...run.results, replayed] };
 }
 
 /** Input of the next stage: the caller's input and the last result. */
--- a/src/process/mod.ts
+++ b/src/process/mod.ts
@@ -6,7 +6,9 @@
 
 export * from "./base.ts";
 export * from "./control.ts";
+export * from "./group_commit.ts";
 export * from "./keys.ts";
+export * from "./ledger.ts";
 export * from "./lists_store.ts";
 export * from "./lists_sync.ts";
 export * from "./registry.ts";
--- a/src/retry/budget.ts
+++ b/src/retry/budget.ts
@@ -1,5 +1,6 @@
 /**
- * Retry budget: retries are a bounded share of the successes.
+ * Retry budgets: retries and hedges are a bounded share of the successes, for
+ * each customer and for each target.
  *
  * @module
  */
@@ -34,3 +35,46 @@
   if (budget.saved < 1) return undefined;
   return { ...budget, saved: budget.saved - 1 };
 }
+
+/** Budgets by name; a name that is absent has a full budget. */
+export interface BudgetBook {
+  readonly cfg: BudgetConfig;
+  readonly budgets: ReadonlyMap<string, Budget>;
+}
+
+/** Book of full budgets. */
+export function createBook(cfg: BudgetConfig): BudgetBook {
+  return { cfg, budgets: new Map() };
+}
+
+/** Book after a success that counts for each of `names`. */
+export function earnFor(
+  book: BudgetBook,
+  names: readonly string[],
+): BudgetBook {
+  const earned = names
+    .filter((name) => book.budgets.has(name))
+    .map((name) => [name, earn(budgetOf(book, name))] as const);
+  const budgets = new Map([...book.budgets, ...earned]);
+  earned.filter(([, { cfg, saved }]) => saved >= cfg.max)
+    .forEach(([name]) => budgets.delete(name));
+  return { ...book, budgets };
+}
+
+/** Book after a retry that each of `names` pays, or undefined if one cannot. */
+export function spendFor(
+  book: BudgetBook,
+  names: readonly string[],
+): BudgetBook | undefined {
+  const spent = names
+    .map((name) => [name, spend(budgetOf(book, name))] as const);
+  const paid = spent.filter((one): one is [string, Budget] =>
+    one[1] !== undefined
+  );
+  if (paid.length < names.length) return undefined;
+  return { ...book, budgets: new Map([...book.budgets, ...paid]) };
+}
+
+function budgetOf(book: BudgetBook, name: string): Budget {
+  return book.budgets.get(name) ?? createBudget(book.cfg);
+}
--- a/src/retry/mod.ts
+++ b/src/retry/mod.ts
@@ -5,3 +5,4 @@
  */
 
 export * from "./budget.ts";
+export * from "./policy.ts";
--- a/src/wire/client.ts
+++ b/src/wire/client.ts
@@ -22,6 +22,11 @@
   /** Starts a stage call. The iteration throws when the connection fails. */
   call(call: StageCall, signal: AbortSignal): Promise<AsyncIterable<CallEvent>>;
   targetState(signal?: AbortSignal): Promise<TargetState>;
+  /**
+   * Uses new connections from now on. Streams that are open go on; idle
+   * connections, which may have gone silent, are closed.
+   */
+  renew?(): void;
 }
 
 /** Speaks to any process of the system. */
@@ -34,13 +39,16 @@
 
 /** Client of an agent over tRPC. */
 export class TrpcAgentClient implements AgentClient {
-  readonly #dispatcher = createDispatcher();
+  #dispatcher = createDispatcher();
   readonly #unary;
   readonly #streaming;
 
   /** `url` is the base URL of the agent's control address. */
   constructor(url: string) {
-    const link = { url: url + TRPC_PATH, fetch: fetchBy(this.#dispatcher) };
+    const link = {
+      url: url + TRPC_PATH,
+      fetch: fetchBy(() => this.#dispatcher),
+    };
     this.#unary = createTRPCClient<AgentRouter>({ links: [httpLink(link)] });
     this.#streaming = createTRPCClient<AgentRouter>({
       links: [httpBatchStreamLink({ ...link, maxItems: 1 })],
@@ -67,6 +75,12 @@
     return this.#unary.listsSince.query({ version }, withTimeout(signal));
   }
 
+  renew(): void {
+    const old = this.#dispatcher;
+    this.#dispatcher = createDispatcher();
+    void old.close();
+  }
+
   close(): Promise<void> {
     return this.#dispatcher.destroy();
   }
@@ -81,7 +95,10 @@
   constructor(url: string) {
     this.#unary = createTRPCClient<PeerRouter>({
       links: [
-        httpLink({ url: url + TRPC_PATH, fetch: fetchBy(this.#dispatcher) }),
+        httpLink({
+          url: url + TRPC_PATH,
+          fetch: fetchBy(() => this.#dispatcher),
+        }),
       ],
     });
   }
@@ -109,9 +126,12 @@
   });
 }
 
-function fetchBy(dispatcher: Agent): typeof fetch {
+function fetchBy(current: () => Agent): typeof fetch {
   const send = (url: unknown, init?: unknown) =>
-    undiciFetch(url as string, { ...(init as object), dispatcher });
+    undiciFetch(url as string, {
+      ...(init as object),
+      dispatcher: current(),
+    });
   return send as unknown as typeof fetch;
 }
 
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -18,6 +18,7 @@
   target: z.string().min(1),
   idempotent: z.boolean(),
   idempotencyKey: z.string().min(1).optional(),
+  claimVersion: z.number().int().nonnegative().optional(),
   fingerprint: z.string().min(1),
   priority: z.enum(Priority),
   weight: z.number().positive(),
