--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -122,7 +122,10 @@
       parent: call.traceparent,
       attributes: { call: call.callId, target: call.target },
     });
-    const outcome = await this.#perform(call, events, signal);
+    const outcome = await this.#perform(
+      call,
+      { events, signal, traceparent: span.traceparent },
+    );
     const failure = outcome.isErr() ? outcome.error.reason : undefined;
     metrics.count("stage_calls_total", {
       stage: call.stage,
@@ -134,14 +137,13 @@
 
   async #perform(
     call: StageCall,
-    events: AsyncQueue<CallEvent>,
-    signal: AbortSignal,
+    hop: Pick<Session, "events" | "signal" | "traceparent">,
   ): Promise<Result<StageResult, Refusal>> {
     const refusal = this.#refusalBeforeGate(call);
     if (refusal) return err(refusal);
-    const permit = await this.#parts.gate.enter(call, signal);
+    const permit = await this.#parts.gate.enter(call, hop.signal);
     if (permit.isErr()) return err(permit.error);
-    const session = { call, events, signal, permit: permit.value };
+    const session = { call, ...hop, permit: permit.value };
     try {
       return call.idempotent
         ? await this.#run(session)
@@ -217,13 +219,19 @@
   async #run(session: Session): Promise<Result<StageResult, Refusal>> {
     const { call, events, permit } = session;
     const startedAt = monotonicMs();
+    const span = this.#parts.tracing.start("agent.target", {
+      parent: session.traceparent,
+      attributes: { call: call.callId, target: call.target },
+    });
     let seq = 0;
     const answer = await this.#parts.client.run(call, {
+      traceparent: span.traceparent,
       signal: this.#runSignal(session),
       onText: (text) =>
         events.push({ kind: "chunk", callId: call.callId, seq: seq++, text }),
     });
     const serviceMs = monotonicMs() - startedAt;
+    span.end(answer.isErr() ? answer.error.reason : undefined);
     return answer
       .map((value) => {
         permit.release({ kind: "ok", serviceMs });
@@ -288,6 +296,8 @@
   readonly events: AsyncQueue<CallEvent>;
   readonly signal: AbortSignal;
   readonly permit: Permit;
+  /** W3C trace context of the call's span. */
+  readonly traceparent: string;
 }
 
 function refusalOf(failure: TargetFailure): Refusal {
--- a/src/agent/engine_client.ts
+++ b/src/agent/engine_client.ts
@@ -74,6 +74,7 @@
       headers: {
         "content-type": "application/json",
         "x-call-id": call.callId,
+        ...(opts.traceparent ? { traceparent: opts.traceparent } : {}),
       },
       body: JSON.stringify(completionBody(call)),
       dispatcher: this.#dispatcher,
--- a/src/agent/service_client.ts
+++ b/src/agent/service_client.ts
@@ -56,12 +56,13 @@
     return this.#dispatcher.destroy();
   }
 
-  async #send(call: StageCall, { signal }: RunOptions) {
+  async #send(call: StageCall, { signal, traceparent }: RunOptions) {
     const res = await request(`${this.#url}/ops/${call.kind}`, {
       method: "POST",
       headers: {
         "content-type": "application/json",
         "x-call-id": call.callId,
+        ...(traceparent ? { traceparent } : {}),
         ...(call.idempotencyKey
           ? { "idempotency-key": call.idempotencyKey }
           : {}),
--- a/src/agent/target_client.ts
+++ b/src/agent/target_client.ts
@@ -31,6 +31,8 @@
   readonly signal: AbortSignal;
   /** Receives generated text as it comes. */
   readonly onText: (text: string) => void;
+  /** W3C trace context of the calling span. */
+  readonly traceparent?: string;
 }
 
 /** Speaks to one target. */
--- /dev/null
+++ b/src/telemetry/metrics_test.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Durations, Metrics } from "./metrics.ts";
+
+test("Metrics.text() writes counters, gauges and summaries", () => {
+  const metrics = new Metrics();
+  metrics.count("requests_total", { result: "done" });
+  metrics.count("requests_total", { result: "done" }, 2);
+  metrics.gauge("queued", () => 7);
+  metrics.durations("request", { pipeline: "p" }).record(12);
+  const lines = metrics.text().split("\n");
+  assert.ok(lines.includes('cassiapost_requests_total{result="done"} 3'));
+  assert.ok(lines.includes("cassiapost_queued 7"));
+  assert.ok(lines.includes('cassiapost_request_ms_count{pipeline="p"} 1'));
+});
+
+test("Metrics.total() adds up a counter's label values", () => {
+  const metrics = new Metrics();
+  metrics.count("retries_total", { stage: "a" });
+  metrics.count("retries_total", { stage: "b" }, 2);
+  assert.equal(metrics.total("retries_total"), 3);
+});
+
+test("Durations.quantile() keeps two significant digits", () => {
+  const durations = new Durations();
+  Array.from({ length: 100 }, (_, i) => durations.record(i + 1));
+  assert.ok(Math.abs(durations.quantile(0.95) - 95) <= 1);
+});
