--- a/src/layers.ts
+++ b/src/layers.ts
@@ -11,6 +11,7 @@
   ["telemetry"],
   ["model"],
   ["config"],
+  ["tls"],
   [
     "routing",
     "admission",
--- /dev/null
+++ b/src/tls/keys_test.ts
@@ -0,0 +1,74 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { KeyStore, type TlsFiles } from "./keys.ts";
+import { checkMaterial, type PemTexts } from "./material.ts";
+import { TestAuthority } from "./testing.ts";
+
+const authority = await TestAuthority.create();
+const one = await authority.issue();
+const other = await authority.issue();
+
+const write = (files: TlsFiles, texts: PemTexts) => {
+  writeFileSync(files.certFile, texts.cert);
+  writeFileSync(files.keyFile, texts.key);
+  writeFileSync(files.caFile, texts.ca);
+};
+
+const filesWith = (texts: PemTexts): TlsFiles => {
+  const dir = mkdtempSync(join(tmpdir(), "cassiapost-tls-"));
+  const files = {
+    certFile: join(dir, "cert.pem"),
+    keyFile: join(dir, "key.pem"),
+    caFile: join(dir, "ca.pem"),
+  };
+  write(files, texts);
+  return files;
+};
+
+const pathsOf = (texts: PemTexts, now = Date.now()) => {
+  const checked = checkMaterial(texts, now);
+  return checked.isErr() ? checked.error.map(({ path }) => path) : [];
+};
+
+test("checkMaterial() accepts a certificate with its own key", () => {
+  assert.deepEqual(pathsOf(one), []);
+});
+
+test("checkMaterial() refuses another certificate's key", () => {
+  assert.deepEqual(pathsOf({ ...one, key: other.key }), ["$.tls.keyFile"]);
+});
+
+test("checkMaterial() refuses an expired certificate", () => {
+  const inTwoDays = Date.now() + 2 * 24 * 3_600_000;
+  assert.deepEqual(pathsOf(one, inTwoDays), ["$.tls.certFile"]);
+});
+
+test("checkMaterial() reports every text that is not PEM", () => {
+  assert.deepEqual(pathsOf({ cert: "", key: "", ca: "" }), [
+    "$.tls.certFile",
+    "$.tls.keyFile",
+    "$.tls.caFile",
+  ]);
+});
+
+test("KeyStore.reload() takes a rotated certificate into use", () => {
+  const files = filesWith(one);
+  const store = KeyStore.open(files).unwrap();
+  const seen: string[] = [];
+  store.onRotate(({ fingerprint }) => seen.push(fingerprint));
+  write(files, other);
+  assert.equal(store.reload().unwrap(), true);
+  assert.equal(store.reload().unwrap(), false);
+  assert.deepEqual(seen, [store.current.fingerprint]);
+});
+
+test("KeyStore.reload() keeps the old material while files are half written", () => {
+  const files = filesWith(one);
+  const store = KeyStore.open(files).unwrap();
+  writeFileSync(files.certFile, other.cert);
+  assert.equal(store.reload().isErr(), true);
+  assert.equal(store.current.key, one.key);
+});
