--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -132,7 +132,10 @@
       parent: call.traceparent,
       attributes: { call: call.callId, target: call.target },
     });
-    const outcome = await this.#perform(call, stream, signal);
+    const outcome = await this.#perform(
+      call,
+      { stream, signal, traceparent: span.traceparent },
+    );
     const failure = outcome.isErr() ? outcome.error.reason : undefined;
     metrics.count("stage_calls_total", {
       stage: call.stage,
@@ -144,18 +147,16 @@
 
   async #perform(
     call: StageCall,
-    stream: Stream,
-    signal: AbortSignal,
+    hop: Pick<Session, "stream" | "signal" | "traceparent">,
   ): Promise<Result<StageResult, Refusal>> {
     const deadlineAt = monotonicMs() + call.remainingMs;
     const refusal = this.#refusalBeforeGate(call);
     if (refusal) return err(refusal);
-    const permit = await this.#parts.gate.enter(call, signal);
+    const permit = await this.#parts.gate.enter(call, hop.signal);
     if (permit.isErr()) return err(permit.error);
     const session: Session = {
       call,
-      stream,
-      signal,
+      ...hop,
       permit: permit.value,
       deadlineAt,
     };
@@ -218,8 +219,13 @@
   async #run(session: Session): Promise<Result<StageResult, Refusal>> {
     const { call, stream, permit, deadlineAt } = session;
     const startedAt = monotonicMs();
+    const span = this.#parts.tracing.start("agent.target", {
+      parent: session.traceparent,
+      attributes: { call: call.callId, target: call.target },
+    });
     const watch = new Watchdog(silenceMs(call));
     const answer = await this.#parts.client.run(call, {
+      traceparent: span.traceparent,
       signal: this.#runSignal(session, watch),
       onText: (text) => {
         watch.heard();
@@ -229,6 +235,7 @@
     });
     watch.end();
     const serviceMs = monotonicMs() - startedAt;
+    span.end(answer.isErr() ? answer.error.reason : undefined);
     return answer
       .map((value) => {
         permit.release({ kind: "ok", serviceMs });
@@ -306,6 +313,8 @@
   readonly permit: Permit;
   /** Monotonic time at which the whole answer is due, in milliseconds. */
   readonly deadlineAt: number;
+  /** W3C trace context of the call's span. */
+  readonly traceparent: string;
 }
 
 /** Answer stream of a call. */
