Add soak: random histories of the composed system under a simulated clock

It found that a retry without a target left turned an unknown outcome into "not run"; the refusal of the attempts that were sent now counts.

--- a/src/agent/mod.ts
+++ b/src/agent/mod.ts
@@ -5,4 +5,7 @@
  */
 
 export { startAgent } from "./start.ts";
+export * from "./agent.ts";
+export * from "./claim_service.ts";
+export * from "./gate_service.ts";
 export * from "./target_client.ts";
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -39,9 +39,15 @@
   readonly unsettled: boolean;
 }
 
+/** What sending calls needs of a {@linkcode Directory}. */
+export type TargetBook = Pick<
+  Directory,
+  "begin" | "choose" | "client" | "report" | "suspect"
+>;
+
 /** What an attempt is made with. */
 export interface AttemptParts {
-  readonly directory: Directory;
+  readonly directory: TargetBook;
   readonly metrics: Metrics;
 }
 
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -21,14 +21,14 @@
   type BudgetBook,
   createBook,
   earnFor,
+  finalRefusal,
   HEDGE_QUANTILE,
   hedgeAfterMs,
   mayRetry,
   spendFor,
 } from "../retry/mod.ts";
 import type { Metrics, Tracing } from "../telemetry/mod.ts";
-import { Attempt, type AttemptOutcome } from "./attempt.ts";
-import type { Directory } from "./directory.ts";
+import { Attempt, type AttemptOutcome, type TargetBook } from "./attempt.ts";
 import {
   isClosedByOwn,
   type KeyRecord,
@@ -63,7 +63,7 @@
 
 /** What a dispatcher is made of. */
 export interface DispatcherParts {
-  readonly directory: Directory;
+  readonly directory: TargetBook;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
   /** Without it, calls whose answers were lost stay unknown. */
@@ -95,11 +95,17 @@
     stage: Dispatch,
   ): Promise<Result<StageResult, Refusal>> {
     while (true) {
+      const { attempts } = stage;
       const outcome = stage.req.idempotent
         ? await this.#hedged(stage)
         : await this.#single(stage);
       if (outcome.isOk()) return outcome;
-      if (!this.#takeRetry(stage, outcome.error)) return outcome;
+      const { error: refusal } = outcome;
+      const wasSent = stage.attempts > attempts;
+      if (wasSent || attempts === 0) stage.refusals.push(refusal);
+      if (!wasSent || !this.#takeRetry(stage, refusal)) {
+        return err(finalRefusal(stage.refusals));
+      }
       this.#count("retries_total", stage);
       await sleep(RETRY_PAUSE_MS, stage.opts.signal);
     }
@@ -287,6 +293,8 @@
   readonly req: StageRequest;
   readonly opts: DispatchOptions;
   readonly tried = new Set<TargetId>();
+  /** Refusals of the attempts that were sent, or why none was. */
+  readonly refusals: Refusal[] = [];
   attempts = 0;
   /** True once an attempt succeeded. */
   won = false;
@@ -356,7 +364,7 @@
   }
 }
 
-/** First result of the attempts that may win; the last refusal when all fail. */
+/** First result of the attempts that may win; a refusal when all fail. */
 async function firstSuccess(
   racers: readonly Sent[],
   stage: Dispatch,
@@ -371,7 +379,7 @@
     return ok(await Promise.any(results));
   } catch (failure) {
     const errors = (failure as AggregateError).errors as AttemptError[];
-    return err((errors.at(-1) as AttemptError).refusal);
+    return err(finalRefusal(errors.map(({ refusal }) => refusal)));
   }
 }
 
--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -5,4 +5,9 @@
  */
 
 export { startEntry } from "./start.ts";
+export * from "./attempt.ts";
+export * from "./checkpoints.ts";
+export * from "./dispatcher.ts";
+export * from "./key_record.ts";
 export * from "./problem.ts";
+export * from "./runner.ts";
--- a/src/retry/policy.ts
+++ b/src/retry/policy.ts
@@ -38,6 +38,18 @@
     (call.idempotent || refusal.proof === Proof.NotRun);
 }
 
+/**
+ * Refusal of a call after all its attempts: the last one's, as unknown if the
+ * outcome of any attempt is unknown.
+ */
+export function finalRefusal(attempts: readonly Refusal[]): Refusal {
+  const last = attempts.at(-1) as Refusal;
+  const isUnknown = attempts.some(({ proof }) =>
+    proof === Proof.OutcomeUnknown
+  );
+  return isUnknown ? { ...last, proof: Proof.OutcomeUnknown } : last;
+}
+
 /** Latencies of a stage that were measured. */
 export interface StageLatency {
   readonly count: number;
--- /dev/null
+++ b/src/soak/audit.ts
@@ -0,0 +1,103 @@
+/**
+ * Compares what simulated callers were told with what the targets ran.
+ *
+ * @module
+ */
+
+import { invariant } from "../kernel/mod.ts";
+import { Proof } from "../model/mod.ts";
+import { DEADLINE_MS, type Telling } from "./callers.ts";
+import { type Execution, markerOf } from "./sim_target.ts";
+
+/** Result of an audit; all but the first three have to be zero. */
+export interface SoakAudit {
+  readonly requests: number;
+  readonly done: number;
+  readonly unknown: number;
+  readonly doubled: number;
+  readonly lost: number;
+  readonly misdelivered: number;
+  readonly falselyNotRun: number;
+  readonly late: number;
+}
+
+/** Time beyond the deadline by which an undisturbed entry answers, in ms. */
+const SLACK_MS = 1_000;
+
+/** Audits a run; every fault is reported as a violated invariant too. */
+export function auditSoak(
+  tellings: readonly Telling[],
+  executions: readonly Execution[],
+): SoakAudit {
+  const filings = executions.filter(({ key }) => key !== "");
+  const find = (name: string, bad: (telling: Telling) => boolean) => {
+    const found = tellings.filter(bad);
+    found.forEach((telling) => invariant(false, name, describe(telling)));
+    return found.length;
+  };
+  return {
+    requests: tellings.length,
+    done: tellings.filter(({ told }) => told === "done").length,
+    unknown: tellings.filter(({ told }) => told === Proof.OutcomeUnknown)
+      .length,
+    doubled: countDoubled(filings),
+    lost: find("done-means-filed", (one) => isLost(one, filings)),
+    misdelivered: find("result-of-own-request", isMisdelivered),
+    falselyNotRun: find("not-run-is-true", (one) => ranAnyway(one, filings)),
+    late: find("answered-in-time", isLate),
+  };
+}
+
+function countDoubled(filings: readonly Execution[]): number {
+  const counts = new Map<string, number>();
+  filings.forEach(({ key }) => counts.set(key, (counts.get(key) ?? 0) + 1));
+  const doubled = [...counts].filter(([, count]) => count > 1);
+  doubled.forEach(([key]) => invariant(false, "at-most-once", key));
+  return doubled.length;
+}
+
+/** True when a stage that had to run for the answer did not run. */
+function isLost(
+  { told, marker, spec }: Telling,
+  filings: readonly Execution[],
+): boolean {
+  if (told !== "done") return false;
+  return spec.stages.filter(({ idempotent }) => !idempotent)
+    .some(({ name }) =>
+      !filings.some(({ key }) => key === `k-${marker}/${name}`)
+    );
+}
+
+function isMisdelivered({ told, marker, output, text }: Telling): boolean {
+  if (told !== "done") return false;
+  const whole = (output as { text?: string }).text;
+  return markerOf(output) !== marker ||
+    (whole !== undefined && text !== "" && text !== whole);
+}
+
+/**
+ * True when a filing of the key ran before its caller was told "not run", or
+ * ran afterwards for a request that had started before.
+ */
+function ranAnyway(
+  { told, marker, toldAt, spec }: Telling,
+  filings: readonly Execution[],
+): boolean {
+  if (told !== Proof.NotRun) return false;
+  const keys = spec.stages.map(({ name }) => `k-${marker}/${name}`);
+  return filings.some((one) =>
+    keys.includes(one.key) &&
+    (one.at <= toldAt || one.requestedAt <= toldAt)
+  );
+}
+
+function isLate({ sentAt, toldAt, entryDisturbed }: Telling): boolean {
+  return !entryDisturbed && toldAt - sentAt > DEADLINE_MS + SLACK_MS;
+}
+
+function describe(one: Telling): string {
+  const { marker, told, reason, requestId, spec } = one;
+  const tookMs = Math.round(one.toldAt - one.sentAt);
+  return `marker=${marker} pipeline=${spec.name} told=${told} ` +
+    `reason=${reason} took_ms=${tookMs} request=${requestId}`;
+}
--- /dev/null
+++ b/src/soak/callers.ts
@@ -0,0 +1,159 @@
+/**
+ * Simulated callers: each sends one request and repeats its key until it is
+ * told that the request is done, or its patience ends.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import type { PipelineRequest } from "../entry/mod.ts";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
+import {
+  type Customer,
+  type PipelineSpec,
+  type Plan,
+  Proof,
+  StageKind,
+} from "../model/mod.ts";
+import type { SimFleet } from "./sim_fleet.ts";
+
+/** What one request of a caller was told. */
+export interface Telling {
+  readonly marker: string;
+  readonly spec: PipelineSpec;
+  readonly requestId: string;
+  readonly sentAt: number;
+  readonly toldAt: number;
+  readonly told: "done" | "nothing" | Proof;
+  readonly reason?: string;
+  /** Output, when done. */
+  readonly output?: unknown;
+  /** Text that was streamed, when done. */
+  readonly text: string;
+  /** True when the entry was paused or died meanwhile. */
+  readonly entryDisturbed: boolean;
+}
+
+/** Deadline of each request, in milliseconds. */
+export const DEADLINE_MS = 4_000;
+const PATIENCE_MS = DEADLINE_MS + 4_000;
+const MAX_REPEATS = 5;
+const CUSTOMER: Customer = { id: "c", plan: "p", keySha256: "" };
+const PLAN: Plan = {
+  name: "p",
+  weight: 1,
+  maxConcurrent: 1_000,
+  pipelines: [],
+};
+
+const stage = (
+  name: string,
+  over: Partial<PipelineSpec["stages"][number]> = {},
+) => ({
+  name,
+  kind: StageKind.Encode,
+  pool: "encode",
+  idempotent: true,
+  expectedMs: 5,
+  ...over,
+});
+const file = (name: string) =>
+  stage(name, { kind: StageKind.File, pool: "file", idempotent: false });
+const pipeline = (
+  name: string,
+  stages: PipelineSpec["stages"],
+  durable = false,
+): PipelineSpec => ({
+  name,
+  stages,
+  durable,
+  priority: "interactive",
+  deadlineMs: DEADLINE_MS,
+});
+
+/** Pipelines that callers use. */
+export const PIPELINES: readonly PipelineSpec[] = [
+  pipeline("filing", [stage("look-up"), file("file")]),
+  pipeline("two-filings", [file("first"), stage("note"), file("second")]),
+  pipeline("summary", [
+    stage("encode"),
+    stage("rank"),
+    stage("draft", { kind: StageKind.Generate }),
+  ], true),
+  pipeline("durable-filing", [stage("encode"), file("file")], true),
+];
+
+/** Callers of one fleet. */
+export class Callers {
+  readonly tellings: Telling[] = [];
+  readonly #fleet: SimFleet;
+
+  constructor(fleet: SimFleet) {
+    this.#fleet = fleet;
+  }
+
+  /** Sends a request and repeats it. Some callers send their key twice at once. */
+  async request(marker: string): Promise<void> {
+    const { random } = this.#fleet;
+    const spec = this.#pick(PIPELINES);
+    if (random() < 0.1) void this.#send(marker, spec);
+    for (let turn = 0; turn <= MAX_REPEATS; turn += 1) {
+      const telling = await this.#send(marker, spec);
+      if (telling.told === "done") return;
+      await sleep(random() * 2_000);
+    }
+  }
+
+  async #send(marker: string, spec: PipelineSpec): Promise<Telling> {
+    const { shell, runner } = this.#pick(this.#fleet.entries);
+    const sentAt = monotonicMs();
+    const texts: string[] = [];
+    const { pauses, isPaused } = shell;
+    const req: PipelineRequest = {
+      requestId: randomUUID(),
+      customer: CUSTOMER,
+      plan: PLAN,
+      spec,
+      key: `k-${marker}`,
+      keyGiven: true,
+      input: { marker },
+      deadlineAt: sentAt + DEADLINE_MS,
+      listsVersion: 1,
+      signal: shell.death,
+      onText: (_stage, text) => texts.push(text),
+    };
+    this.#fleet.log.requested(req.requestId);
+    const gone = sleep(PATIENCE_MS, shell.death);
+    const run = shell.io().then(() => runner.run(req))
+      .then(async (outcome) => {
+        await shell.io();
+        return outcome;
+      });
+    const outcome = await Promise.race([run, gone]);
+    const about = {
+      marker,
+      spec,
+      requestId: req.requestId,
+      sentAt,
+      toldAt: monotonicMs(),
+      text: texts.join(""),
+      entryDisturbed: isPaused || shell.pauses > pauses || !shell.isAlive,
+    };
+    const telling: Telling = outcome === undefined
+      ? { ...about, told: "nothing" }
+      : outcome.match<Telling>(
+        (results) => ({
+          ...about,
+          told: "done",
+          output: results.at(-1)?.output,
+        }),
+        ({ proof, reason }) => ({ ...about, told: proof, reason }),
+      );
+    this.tellings.push(telling);
+    return telling;
+  }
+
+  #pick<T>(items: readonly T[]): T {
+    return items[Math.floor(this.#fleet.random() * items.length)] as T;
+  }
+}
--- /dev/null
+++ b/src/soak/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Long seeded random runs of the composed system under a simulated clock.
+ *
+ * @module
+ */
+
+export * from "./audit.ts";
+export * from "./history.ts";
+export * from "./paused_clock.ts";
--- /dev/null
+++ b/src/soak/sim_fleet.ts
@@ -0,0 +1,207 @@
+/**
+ * Simulated fleet in one process: real agents, dispatchers and runners over
+ * simulated connections, targets and platform.
+ *
+ * @module
+ */
+
+import { Agent, ClaimService, GateService } from "../agent/mod.ts";
+import {
+  Checkpoints,
+  Dispatcher,
+  KeyRecord,
+  Runner,
+  type TargetBook,
+} from "../entry/mod.ts";
+import { EMPTY_LISTS, type Target, TargetKind } from "../model/mod.ts";
+import { Ledger, type ListsSync } from "../process/mod.ts";
+import { MemoryObjectStore, MemoryTable } from "../standin/mod.ts";
+import { Metrics, SILENT_LOGGER, Tracing } from "../telemetry/mod.ts";
+import type { AgentClient } from "../wire/mod.ts";
+import { FaultyTable, type TableFaults } from "./faulty_table.ts";
+import { ProcessShell } from "./process_shell.ts";
+import { type LinkFaults, SimLink } from "./sim_link.ts";
+import { ExecutionLog, SimTarget, type TargetFaults } from "./sim_target.ts";
+
+/** Faults of the whole fleet; members are changed while it runs. */
+export interface FleetFaults {
+  readonly table: TableFaults;
+  readonly link: LinkFaults;
+  readonly target: TargetFaults;
+}
+
+/** A fleet without faults. */
+export function noFaults(): FleetFaults {
+  return {
+    table: {
+      outage: false,
+      loseAnswers: 0,
+      lateWrites: 0,
+      rateLimited: 0,
+      maxDelayMs: 4,
+    },
+    link: { cut: 0, silent: 0, crossed: 0, delayed: 0 },
+    target: { refuse: 0, failAfter: 0, mute: 0, maxMs: 10 },
+  };
+}
+
+/** One simulated agent process. */
+export interface SimAgent {
+  readonly shell: ProcessShell;
+  readonly agent: Agent;
+  readonly stop: AbortController;
+}
+
+/** One simulated entry process. */
+export interface SimEntry {
+  readonly shell: ProcessShell;
+  readonly runner: Runner;
+}
+
+const GATE = { coldLimit: 8, maxLimit: 16, maxQueued: 32 };
+const LISTS = {
+  current: { ...EMPTY_LISTS, version: 1 },
+  isConfirmed: true,
+  confirmedAgeMs: 0,
+} as unknown as ListsSync;
+const TRACING = new Tracing({
+  to: "none",
+  log: SILENT_LOGGER,
+  process: "soak",
+});
+
+/** The fleet. */
+export class SimFleet {
+  readonly table = new MemoryTable();
+  readonly objects = new MemoryObjectStore();
+  readonly log = new ExecutionLog();
+  readonly metrics = new Metrics();
+  readonly targets: readonly Target[];
+  readonly faults: FleetFaults;
+  readonly random: () => number;
+  readonly #agents = new Map<string, SimAgent>();
+  readonly #entries: SimEntry[] = [];
+  readonly #stops: AbortController[] = [];
+
+  constructor(
+    opts: {
+      pools: Readonly<Record<string, number>>;
+      entries: number;
+      random: () => number;
+      faults: FleetFaults;
+    },
+  ) {
+    this.random = opts.random;
+    this.faults = opts.faults;
+    this.targets = Object.entries(opts.pools).flatMap(([pool, count]) =>
+      Array.from({ length: count }, (_, i) => targetOf(pool, i))
+    );
+    this.targets.forEach((target) => this.startAgent(target));
+    for (let i = 0; i < opts.entries; i += 1) this.startEntry(i);
+  }
+
+  get entries(): readonly SimEntry[] {
+    return this.#entries;
+  }
+
+  /** The newest agent beside a target. */
+  agent(target: Target): SimAgent {
+    return this.#agents.get(target.id) as SimAgent;
+  }
+
+  /** Starts an agent beside a target; an older one may still be running. */
+  startAgent(target: Target): void {
+    const shell = new ProcessShell(`agent-${target.id}`);
+    const stop = this.#stopper();
+    const agent = new Agent({
+      name: shell.name,
+      target,
+      gate: new GateService(GATE, stop.signal),
+      claims: new ClaimService(this.#tableFor(shell), {
+        metrics: this.metrics,
+      }),
+      client: new SimTarget({
+        log: this.log,
+        faults: this.faults.target,
+        random: this.random,
+        shell,
+      }),
+      lists: LISTS,
+      metrics: this.metrics,
+      tracing: TRACING,
+      log: SILENT_LOGGER,
+    });
+    this.#agents.set(target.id, { shell, agent, stop });
+  }
+
+  /** Starts entry `i`, in place of the one before. */
+  startEntry(i: number): void {
+    const shell = new ProcessShell(`entry-${i}`);
+    const record = new KeyRecord(new Ledger(this.#tableFor(shell)));
+    const { metrics, objects } = this;
+    const dispatcher = new Dispatcher({
+      directory: this.#bookFor(shell),
+      metrics,
+      tracing: TRACING,
+      record,
+    });
+    const checkpoints = new Checkpoints({ objects, metrics });
+    const runner = new Runner({ dispatcher, record, checkpoints });
+    this.#entries[i] = { shell, runner };
+  }
+
+  /** Ends the timers of every process. */
+  stop(): void {
+    this.#stops.forEach((stop) => stop.abort());
+  }
+
+  #tableFor(shell: ProcessShell): FaultyTable {
+    return new FaultyTable(this.table, {
+      faults: this.faults.table,
+      random: this.random,
+      shell,
+    });
+  }
+
+  #bookFor(entry: ProcessShell): TargetBook {
+    const links = new Map(this.targets.map((target) => [
+      target.id,
+      new SimLink({
+        agent: () => this.agent(target).agent,
+        host: () => this.agent(target).shell,
+        faults: this.faults.link,
+        random: this.random,
+        entry,
+      }),
+    ]));
+    return {
+      choose: (pool, { tried }) => {
+        const fits = this.targets.filter((one) =>
+          one.pool === pool && !tried.has(one.id)
+        );
+        return fits[Math.floor(this.random() * fits.length)];
+      },
+      client: (target) => links.get(target.id) as unknown as AgentClient,
+      begin: () => () => {},
+      report: () => {},
+      suspect: () => {},
+    };
+  }
+
+  #stopper(): AbortController {
+    const stop = new AbortController();
+    this.#stops.push(stop);
+    return stop;
+  }
+}
+
+function targetOf(pool: string, i: number): Target {
+  return {
+    id: `${pool}-${i}`,
+    pool,
+    kind: TargetKind.Service,
+    host: `host-${pool}-${i}`,
+    domain: `domain-${i % 3}`,
+    agentUrl: `sim:${pool}-${i}`,
+  };
+}
