--- a/src/soak/audit.ts
+++ b/src/soak/audit.ts
@@ -5,20 +5,24 @@
  */
 
 import { invariant } from "../kernel/mod.ts";
-import { Proof } from "../model/mod.ts";
-import { DEADLINE_MS, type Telling } from "./callers.ts";
+import { Proof, RefusalReason } from "../model/mod.ts";
+import { type Callers, DEADLINE_MS, type Telling } from "./callers.ts";
 import { type Execution, markerOf } from "./sim_target.ts";
 
-/** Result of an audit; all but the first three have to be zero. */
+/** Result of an audit; all but the first four have to be zero. */
 export interface SoakAudit {
   readonly requests: number;
   readonly done: number;
   readonly unknown: number;
+  /** Keys whose outcome is unknown in the end: an operator resolves them. */
+  readonly unresolved: number;
   readonly doubled: number;
   readonly lost: number;
   readonly misdelivered: number;
   readonly falselyNotRun: number;
   readonly late: number;
+  /** Keys that end neither done nor unknown once all faults ended. */
+  readonly stuck: number;
 }
 
 /** Time beyond the deadline by which an undisturbed entry answers, in ms. */
@@ -26,7 +30,7 @@
 
 /** Audits a run; every fault is reported as a violated invariant too. */
 export function auditSoak(
-  tellings: readonly Telling[],
+  { tellings, lastTellings }: Pick<Callers, "tellings" | "lastTellings">,
   executions: readonly Execution[],
 ): SoakAudit {
   const filings = executions.filter(({ key }) => key !== "");
@@ -40,14 +44,24 @@
     done: tellings.filter(({ told }) => told === "done").length,
     unknown: tellings.filter(({ told }) => told === Proof.OutcomeUnknown)
       .length,
+    unresolved: lastTellings.filter(isUnresolved).length,
     doubled: countDoubled(filings),
     lost: find("done-means-filed", (one) => isLost(one, filings)),
     misdelivered: find("result-of-own-request", isMisdelivered),
     falselyNotRun: find("not-run-is-true", (one) => ranAnyway(one, filings)),
     late: find("answered-in-time", isLate),
+    stuck: find(
+      "key-ends",
+      (one) =>
+        lastTellings.includes(one) && one.told !== "done" && !isUnresolved(one),
+    ),
   };
 }
 
+function isUnresolved({ reason }: Telling): boolean {
+  return reason === RefusalReason.KeyUnknown;
+}
+
 function countDoubled(filings: readonly Execution[]): number {
   const counts = new Map<string, number>();
   filings.forEach(({ key }) => counts.set(key, (counts.get(key) ?? 0) + 1));
--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -38,6 +38,10 @@
 export const DEADLINE_MS = 4_000;
 const PATIENCE_MS = DEADLINE_MS + 4_000;
 const MAX_REPEATS = 5;
+/** Share of the callers that choose their own keys. */
+const KEYED_SHARE = 0.8;
+/** Share of those that send their key twice at once. */
+const TWICE_SHARE = 0.1;
 const CUSTOMER: Customer = { id: "c", plan: "p", keySha256: "" };
 const PLAN: Plan = {
   name: "p",
@@ -86,6 +90,9 @@
 /** Callers of one fleet. */
 export class Callers {
   readonly tellings: Telling[] = [];
+  /** What the last repeat of each key was told, after all faults ended. */
+  readonly lastTellings: Telling[] = [];
+  readonly #keyed: { marker: string; spec: PipelineSpec }[] = [];
   readonly #fleet: SimFleet;
 
   constructor(fleet: SimFleet) {
@@ -96,15 +103,33 @@
   async request(marker: string): Promise<void> {
     const { random } = this.#fleet;
     const spec = this.#pick(PIPELINES);
-    if (random() < 0.1) void this.#send(marker, spec);
+    const keyGiven = random() < KEYED_SHARE;
+    if (keyGiven) this.#keyed.push({ marker, spec });
+    if (keyGiven && random() < TWICE_SHARE) {
+      void this.#send({ marker, spec, keyGiven });
+    }
     for (let turn = 0; turn <= MAX_REPEATS; turn += 1) {
-      const telling = await this.#send(marker, spec);
-      if (telling.told === "done") return;
+      const telling = await this.#send({ marker, spec, keyGiven });
+      if (telling.told === "done" || !keyGiven) return;
       await sleep(random() * 2_000);
     }
   }
 
-  async #send(marker: string, spec: PipelineSpec): Promise<Telling> {
+  /** Repeats every key once more. */
+  async repeatAll(): Promise<void> {
+    const sent = this.#keyed.map((one) =>
+      this.#send({ ...one, keyGiven: true })
+    );
+    this.lastTellings.push(...await Promise.all(sent));
+  }
+
+  async #send(
+    { marker, spec, keyGiven }: {
+      marker: string;
+      spec: PipelineSpec;
+      keyGiven: boolean;
+    },
+  ): Promise<Telling> {
     const { shell, runner } = this.#pick(this.#fleet.entries);
     const sentAt = monotonicMs();
     const texts: string[] = [];
@@ -115,7 +140,7 @@
       plan: PLAN,
       spec,
       key: `k-${marker}`,
-      keyGiven: true,
+      keyGiven,
       input: { marker },
       deadlineAt: sentAt + DEADLINE_MS,
       listsVersion: 1,
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -10,7 +10,7 @@
 import { runHistory } from "./history.ts";
 import { underPausedClock } from "./paused_clock.ts";
 
-const KEYS = 60;
+const KEYS = 200;
 const LENGTH_MS = 30_000;
 const MS_PER_MINUTE = 60_000;
 
--- a/src/soak/sim_fleet.ts
+++ b/src/soak/sim_fleet.ts
@@ -113,6 +113,7 @@
   startAgent(target: Target): void {
     const shell = new ProcessShell(`agent-${target.id}`);
     const stop = this.#stopper();
+    shell.death.addEventListener("abort", () => stop.abort());
     const agent = new Agent({
       name: shell.name,
       target,
--- a/src/soak/sim_link.ts
+++ b/src/soak/sim_link.ts
@@ -35,7 +35,8 @@
   readonly #random: () => number;
   readonly #entry: ProcessShell;
   readonly #host: () => ProcessShell;
-  #last: CallEvent | undefined;
+  /** Latest event of each kind on this connection, of whichever call. */
+  readonly #latest = new Map<string, CallEvent>();
 
   constructor(
     opts: {
@@ -62,15 +63,14 @@
     await this.#entry.io();
     const fate = this.#fate();
     if (fate === "lost") return await new Promise<never>(() => {});
-    if (this.#random() < this.#faults.delayed) {
-      await sleep(this.#random() * LONGEST_DELAY_MS);
-    }
+    const isDelayed = this.#random() < this.#faults.delayed;
+    if (isDelayed) await sleep(this.#random() * LONGEST_DELAY_MS);
     const host = this.#host();
     await host.io();
     const agent = this.#agent();
     if (!agent || !host.isAlive) throw connectionRefused();
-    // A silent connection hides the death of the entry from the agent.
-    const closed = fate === "silent"
+    // Such a connection does not tell the agent that the entry gave up.
+    const closed = fate === "silent" || isDelayed
       ? host.death
       : AbortSignal.any([signal, this.#entry.death, host.death]);
     return this.#deliver(agent.call(call, closed), { fate, host });
@@ -87,8 +87,8 @@
       if (fate === "silent" && left <= 0) await new Promise<never>(() => {});
       if (fate === "cut" && left <= 0) throw new Error("connection reset");
       if (fate === "truncated" && event.kind === "result") return;
-      if (fate === "crossed" && this.#last) yield this.#last;
-      this.#last = event;
+      if (fate === "crossed") yield* [...this.#latest.values()];
+      this.#latest.set(event.kind, event);
       yield event;
       if (fate === "crossed" && event.kind === "chunk") yield event;
       left -= 1;
