--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -31,6 +31,7 @@
 import { createAgentRouter } from "../wire/mod.ts";
 import { Agent } from "./agent.ts";
 import { ClaimService } from "./claim_service.ts";
+import { ClaimSweeper } from "./claim_sweeper.ts";
 import { EngineClient } from "./engine_client.ts";
 import { GateService } from "./gate_service.ts";
 import { ServiceClient } from "./service_client.ts";
@@ -115,6 +116,12 @@
           log.warn("registration_failed", { detail: err.message })
         );
       }, ctx.signal);
+      new ClaimSweeper({
+        table,
+        log,
+        metrics: ctx.get(METRICS),
+        holder: cfg.name,
+      }).run(ctx.signal);
       log.info("agent_started", { target: target.id, url: target.agentUrl });
       return { withdraw: () => withdrawTarget(table, target.id) };
     },
--- /dev/null
+++ b/src/ledger/claim_model_test.ts
@@ -0,0 +1,157 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { StageCall, StageResult } from "../model/mod.ts";
+import {
+  type Claim,
+  ClaimState,
+  createClaim,
+  decideClaim,
+  doneClaim,
+  notRunClaim,
+  resolveClaim,
+  unknownClaim,
+} from "./claim.ts";
+
+const RUNS = 4_000;
+const ATTEMPTS = 5;
+const STEP_MS = 9_000;
+
+/** What one attempt, or the operator, does next. */
+const STEPS = [
+  "start",
+  "claim",
+  "run",
+  "finish",
+  "lose",
+  "withdraw",
+  "close",
+  "resolve",
+  "wait",
+] as const;
+type Step = typeof STEPS[number];
+
+interface Attempt {
+  version?: number;
+  claim?: Claim;
+  held?: number;
+  ran?: boolean;
+  closedFor?: boolean;
+}
+
+/** Table with one row, attempts at one key, and what they ran. */
+class Model {
+  row: { version: number; claim?: Claim } = { version: 0 };
+  now = 0;
+  runs = 0;
+  reopened = 0;
+  readonly attempts: Attempt[] = Array.from({ length: ATTEMPTS }, () => ({}));
+
+  apply(who: number, step: Step): void {
+    const before = this.row.claim;
+    const attempt = this.attempts[who] as Attempt;
+    this[step](attempt, `token-${who}-${this.now}`);
+    if (before?.state === ClaimState.Done) {
+      assert.deepEqual(this.row.claim, before, "done is final");
+    }
+  }
+
+  /** A request reads the row; only an open key gives a version. */
+  start(attempt: Attempt): void {
+    const state = this.row.claim?.state;
+    const isOpen = state === undefined || state === ClaimState.NotRun;
+    if (isOpen && attempt.version === undefined) {
+      attempt.version = this.row.version;
+    }
+  }
+
+  claim(attempt: Attempt, token: string): void {
+    if (attempt.version === undefined || attempt.claim) return;
+    const call = { remainingMs: 1, fingerprint: "f" } as StageCall;
+    attempt.claim = createClaim(call, { token, now: this.now });
+    this.write(attempt.claim, attempt.version);
+    const standing = this.row.claim as Claim;
+    const decision = decideClaim(standing, attempt.claim, this.now);
+    if (decision.kind === "run") attempt.held = this.row.version;
+  }
+
+  run(attempt: Attempt): void {
+    if (attempt.held === undefined || attempt.ran) return;
+    assert.ok(!attempt.closedFor, "a closed call never runs");
+    attempt.ran = true;
+    this.runs += 1;
+  }
+
+  finish({ claim, held, ran }: Attempt): void {
+    if (!claim || !held || !ran) return;
+    this.write(doneClaim(claim, { output: 1 } as StageResult), held);
+  }
+
+  lose({ claim, held }: Attempt): void {
+    if (claim && held) this.write(unknownClaim(claim), held);
+  }
+
+  /** Only a call that was not sent is withdrawn, and never sent later. */
+  withdraw(attempt: Attempt): void {
+    const { claim, held, ran } = attempt;
+    if (!claim || !held || ran) return;
+    this.write(notRunClaim(claim), held);
+    attempt.held = undefined;
+  }
+
+  /** Another request closes the key; calls started so far never run. */
+  close(_attempt: Attempt, token: string): void {
+    const { claim, version } = this.row;
+    if (claim && claim.state !== ClaimState.NotRun) return;
+    const call = { remainingMs: 1, fingerprint: "f" } as StageCall;
+    const own = createClaim(call, { token, now: this.now });
+    this.write(notRunClaim(own), version);
+    this.attempts.filter((one) => one.version !== undefined && !one.held)
+      .forEach((one) => {
+        one.closedFor = true;
+      });
+  }
+
+  /** An operator, who knows, resolves an unknown outcome. */
+  resolve(): void {
+    const { claim, version } = this.row;
+    if (!claim) return;
+    const holder = this.attempts.find((one) =>
+      one.claim?.token === claim.token
+    );
+    const as = holder?.ran ? "run" : "not-run";
+    const after = resolveClaim(claim, { as, now: this.now });
+    if (!after) return;
+    this.write(after, version);
+    if (holder) holder.held = undefined;
+  }
+
+  wait(): void {
+    this.now += STEP_MS;
+  }
+
+  write(claim: Claim, version: number): void {
+    if (this.row.version !== version) return;
+    this.row = { version: version + 1, claim };
+  }
+}
+
+/*
+ * Seen to fail with the version check of write() left out ("a closed call
+ * never runs", "done is final" and two runs), and with a claim that takes the
+ * row's present version instead of the one it was started with.
+ */
+test("claims of one key run at most once in random histories", () => {
+  const steps = fc.array(
+    fc.tuple(fc.nat(ATTEMPTS - 1), fc.constantFrom(...STEPS)),
+    { maxLength: 60 },
+  );
+  fc.assert(
+    fc.property(steps, (history) => {
+      const model = new Model();
+      history.forEach(([who, step]) => model.apply(who, step));
+      assert.ok(model.runs <= 1, `${model.runs} runs`);
+    }),
+    { numRuns: RUNS, seed: 4 },
+  );
+});
--- /dev/null
+++ b/src/pipeline/answer_test.ts
@@ -0,0 +1,113 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  type CallEvent,
+  digest,
+  type StageResult,
+  type TargetLoad,
+} from "../model/mod.ts";
+import { type Answer, applyAnswer, createAnswer } from "./answer.ts";
+
+const RUNS = 3_000;
+const REPORT = { load: {} as TargetLoad, listsVersion: 1 };
+
+const call = (id: string) => ({
+  callId: id,
+  stage: "s",
+  fingerprint: `f-${id}`,
+});
+const resultOf = (id: string, text: string): StageResult => ({
+  ...call(id),
+  target: "t",
+  output: { text },
+  digest: digest({ text }),
+  tokens: 1,
+  serviceMs: 1,
+  queuedMs: 0,
+  replayed: false,
+});
+const result = (
+  id: string,
+  text: string,
+  opts: { chunks: number } & Partial<StageResult>,
+): CallEvent => {
+  const { chunks, ...over } = opts;
+  return {
+    kind: "result",
+    result: { ...resultOf(id, text), ...over },
+    chunks,
+    ...REPORT,
+  };
+};
+const chunk = (id: string, seq: number, text: string): CallEvent => ({
+  kind: "chunk",
+  callId: id,
+  seq,
+  text,
+});
+
+/** Kind of the step after the last of the events. */
+const lastKind = (...events: CallEvent[]) => {
+  let answer: Answer = createAnswer(call("a"));
+  let kind = "";
+  for (const event of events) {
+    const step = applyAnswer(answer, event);
+    kind = step.kind;
+    if ("answer" in step) answer = step.answer;
+  }
+  return kind;
+};
+
+test("applyAnswer() takes a whole stream", () => {
+  const events = [chunk("a", 0, "x"), chunk("a", 1, "y")];
+  assert.equal(lastKind(...events, result("a", "xy", { chunks: 2 })), "done");
+});
+
+test("applyAnswer() drops events of other calls and repeats", () => {
+  assert.equal(lastKind(chunk("b", 0, "x")), "dropped");
+  assert.equal(lastKind(result("b", "x", { chunks: 0 })), "dropped");
+  assert.equal(lastKind(chunk("a", 0, "x"), chunk("a", 0, "x")), "dropped");
+});
+
+test("applyAnswer() finds gaps, short streams and damaged results", () => {
+  const one = chunk("a", 0, "x");
+  assert.equal(lastKind(chunk("a", 1, "y")), "broken");
+  assert.equal(lastKind(one, result("a", "xy", { chunks: 2 })), "broken");
+  assert.equal(lastKind(one, result("a", "z", { chunks: 1 })), "broken");
+  const other = { chunks: 0, fingerprint: "f-b" };
+  assert.equal(lastKind(result("a", "x", other)), "broken");
+  const damaged = { chunks: 0, digest: "d" };
+  assert.equal(lastKind(result("a", "x", damaged)), "broken");
+});
+
+/*
+ * Seen to fail with the check of the call's id left out for chunks, and with
+ * the checks of id and fingerprint left out together for results.
+ */
+test("applyAnswer() gives the own result and text, or none, in any order", () => {
+  const events = ["a", "b"].flatMap((id) => [
+    chunk(id, 0, `${id}0`),
+    chunk(id, 1, `${id}1`),
+    result(id, `${id}0${id}1`, { chunks: 2 }),
+  ]);
+  const stream = fc.array(fc.constantFrom(...events), { maxLength: 12 });
+  fc.assert(
+    fc.property(stream, (received) => {
+      let answer: Answer = createAnswer(call("a"));
+      let told = "";
+      for (const event of received) {
+        const step = applyAnswer(answer, event);
+        if (step.kind === "text") told += step.text;
+        if ("answer" in step) answer = step.answer;
+        assert.ok("a0a1".startsWith(told));
+        if (step.kind === "broken") return;
+        if (step.kind !== "done") continue;
+        assert.equal(told, "a0a1");
+        assert.deepEqual(step.result, resultOf("a", "a0a1"));
+        return;
+      }
+    }),
+    { numRuns: RUNS, seed: 4 },
+  );
+});
--- /dev/null
+++ b/src/retry/retry_test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { notRun, outcomeUnknown, RefusalReason } from "../model/mod.ts";
+import { type BudgetBook, createBook, earnFor, spendFor } from "./budget.ts";
+import { finalRefusal, hedgeAfterMs, mayRetry } from "./policy.ts";
+
+const CFG = { ratio: 0.1, max: 3 };
+const NAMES = ["customer/a", "customer/b", "target/1"];
+const RUNS = 2_000;
+
+const over = notRun(RefusalReason.OverLimit, "Full");
+const silent = outcomeUnknown(RefusalReason.Silent, "Cut off");
+
+test("mayRetry() never repeats a filing that may have run", () => {
+  assert.equal(mayRetry(silent, { idempotent: false, attempt: 1 }), false);
+  assert.equal(mayRetry(over, { idempotent: false, attempt: 1 }), true);
+  assert.equal(mayRetry(silent, { idempotent: true, attempt: 1 }), true);
+  assert.equal(mayRetry(over, { idempotent: true, attempt: 3 }), false);
+});
+
+test("mayRetry() gives up what another attempt cannot mend", () => {
+  const { KeyRunning, Superseded, KeyConflict, BadRequest } = RefusalReason;
+  [KeyRunning, Superseded, KeyConflict, BadRequest].forEach((reason) =>
+    assert.equal(
+      mayRetry(notRun(reason, ""), { idempotent: true, attempt: 1 }),
+      false,
+    )
+  );
+});
+
+test("finalRefusal() is unknown if any attempt is", () => {
+  assert.equal(finalRefusal([over, over]).proof, "not-run");
+  assert.equal(finalRefusal([silent, over]).proof, "outcome-unknown");
+  assert.equal(finalRefusal([silent, over]).reason, "over-limit");
+});
+
+test("hedgeAfterMs() hedges idempotent calls with a measured stage", () => {
+  const wait = (
+    over: { idempotent?: boolean; remainingMs?: number; count?: number } = {},
+  ) =>
+    hedgeAfterMs(
+      { idempotent: true, remainingMs: 1_000, ...over },
+      { count: over.count ?? 100, slowMs: 40 },
+    );
+  assert.equal(wait(), 40);
+  assert.equal(wait({ idempotent: false }), undefined);
+  assert.equal(wait({ remainingMs: 79 }), undefined);
+  assert.equal(wait({ count: 10 }), undefined);
+});
+
+/* Seen to fail with earnFor() not bounded, and with spendFor() never refusing. */
+test("spendFor() bounds retries by the successes of each name", () => {
+  const steps = fc.array(
+    fc.record({
+      spend: fc.boolean(),
+      names: fc.subarray(NAMES, { minLength: 1 }),
+    }),
+    { maxLength: 200 },
+  );
+  fc.assert(
+    fc.property(steps, (history) => {
+      let book: BudgetBook = createBook(CFG);
+      const earned = new Map<string, number>();
+      const spent = new Map<string, number>();
+      const add = (counts: Map<string, number>, names: readonly string[]) =>
+        names.forEach((name) => counts.set(name, (counts.get(name) ?? 0) + 1));
+      history.forEach(({ spend, names }) => {
+        const after = spend ? spendFor(book, names) : earnFor(book, names);
+        if (!after) return;
+        add(spend ? spent : earned, names);
+        book = after;
+      });
+      NAMES.forEach((name) => {
+        const bound = CFG.max + CFG.ratio * (earned.get(name) ?? 0);
+        assert.ok((spent.get(name) ?? 0) <= bound + 1e-9);
+      });
+    }),
+    { numRuns: RUNS, seed: 4 },
+  );
+});
