Add the harness that runs both sides of an experiment

An experiment needs the policy and a plain baseline under the same load in one run. World serves the stand-ins on free ports, the policy side composes the project's own entries and agents over them, the baseline side calls the targets round robin without a gate and repeats failed calls. The first experiment is domain-out. Wasted work is counted from what the stand-ins ran.

--- a/src/agent/mod.ts
+++ b/src/agent/mod.ts
@@ -6,3 +6,5 @@
 
 export { startAgent } from "./start.ts";
 export * from "./target_client.ts";
+export { EngineClient } from "./engine_client.ts";
+export { ServiceClient } from "./service_client.ts";
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -5,9 +5,12 @@
  */
 
 import { cac } from "cac";
+import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
 
-const EXPERIMENTS: readonly Experiment[] = [];
+const EXPERIMENTS: readonly Experiment[] = [
+  domainOut,
+];
 
 const DEFAULT_SEED = 1;
 
@@ -28,7 +31,9 @@
       return;
     }
     const report = await experiment.run({ seed: flags.seed });
-    console.log(JSON.stringify(report, null, flags.json ? 0 : 2));
+    const text = JSON.stringify(report, null, flags.json ? 0 : 2);
+    // Connections that went silent would keep the process alive.
+    process.stdout.write(text + "\n", () => process.exit());
   });
 cli.help();
 cli.parse();
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -26,7 +26,8 @@
   ["entry", "agent"],
   ["standin"],
   ["load"],
-  ["launch", "bench", "soak"],
+  ["launch"],
+  ["bench", "soak"],
   ["cli"],
 ];
 
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -42,7 +42,11 @@
 
 /** What the stand-in counted. */
 export interface EngineCounts {
+  /** Completions taken in. */
+  begun: number;
   completions: number;
+  /** Tokens generated, also those of completions that were given up. */
+  tokens: number;
   cancelled: number;
   /** Most completions at once while cold. */
   coldPeak: number;
@@ -53,7 +57,9 @@
 export class Engine {
   readonly #cfg: EngineConfig;
   readonly counts: EngineCounts = {
+    begun: 0,
     completions: 0,
+    tokens: 0,
     cancelled: 0,
     coldPeak: 0,
     falls: 0,
@@ -66,6 +72,11 @@
     this.#cfg = cfg;
   }
 
+  /** Bounds and speeds. */
+  get config(): EngineConfig {
+    return this.#cfg;
+  }
+
   /** True until enough completions were done since the engine turned cold. */
   get isCold(): boolean {
     return this.#proven < this.#cfg.warmAfter;
@@ -93,6 +104,7 @@
     }
     if (this.#active >= this.#cfg.maxBatch) return false;
     this.#active += 1;
+    this.counts.begun += 1;
     return true;
   }
 
@@ -108,6 +120,7 @@
           this.counts.cancelled += 1;
           return;
         }
+        this.counts.tokens += 1;
         yield token;
       }
       this.counts.completions += 1;
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -34,11 +34,28 @@
   readonly #filings = new Map<string, Filing>();
   readonly #waiting: (() => void)[] = [];
   #active = 0;
+  #begun = 0;
+  #calls = 0;
 
   constructor(cfg: ServiceConfig = DEFAULT_SERVICE) {
     this.#cfg = cfg;
   }
 
+  /** Bounds and speeds. */
+  get config(): ServiceConfig {
+    return this.#cfg;
+  }
+
+  /** Calls taken in so far. */
+  get begun(): number {
+    return this.#begun;
+  }
+
+  /** Calls that ran so far. */
+  get calls(): number {
+    return this.#calls;
+  }
+
   /** All filings so far. */
   get filings(): readonly Filing[] {
     return [...this.#filings.values()];
@@ -46,9 +63,11 @@
 
   /** Runs one operation. */
   async run(op: string, call: { input: unknown; key: string }) {
+    this.#begun += 1;
     await this.#acquire();
     try {
       await sleep(this.#cfg.callMs);
+      this.#calls += 1;
       return this.#perform(op, call);
     } finally {
       this.#release();
