--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -222,6 +222,7 @@
       signal: this.#runSignal(session),
       onText: (text) =>
         events.push({ kind: "chunk", callId: call.callId, seq: seq++, text }),
+      onSign: (sign) => permit.sign(sign),
     });
     const serviceMs = monotonicMs() - startedAt;
     return answer
@@ -230,7 +231,11 @@
         return this.#result(session, value, serviceMs);
       })
       .mapErr((failure) => {
-        permit.release({ kind: "failed", serviceMs, cold: failure.cold });
+        permit.release(
+          session.signal.aborted
+            ? { kind: "abandoned" }
+            : { kind: "failed", serviceMs, cold: failure.cold },
+        );
         return refusalOf(failure);
       });
   }
@@ -267,7 +272,7 @@
     outcome: Result<StageResult, Refusal>,
   ): CallEvent {
     const report = {
-      load: this.#parts.gate.load,
+      load: this.#parts.gate.loadFor(call.customer),
       listsVersion: this.#parts.lists.current.version,
     };
     return outcome.match<CallEvent>(
--- a/src/agent/engine_client.ts
+++ b/src/agent/engine_client.ts
@@ -8,6 +8,7 @@
 import { Agent, request } from "undici";
 import { canonicalJson, Priority, type StageCall } from "../model/mod.ts";
 import {
+  COLD_HEADER,
   connectionFailure,
   protocolFailure,
   statusFailure,
@@ -83,7 +84,9 @@
       await res.body.dump();
       return { failure: statusFailure(res.statusCode, res.headers) };
     }
-    return await collect(res.body, opts.onText);
+    const cold = res.headers[COLD_HEADER] !== undefined;
+    if (cold) opts.onSign?.({ cold });
+    return await collect(res.body, opts);
   }
 }
 
@@ -105,7 +108,7 @@
 
 async function collect(
   body: AsyncIterable<Uint8Array>,
-  onText: (text: string) => void,
+  opts: RunOptions,
 ): Promise<TargetAnswer | { failure: TargetFailure }> {
   const pieces: string[] = [];
   let ended = false;
@@ -116,8 +119,9 @@
     }
     const text = (JSON.parse(data) as CompletionChunk).choices[0]?.text ?? "";
     if (text === "") continue;
+    if (pieces.length === 0) opts.onSign?.({ cold: false });
     pieces.push(text);
-    onText(text);
+    opts.onText(text);
   }
   if (!ended) {
     return { failure: protocolFailure("The stream has no end mark") };
--- a/src/agent/failure.ts
+++ b/src/agent/failure.ts
@@ -27,10 +27,14 @@
     mayHaveRun: !NOT_SENT_CODES.has(code),
     reason: RefusalReason.TargetUnreachable,
     detail: `The connection to the target failed: ${String(err)}`,
-    cold: false,
+    cold: !isTimeout(err),
   };
 }
 
+function isTimeout(err: unknown): boolean {
+  return err instanceof Error && err.name === "TimeoutError";
+}
+
 /** Failure of a call that was answered with an error status. */
 export function statusFailure(
   status: number,
@@ -50,6 +54,6 @@
     mayHaveRun: true,
     reason: RefusalReason.TargetFailed,
     detail,
-    cold: false,
+    cold: true,
   };
 }
--- a/src/agent/gate_service.ts
+++ b/src/agent/gate_service.ts
@@ -10,6 +10,7 @@
   applyGate,
   type CallOutcome,
   createGate,
+  type GateCall,
   type GateConfig,
   type GateEffect,
   type GateEvent,
@@ -17,6 +18,7 @@
 } from "../limits/mod.ts";
 import {
   type CallId,
+  type CustomerId,
   notRun,
   type Refusal,
   RefusalReason,
@@ -31,6 +33,8 @@
 export interface Permit {
   /** Time spent in the queue, in milliseconds. */
   readonly queuedMs: number;
+  /** Takes notice that the target works on the call, and in what state. */
+  sign(sign: { cold: boolean }): void;
   release(outcome: CallOutcome): void;
 }
 
@@ -43,7 +47,7 @@
   #leaving = false;
 
   constructor(cfg: GateConfig, signal: AbortSignal) {
-    this.#state = createGate(cfg);
+    this.#state = createGate(cfg, monotonicMs());
     const timer = setInterval(() => this.#apply({ kind: "tick" }), TICK_MS);
     signal.addEventListener("abort", () => clearInterval(timer));
   }
@@ -52,55 +56,57 @@
   get load(): TargetLoad {
     return {
       running: this.#state.running.size,
-      queued: this.#state.queue.length,
-      limit: this.#state.limit,
-      cold: this.#state.cold,
+      queued: this.#state.queue.calls.length,
+      limit: this.#state.limit.limit,
+      cold: this.#state.limit.cold,
       leaving: this.#leaving,
     };
   }
 
+  /** Load with the number of calls that one customer has at this gate. */
+  loadFor(customer: CustomerId): TargetLoad {
+    const { running, queue } = this.#state;
+    const isOwn = (call: GateCall) => call.customer === customer;
+    const inHand = [...running.values()].filter(isOwn).length +
+      queue.calls.filter(isOwn).length;
+    return { ...this.load, customerInHand: inHand };
+  }
+
   /** Marks the target as leaving in its load reports. */
   leave(): void {
     this.#leaving = true;
   }
 
-  /** Takes notice of a target that says it is in cold start. */
-  turnedCold(): void {
-    this.#apply({ kind: "turned-cold" });
+  /** Takes notice of the target's own load report, which lags. */
+  report(report: { ageMs: number; cold: boolean }): void {
+    const { ageMs, cold } = report;
+    this.#apply({ kind: "report", sampledAt: monotonicMs() - ageMs, cold });
   }
 
   /** Waits for the right to run a call. Refused calls did not run. */
   enter(call: StageCall, signal: AbortSignal): ResultAsync<Permit, Refusal> {
     if (signal.aborted) return errAsync(cancelled());
     const arrivedAt = monotonicMs();
+    const cancel = () => this.#cancel(call.callId);
     const verdict = new Promise<Refusal | undefined>((resolve) => {
       this.#waiting.set(call.callId, resolve);
-      signal.addEventListener("abort", () => this.#cancel(call.callId));
-      this.#apply({
-        kind: "arrive",
-        call: {
-          callId: call.callId,
-          customer: call.customer,
-          weight: call.weight,
-          priority: call.priority,
-          arrivedAt,
-          deadlineAt: arrivedAt + call.remainingMs,
-        },
-      });
-    });
+      signal.addEventListener("abort", cancel);
+      this.#apply({ kind: "arrive", call: gateCallOf(call, arrivedAt) });
+    }).finally(() => signal.removeEventListener("abort", cancel));
     return ResultAsync.fromSafePromise(verdict).andThen((refusal) =>
       refusal ? errAsync(refusal) : okAsync(this.#permit(call, arrivedAt))
     );
   }
 
-  #permit(call: StageCall, arrivedAt: number): Permit {
+  #permit({ callId }: StageCall, arrivedAt: number): Permit {
     let released = false;
     return {
       queuedMs: monotonicMs() - arrivedAt,
+      sign: ({ cold }) => this.#apply({ kind: "sign", callId, cold }),
       release: (outcome) => {
         if (released) return;
         released = true;
-        this.#apply({ kind: "finish", callId: call.callId, outcome });
+        this.#apply({ kind: "finish", callId, outcome });
       },
     };
   }
@@ -129,6 +135,18 @@
   }
 }
 
+function gateCallOf(call: StageCall, arrivedAt: number): GateCall {
+  return {
+    callId: call.callId,
+    customer: call.customer,
+    weight: call.weight,
+    priority: call.priority,
+    workClass: `${call.pipeline}/${call.stage}`,
+    arrivedAt,
+    deadlineAt: arrivedAt + call.remainingMs - (call.laterMs ?? 0),
+  };
+}
+
 function cancelled(): Refusal {
   return notRun(RefusalReason.Cancelled, "The caller gave the call up");
 }
--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -33,6 +33,7 @@
 import { ClaimService } from "./claim_service.ts";
 import { EngineClient } from "./engine_client.ts";
 import { GateService } from "./gate_service.ts";
+import { followLoad } from "./load_poll.ts";
 import { ServiceClient } from "./service_client.ts";
 import type { TargetClient } from "./target_client.ts";
 
@@ -42,6 +43,8 @@
 
 /** Most calls that wait at the gate. */
 const MAX_QUEUED = 64;
+/** Successes that prove a target warm when it makes no load report. */
+const PROVEN_AFTER = 16;
 /** Time between two renewals of the registration, in milliseconds. */
 const REGISTER_MS = 10_000;
 
@@ -63,22 +66,30 @@
 function agentService(cfg: AgentSettings): ServiceSpec {
   return service({
     key: AGENT,
-    start: (ctx) =>
-      new Agent({
+    start: (ctx) => {
+      const gate = new GateService({
+        coldLimit: cfg.target.coldLimit,
+        maxLimit: cfg.target.maxLimit,
+        maxQueued: MAX_QUEUED,
+        provenAfter: PROVEN_AFTER,
+        showsProgress: cfg.target.kind === TargetKind.Engine,
+      }, ctx.signal);
+      followLoad(cfg.target.url, {
+        onReport: (report) => gate.report(report),
+        signal: ctx.signal,
+      });
+      return new Agent({
         name: cfg.name,
         target: targetOf(cfg, cfg.control.port),
-        gate: new GateService({
-          coldLimit: cfg.target.coldLimit,
-          maxLimit: cfg.target.maxLimit,
-          maxQueued: MAX_QUEUED,
-        }, ctx.signal),
+        gate,
         claims: new ClaimService(ctx.get(PLATFORM).table),
         client: clientFor(cfg),
         lists: ctx.get(LISTS),
         metrics: ctx.get(METRICS),
         tracing: ctx.get(TRACING),
         log: ctx.get(LOG),
-      }),
+      });
+    },
     drain: (agent) => agent.drain(),
   });
 }
--- a/src/agent/target_client.ts
+++ b/src/agent/target_client.ts
@@ -21,7 +21,7 @@
   readonly mayHaveRun: boolean;
   readonly reason: RefusalReason;
   readonly detail: string;
-  /** True when the target says that it is in cold start. */
+  /** True when the target says that it is in cold start or may have restarted. */
   readonly cold: boolean;
 }
 
@@ -31,6 +31,8 @@
   readonly signal: AbortSignal;
   /** Receives generated text as it comes. */
   readonly onText: (text: string) => void;
+  /** Receives the first sign that the target works on the call. */
+  readonly onSign?: (sign: { cold: boolean }) => void;
 }
 
 /** Speaks to one target. */
--- a/src/limits/gate.ts
+++ b/src/limits/gate.ts
@@ -4,46 +4,67 @@
  * The state is an immutable value; {@linkcode applyGate} applies an event and
  * gives the next state and the effects to carry out.
  *
+ * A target may turn cold without warning. At a target whose answers show early
+ * progress, the gate therefore lets no more calls than a cold target bears be
+ * in hand without a sign of life: a target that lost its work and turned cold
+ * is not overfilled even before the gate learns of it.
+ *
  * @module
  */
 
 import { invariant } from "../kernel/mod.ts";
 import {
   type CallId,
-  type CustomerId,
   notRun,
-  Priority,
   type Refusal,
   RefusalReason,
 } from "../model/mod.ts";
+import { addSample, type Estimate, likelyMs, meanMs } from "./estimate.ts";
+import {
+  dequeue,
+  EMPTY_QUEUE,
+  enqueue,
+  type FairQueue,
+  type GateCall,
+  nextCall,
+  startCall,
+} from "./fair_queue.ts";
+import {
+  applyLimit,
+  createLimit,
+  type LimitConfig,
+  type LimitEvent,
+  type LimitState,
+} from "./limit.ts";
+import { isHopeless, overfullCustomerCall, retryAfterMs } from "./wait.ts";
 
 /** Bounds of a gate. */
-export interface GateConfig {
-  /** Concurrent calls that a cold target bears. */
-  readonly coldLimit: number;
-  /** Most concurrent calls ever allowed. */
-  readonly maxLimit: number;
+export interface GateConfig extends LimitConfig {
   /** Most calls that wait. */
   readonly maxQueued: number;
+  /** True when answers show progress before they end, as token streams do. */
+  readonly showsProgress: boolean;
 }
 
-/** A call at the gate. Times are monotonic, in milliseconds. */
-export interface GateCall {
-  readonly callId: CallId;
-  readonly customer: CustomerId;
-  readonly weight: number;
-  readonly priority: Priority;
-  readonly arrivedAt: number;
-  readonly deadlineAt: number;
+/** A call at the target. */
+export interface RunningCall extends GateCall {
+  readonly startedAt: number;
+  /** True once the target showed that it is warm and works on the call. */
+  readonly shown: boolean;
+  /** Set when the caller is gone and the target may not know yet. */
+  readonly heldUntil?: number;
 }
 
 /** State of a gate. */
 export interface GateState {
   readonly cfg: GateConfig;
-  readonly limit: number;
-  readonly cold: boolean;
-  readonly running: ReadonlyMap<CallId, GateCall>;
-  readonly queue: readonly GateCall[];
+  readonly limit: LimitState;
+  readonly running: ReadonlyMap<CallId, RunningCall>;
+  readonly queue: FairQueue;
+  /** Service times by class of work. */
+  readonly service: ReadonlyMap<string, Estimate>;
+  /** Times to the first sign of progress by class of work. */
+  readonly first: ReadonlyMap<string, Estimate>;
 }
 
 /** How a started call ended. */
@@ -52,9 +73,11 @@
   | {
     readonly kind: "failed";
     readonly serviceMs: number;
-    /** True when the target says that it is in cold start. */
+    /** True when the target has to be taken for cold. */
     readonly cold: boolean;
   }
+  /** The caller gave the call up while the target had it. */
+  | { readonly kind: "abandoned" }
   /** The call was permitted and not sent. */
   | { readonly kind: "unused" };
 
@@ -66,8 +89,15 @@
     readonly callId: CallId;
     readonly outcome: CallOutcome;
   }
+  /** The first sign of progress of a running call. */
+  | { readonly kind: "sign"; readonly callId: CallId; readonly cold: boolean }
   | { readonly kind: "cancel"; readonly callId: CallId }
-  | { readonly kind: "turned-cold" }
+  /** A load report of the target, sampled at `sampledAt`. */
+  | {
+    readonly kind: "report";
+    readonly sampledAt: number;
+    readonly cold: boolean;
+  }
   | { readonly kind: "tick" };
 
 /** Something to do. */
@@ -85,16 +115,22 @@
   readonly effects: readonly GateEffect[];
 }
 
-const OVERLOAD_RETRY_MS = 1_000;
+/** Time for a target to notice that a caller is gone, in milliseconds. */
+const NOTICE_MS = 100;
+/** Added to the usual latency before a call counts as slow, in milliseconds. */
+const LATENCY_SLACK_MS = 20;
+/** Times the usual first progress after which a target counts as slow. */
+const SLOW_FIRST = 4;
 
 /** State of a gate whose target counts as cold. */
-export function createGate(cfg: GateConfig): GateState {
+export function createGate(cfg: GateConfig, now: number): GateState {
   return {
     cfg,
-    limit: cfg.coldLimit,
-    cold: true,
+    limit: createLimit(cfg, now),
     running: new Map(),
-    queue: [],
+    queue: EMPTY_QUEUE,
+    service: new Map(),
+    first: new Map(),
   };
 }
 
@@ -104,104 +140,244 @@
   event: GateEvent,
   now: number,
 ): GateStep {
-  const step = settle(applyEvent(state, event), now);
-  invariant(
-    step.state.running.size <= Math.max(state.running.size, step.state.limit),
-    "gate-limit",
-    () => `running=${step.state.running.size} limit=${step.state.limit}`,
-  );
-  return step;
+  const step = startCalls(applyEvent(state, event, now), now);
+  // All waiting calls are looked at on ticks only, since that costs most.
+  if (event.kind === "tick") return refuseHopeless(step, now, () => true);
+  if (event.kind !== "arrive") return step;
+  return refuseHopeless(step, now, (call) => call === event.call);
 }
 
-function applyEvent(state: GateState, event: GateEvent): GateStep {
+function applyEvent(state: GateState, event: GateEvent, now: number): GateStep {
   switch (event.kind) {
     case "arrive":
-      return arrive(state, event.call);
+      return arrive(state, event.call, now);
     case "finish":
-      return { state: finish(state, event), effects: [] };
-    case "cancel":
-      return {
-        state: {
-          ...state,
-          queue: state.queue.filter((call) => call.callId !== event.callId),
-        },
-        effects: [],
-      };
-    case "turned-cold":
-      return {
-        state: { ...state, cold: true, limit: state.cfg.coldLimit },
-        effects: [],
-      };
+      return unchanged(finish(state, event, now));
+    case "sign":
+      return unchanged(onSign(state, event, now));
+    case "cancel": {
+      const queue = dequeue(
+        state.queue,
+        (call) => call.callId === event.callId,
+      );
+      return unchanged({ ...state, queue });
+    }
+    case "report":
+      return unchanged(withEvidence(state, event, now));
     case "tick":
-      return { state, effects: [] };
+      return unchanged(withEvidence(releaseHeld(state, now), event, now));
   }
 }
 
-function arrive(state: GateState, call: GateCall): GateStep {
-  if (state.queue.length < state.cfg.maxQueued) {
-    return { state: { ...state, queue: [...state.queue, call] }, effects: [] };
+function unchanged(state: GateState): GateStep {
+  return { state, effects: [] };
+}
+
+function withEvidence(
+  state: GateState,
+  event: LimitEvent,
+  now: number,
+): GateState {
+  return { ...state, limit: applyLimit(state.limit, event, now) };
+}
+
+function arrive(state: GateState, call: GateCall, now: number): GateStep {
+  const joined = { ...state, queue: enqueue(state.queue, call) };
+  if (joined.queue.calls.length <= state.cfg.maxQueued) {
+    return unchanged(joined);
   }
-  const refusal = notRun(
-    RefusalReason.OverLimit,
-    "The target's queue is full",
-    OVERLOAD_RETRY_MS,
-  );
+  const dropped = overfullCustomerCall(joined.queue);
   return {
-    state,
-    effects: [{ kind: "refuse", callId: call.callId, refusal }],
+    state: {
+      ...joined,
+      queue: dequeue(joined.queue, (one) => one === dropped),
+    },
+    effects: [refuse(state, dropped, now)],
   };
 }
 
 function finish(
   state: GateState,
-  event: { callId: CallId; outcome: CallOutcome },
+  { callId, outcome }: { callId: CallId; outcome: CallOutcome },
+  now: number,
 ): GateState {
+  const call = state.running.get(callId);
+  if (!call) return state;
+  const { startedAt } = call;
+  switch (outcome.kind) {
+    case "abandoned":
+      return hold(state, call, now);
+    case "unused":
+      return withoutRunning(state, callId);
+    case "failed": {
+      const { cold } = outcome;
+      // After a lost connection the target may still work on the call.
+      const held = hold(state, call, now);
+      return withEvidence(held, { kind: "failure", startedAt, cold }, now);
+    }
+    case "ok":
+      return onSuccess(withoutRunning(state, callId), call, {
+        serviceMs: outcome.serviceMs,
+        used: state.running.size >= state.limit.limit,
+        now,
+      });
+  }
+}
+
+function withoutRunning(state: GateState, callId: CallId): GateState {
   const running = new Map(state.running);
-  running.delete(event.callId);
-  const limit = nextLimit(state, event.outcome);
-  return { ...state, running, limit, cold: limit <= state.cfg.coldLimit };
+  running.delete(callId);
+  return { ...state, running };
 }
 
-function nextLimit(state: GateState, outcome: CallOutcome): number {
-  switch (outcome.kind) {
-    case "ok":
-      return Math.min(state.cfg.maxLimit, state.limit + 1);
-    case "failed":
-      return state.cfg.coldLimit;
-    case "unused":
-      return state.limit;
+/** Keeps the call's place until the target has had time to drop the call. */
+function hold(state: GateState, call: RunningCall, now: number): GateState {
+  const held = { ...call, heldUntil: now + NOTICE_MS };
+  return { ...state, running: new Map(state.running).set(call.callId, held) };
+}
+
+function onSuccess(
+  state: GateState,
+  call: RunningCall,
+  opts: { serviceMs: number; used: boolean; now: number },
+): GateState {
+  const { serviceMs, used, now } = opts;
+  const known = state.service.get(call.workClass);
+  const slowness = known ? serviceMs / (known.baseMs + LATENCY_SLACK_MS) : 1;
+  const service = new Map(state.service)
+    .set(call.workClass, addSample(known, serviceMs, now));
+  return withEvidence({ ...state, service }, {
+    kind: "success",
+    startedAt: call.startedAt,
+    slowness,
+    used,
+  }, now);
+}
+
+function onSign(
+  state: GateState,
+  { callId, cold }: { callId: CallId; cold: boolean },
+  now: number,
+): GateState {
+  const call = state.running.get(callId);
+  if (!call || call.shown) return state;
+  const { startedAt, workClass } = call;
+  if (cold) {
+    return withEvidence(state, { kind: "sign", startedAt, cold }, now);
+  }
+  // Progress of a call that a cold target took proves nothing.
+  if (startedAt < state.limit.lastColdAt) return state;
+  const known = state.first.get(workClass);
+  const firstMs = now - startedAt;
+  const first = new Map(state.first)
+    .set(workClass, addSample(known, firstMs, now));
+  const isSlow = known !== undefined &&
+    firstMs > known.baseMs * SLOW_FIRST + LATENCY_SLACK_MS;
+  if (isSlow) {
+    return withEvidence({ ...state, first }, { kind: "slow", startedAt }, now);
   }
+  const running = new Map(state.running).set(callId, { ...call, shown: true });
+  return withEvidence(
+    { ...state, first, running },
+    { kind: "sign", startedAt, cold },
+    now,
+  );
 }
 
-/** Refuses the calls that are past their deadline and starts what fits. */
-function settle({ state, effects }: GateStep, now: number): GateStep {
-  const late = state.queue.filter((call) => call.deadlineAt <= now);
-  const waiting = state.queue.filter((call) => call.deadlineAt > now)
-    .sort((a, b) => a.deadlineAt - b.deadlineAt);
-  const room = Math.max(0, state.limit - state.running.size);
-  const started = waiting.slice(0, room);
-  const running = new Map([
-    ...state.running,
-    ...started.map((call) => [call.callId, call] as const),
-  ]);
+function releaseHeld(state: GateState, now: number): GateState {
+  const running = new Map(
+    [...state.running].filter(([, { heldUntil }]) =>
+      heldUntil === undefined || heldUntil > now
+    ),
+  );
+  return { ...state, running };
+}
+
+/** Refuses those of the waiting calls that can no longer end in time. */
+function refuseHopeless(
+  { state, effects }: GateStep,
+  now: number,
+  isChecked: (call: GateCall) => boolean,
+): GateStep {
+  const hopeless = state.queue.calls.filter((call) =>
+    isChecked(call) && isHopeless(state, call, now)
+  );
+  if (hopeless.length === 0) return { state, effects };
+  const dropped = new Set(hopeless);
+  const queue = dequeue(state.queue, (call) => dropped.has(call));
   return {
-    state: { ...state, running, queue: waiting.slice(room) },
+    state: { ...state, queue },
     effects: [
       ...effects,
-      ...late.map((call) => refuseLate(call)),
-      ...started.map(({ callId }) => ({ kind: "start", callId }) as const),
+      ...hopeless.map((call) => refuse(state, call, now)),
     ],
   };
 }
 
-function refuseLate(call: GateCall): GateEffect {
-  return {
-    kind: "refuse",
-    callId: call.callId,
-    refusal: notRun(
-      RefusalReason.DeadlineExceeded,
-      "The deadline passed in the queue",
-      OVERLOAD_RETRY_MS,
-    ),
-  };
+function startCalls(step: GateStep, now: number): GateStep {
+  let { state } = step;
+  const effects = [...step.effects];
+  while (roomOf(state) > 0) {
+    const call = nextCall(state.queue, now);
+    if (!call) break;
+    if (isHopeless(state, call, now)) {
+      const queue = dequeue(state.queue, (one) => one === call);
+      effects.push(refuse(state, call, now));
+      state = { ...state, queue };
+      continue;
+    }
+    const costMs = meanMs(state.service.get(call.workClass), now);
+    state = {
+      ...state,
+      queue: startCall(state.queue, call, { costMs, now }),
+      running: new Map(state.running)
+        .set(call.callId, { ...call, startedAt: now, shown: false }),
+    };
+    effects.push({ kind: "start", callId: call.callId });
+    checkBounds(state);
+  }
+  return { state, effects };
+}
+
+/** Calls that may start now. */
+function roomOf(state: GateState): number {
+  const byLimit = state.limit.limit - state.running.size;
+  if (!state.cfg.showsProgress) return byLimit;
+  return Math.min(byLimit, state.cfg.coldLimit - unshown(state));
+}
+
+function unshown({ running }: GateState): number {
+  return [...running.values()].filter(({ shown }) => !shown).length;
+}
+
+function checkBounds(state: GateState): void {
+  const { running, limit, cfg } = state;
+  invariant(
+    running.size <= limit.limit,
+    "gate-limit",
+    () => `running=${running.size} limit=${limit.limit}`,
+  );
+  invariant(
+    !cfg.showsProgress || unshown(state) <= cfg.coldLimit,
+    "gate-unshown",
+    () => `unshown=${unshown(state)} cold=${cfg.coldLimit}`,
+  );
+}
+
+function refuse(state: GateState, call: GateCall, now: number): GateEffect {
+  const refusal = notRun(
+    state.limit.cold ? RefusalReason.ColdTarget : RefusalReason.OverLimit,
+    "The target cannot run the call before its deadline",
+    retryAfterMs(state, now),
+  );
+  return { kind: "refuse", callId: call.callId, refusal };
+}
+
+/** Time that a call of a class takes at the target, in milliseconds. */
+export function expectedServiceMs(
+  state: GateState,
+  workClass: string,
+  now: number,
+): number {
+  return likelyMs(state.service.get(workClass), now);
 }
--- /dev/null
+++ b/src/limits/gate_test.ts
@@ -0,0 +1,315 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { setStrictInvariants } from "../kernel/mod.ts";
+import { Priority } from "../model/mod.ts";
+import { AGEING_MS, type GateCall } from "./fair_queue.ts";
+import {
+  applyGate,
+  type CallOutcome,
+  createGate,
+  type GateConfig,
+  type GateEffect,
+  type GateEvent,
+  type GateState,
+} from "./gate.ts";
+
+setStrictInvariants(true);
+
+const CFG: GateConfig = {
+  coldLimit: 2,
+  maxLimit: 8,
+  provenAfter: 4,
+  maxQueued: 6,
+  showsProgress: false,
+};
+
+/** Drives a gate and collects what it does. */
+class Driver {
+  state: GateState;
+  now = 0;
+  readonly started: string[] = [];
+  readonly refused: string[] = [];
+
+  constructor(cfg: Partial<GateConfig> = {}) {
+    this.state = createGate({ ...CFG, ...cfg }, 0);
+  }
+
+  apply(event: GateEvent): readonly GateEffect[] {
+    const { state, effects } = applyGate(this.state, event, this.now);
+    this.state = state;
+    effects.forEach(({ kind, callId }) =>
+      (kind === "start" ? this.started : this.refused).push(callId)
+    );
+    return effects;
+  }
+
+  arrive(callId: string, opts: Partial<GateCall> = {}): void {
+    this.apply({ kind: "arrive", call: callOf(callId, this.now, opts) });
+  }
+
+  finish(callId: string, outcome: CallOutcome = ok()): void {
+    this.apply({ kind: "finish", callId, outcome });
+  }
+
+  /** Makes the target warm and its classes known. */
+  warm(serviceMs = 10): void {
+    this.now += 1;
+    this.apply({ kind: "report", sampledAt: this.now, cold: false });
+    for (let i = 0; i < 12; i += 1) {
+      this.arrive(`w${i}a`);
+      this.arrive(`w${i}b`);
+      this.now += serviceMs;
+      [...this.state.running.keys()].forEach((id) => {
+        this.apply({ kind: "sign", callId: id, cold: false });
+        this.finish(id, ok(serviceMs));
+      });
+    }
+    this.started.length = 0;
+    this.refused.length = 0;
+  }
+}
+
+function callOf(
+  callId: string,
+  now: number,
+  opts: Partial<GateCall> = {},
+): GateCall {
+  return {
+    callId,
+    customer: "a",
+    weight: 1,
+    priority: Priority.Interactive,
+    workClass: "p/s",
+    arrivedAt: now,
+    deadlineAt: now + 4_000,
+    ...opts,
+  };
+}
+
+function ok(serviceMs = 10): CallOutcome {
+  return { kind: "ok", serviceMs };
+}
+
+test("applyGate() starts no more than a cold target bears", () => {
+  const gate = new Driver();
+  ["1", "2", "3"].forEach((id) => gate.arrive(id));
+  assert.deepEqual(gate.started, ["1", "2"]);
+});
+
+test("applyGate() starts calls by deadline within a customer", () => {
+  const gate = new Driver();
+  ["1", "2"].forEach((id) => gate.arrive(id));
+  gate.arrive("late", { deadlineAt: 3_000 });
+  gate.arrive("soon", { deadlineAt: 1_000 });
+  gate.finish("1");
+  assert.equal(gate.started.at(-1), "soon");
+});
+
+test("applyGate() refuses at once what cannot end before its deadline", () => {
+  // Fails when isHopeless() is always false.
+  const gate = new Driver();
+  gate.warm(100);
+  gate.arrive("hopeless", { deadlineAt: gate.now + 50 });
+  assert.deepEqual(gate.refused, ["hopeless"]);
+});
+
+test("applyGate() tries a class again after its estimate went stale", () => {
+  // Fails when estimates do not decay: a slow phase would refuse for ever.
+  const gate = new Driver();
+  gate.warm(1_000);
+  gate.now += 30_000;
+  gate.arrive("probe", { deadlineAt: gate.now + 300 });
+  assert.deepEqual(gate.started, ["probe"]);
+});
+
+test("applyGate() drops from the customer with the longest queue", () => {
+  // Fails when arrive() refuses the arriving call instead.
+  const gate = new Driver();
+  for (let i = 0; i < 8; i += 1) gate.arrive(`g${i}`, { customer: "greedy" });
+  gate.arrive("m", { customer: "modest" });
+  assert.equal(gate.refused.length, 1);
+  assert.ok(gate.refused[0]?.startsWith("g"));
+});
+
+test("applyGate() keeps the place of an abandoned call until the target notices", () => {
+  // Fails when hold() frees the place at once.
+  const gate = new Driver();
+  ["1", "2", "3"].forEach((id) => gate.arrive(id));
+  gate.finish("1", { kind: "abandoned" });
+  assert.deepEqual(gate.started, ["1", "2"]);
+  gate.now += 200;
+  gate.apply({ kind: "tick" });
+  assert.deepEqual(gate.started, ["1", "2", "3"]);
+});
+
+test("applyGate() lets batch calls wait for interactive ones, but not for ever", () => {
+  // Fails when isUrgent() ignores the age of a call.
+  const gate = new Driver({ coldLimit: 1, maxLimit: 1 });
+  gate.arrive("first");
+  gate.arrive("batch", { customer: "b", priority: Priority.Batch });
+  let previous = "first";
+  for (let i = 0; i < 200 && !gate.started.includes("batch"); i += 1) {
+    gate.arrive(`i${i}`);
+    gate.now += 10;
+    gate.finish(previous);
+    previous = gate.started.at(-1) ?? "";
+  }
+  assert.ok(gate.started.includes("i0"));
+  assert.ok(gate.started.includes("batch"));
+  assert.ok(gate.now <= AGEING_MS + 20);
+});
+
+test("applyGate() shares a busy target by weight and lends an idle share", () => {
+  // Fails when startTime() ignores finish times (first come, first served).
+  const gate = new Driver({ coldLimit: 1, maxLimit: 1, maxQueued: 40 });
+  const weights = { heavy: 3, light: 1 };
+  const count = (customer: string, from = 0) =>
+    gate.started.slice(from).filter((id) => id.startsWith(customer)).length;
+  const drive = (customers: readonly (keyof typeof weights)[]) => {
+    for (let i = 0; i < 80; i += 1) {
+      customers.forEach((customer) =>
+        gate.arrive(`${customer}-${gate.now}`, {
+          customer,
+          weight: weights[customer],
+        })
+      );
+      const running = [...gate.state.running.keys()][0] ?? "";
+      gate.now += 10;
+      gate.finish(running);
+    }
+  };
+  drive(["light"]);
+  assert.ok(count("light") >= 80);
+  const from = gate.started.length;
+  drive(["light", "heavy"]);
+  const ratio = count("heavy", from) / count("light", from);
+  assert.ok(ratio > 2.5 && ratio < 3.5, `ratio=${ratio}`);
+});
+
+/** A target that turns cold without a word and loses its work with it. */
+class SilentTarget {
+  readonly bears: number;
+  inHand = new Set<string>();
+  lost = new Set<string>();
+  cold = false;
+  overfills = 0;
+
+  constructor(bears: number) {
+    this.bears = bears;
+  }
+
+  take(callId: string): void {
+    this.inHand.add(callId);
+    if (this.cold && this.inHand.size > this.bears) this.overfills += 1;
+  }
+
+  turnCold(): void {
+    this.cold = true;
+    this.lost = new Set([...this.lost, ...this.inHand]);
+    this.inHand = new Set();
+  }
+}
+
+const stepArb = fc.record({
+  waitMs: fc.integer({ min: 0, max: 40 }),
+  arrivals: fc.integer({ min: 0, max: 4 }),
+  finishes: fc.integer({ min: 0, max: 3 }),
+  signs: fc.integer({ min: 0, max: 4 }),
+  turnCold: fc.nat({ max: 30 }).map((n) => n === 0),
+  slow: fc.nat({ max: 20 }).map((n) => n === 0),
+  fail: fc.nat({ max: 20 }).map((n) => n === 0),
+});
+
+test("applyGate() never overfills a target that turns cold silently", () => {
+  // Fails when roomOf() ignores the calls without a sign of progress.
+  fc.assert(
+    fc.property(fc.array(stepArb, { maxLength: 150 }), (steps) => {
+      const gate = new Driver({ showsProgress: true, maxLimit: 16 });
+      const target = new SilentTarget(CFG.coldLimit);
+      gate.warm();
+      let taken = 0;
+      const send = () => {
+        gate.started.slice(taken).forEach((id) => target.take(id));
+        taken = gate.started.length;
+      };
+      steps.forEach((step, i) => {
+        gate.now += step.waitMs;
+        gate.apply({ kind: "tick" });
+        send();
+        if (step.turnCold) target.turnCold();
+        for (let n = 0; n < step.arrivals; n += 1) gate.arrive(`${i}-${n}`);
+        send();
+        [...target.inHand].filter((id) => !gate.state.running.get(id)?.shown)
+          .slice(0, target.cold ? 0 : step.signs)
+          .forEach((callId) => {
+            gate.apply({ kind: "sign", callId, cold: false });
+            send();
+          });
+        [...target.inHand].slice(0, target.cold ? 0 : step.finishes)
+          .forEach((id) => {
+            target.inHand.delete(id);
+            gate.finish(
+              id,
+              step.fail
+                ? { kind: "failed", serviceMs: 5, cold: false }
+                : ok(step.slow ? 500 : 10),
+            );
+            send();
+          });
+      });
+      assert.equal(target.overfills, 0);
+    }),
+    { seed: 7, numRuns: 300 },
+  );
+});
+
+test("applyGate() settles every call once and never over the limit", () => {
+  const arb = fc.array(
+    fc.record({
+      waitMs: fc.integer({ min: 0, max: 60 }),
+      customer: fc.constantFrom("a", "b", "c"),
+      batch: fc.boolean(),
+      deadlineMs: fc.integer({ min: 1, max: 1_500 }),
+      end: fc.constantFrom(
+        "ok" as const,
+        "failed" as const,
+        "abandoned" as const,
+        "unused" as const,
+        "none" as const,
+      ),
+      cold: fc.boolean(),
+    }),
+    { maxLength: 200 },
+  );
+  fc.assert(
+    fc.property(arb, (steps) => {
+      const gate = new Driver();
+      steps.forEach((step, i) => {
+        gate.now += step.waitMs;
+        gate.apply({ kind: "tick" });
+        gate.arrive(`c${i}`, {
+          customer: step.customer,
+          priority: step.batch ? Priority.Batch : Priority.Interactive,
+          deadlineAt: gate.now + step.deadlineMs,
+        });
+        const first = [...gate.state.running.values()]
+          .find(({ heldUntil }) => heldUntil === undefined);
+        if (!first || step.end === "none") return;
+        gate.finish(
+          first.callId,
+          step.end === "failed"
+            ? { kind: "failed", serviceMs: 5, cold: step.cold }
+            : step.end === "ok"
+            ? ok(step.deadlineMs / 10)
+            : { kind: step.end },
+        );
+      });
+      const settled = [...gate.started, ...gate.refused];
+      const waiting = gate.state.queue.calls.length;
+      assert.equal(new Set(settled).size, settled.length);
+      assert.equal(settled.length + waiting, steps.length);
+    }),
+    { seed: 9, numRuns: 300 },
+  );
+});
--- /dev/null
+++ b/src/limits/limit.ts
@@ -0,0 +1,217 @@
+/**
+ * Adaptive limit of the concurrent calls at one target.
+ *
+ * The limit starts at what a cold target bears. It grows on completions at
+ * good latency while it is used, and only after the target has proven that it
+ * left cold start. It falls at once on slow answers, on errors and on any sign
+ * of cold start. Evidence expires: a target that was silent for a while gets
+ * no more than a cold one would bear until it shows itself again.
+ *
+ * @module
+ */
+
+import { invariant } from "../kernel/mod.ts";
+
+/** Bounds of a limit. */
+export interface LimitConfig {
+  /** Concurrent calls that a cold target bears. */
+  readonly coldLimit: number;
+  /** Most concurrent calls ever allowed. */
+  readonly maxLimit: number;
+  /** Successes at the cold limit that prove a target warm without its report. */
+  readonly provenAfter: number;
+}
+
+/** State of a limit. Times are monotonic, in milliseconds. */
+export interface LimitState {
+  readonly cfg: LimitConfig;
+  readonly limit: number;
+  readonly cold: boolean;
+  /** Successes since the last sign of cold start. */
+  readonly successes: number;
+  /** Below this limit each good completion adds one, above it each round. */
+  readonly threshold: number;
+  /** Good completions since the limit last grew. */
+  readonly credit: number;
+  readonly lastFallAt: number;
+  readonly lastColdAt: number;
+  /** Time of the last evidence that the target is warm. */
+  readonly lastWarmAt: number;
+}
+
+/** Evidence about the target. */
+export type LimitEvent =
+  | {
+    readonly kind: "success";
+    /** Time at which the call was sent. */
+    readonly startedAt: number;
+    /** Latency over the usual latency of such calls; 1 when none is known. */
+    readonly slowness: number;
+    /** True when as many calls as the limit allows were in hand. */
+    readonly used: boolean;
+  }
+  | {
+    readonly kind: "failure";
+    readonly startedAt: number;
+    /** True when the target has to be taken for cold. */
+    readonly cold: boolean;
+  }
+  /** The target was slow to begin its answer. */
+  | { readonly kind: "slow"; readonly startedAt: number }
+  /** An answer in progress says whether the target is cold. */
+  | {
+    readonly kind: "sign";
+    readonly startedAt: number;
+    readonly cold: boolean;
+  }
+  /** The target's own load report, sampled at `sampledAt`. */
+  | {
+    readonly kind: "report";
+    readonly sampledAt: number;
+    readonly cold: boolean;
+  }
+  | { readonly kind: "tick" };
+
+/** Slowness up to which a completion counts as good. */
+const GOOD_SLOWNESS = 2;
+/** Slowness at which the limit falls. */
+const BAD_SLOWNESS = 3;
+const FALL_RATIO = 0.5;
+/** Age at which evidence of warmth expires, in milliseconds. */
+export const EVIDENCE_MS = 5_000;
+
+/** Limit of a target of which nothing is known. */
+export function createLimit(cfg: LimitConfig, now: number): LimitState {
+  return {
+    cfg,
+    limit: cfg.coldLimit,
+    cold: true,
+    successes: 0,
+    threshold: cfg.maxLimit,
+    credit: 0,
+    lastFallAt: now,
+    lastColdAt: now,
+    lastWarmAt: now,
+  };
+}
+
+/** Applies evidence and gives the next state. */
+export function applyLimit(
+  state: LimitState,
+  event: LimitEvent,
+  now: number,
+): LimitState {
+  const next = nextLimit(state, event, now);
+  const { coldLimit, maxLimit } = next.cfg;
+  invariant(
+    next.limit >= Math.min(coldLimit, maxLimit) && next.limit <= maxLimit,
+    "limit-in-bounds",
+    () => `limit=${next.limit}`,
+  );
+  invariant(
+    !next.cold || next.limit <= coldLimit,
+    "cold-limit",
+    () => `limit=${next.limit} cold=${coldLimit}`,
+  );
+  return next;
+}
+
+function nextLimit(
+  state: LimitState,
+  event: LimitEvent,
+  now: number,
+): LimitState {
+  switch (event.kind) {
+    case "success":
+      return onSuccess(state, event, now);
+    case "failure":
+      return event.cold
+        ? turnCold(state, now)
+        : fall(state, event.startedAt, now);
+    case "slow":
+      return fall(state, event.startedAt, now);
+    case "sign":
+      if (event.cold) return turnCold(state, now);
+      return event.startedAt < state.lastColdAt
+        ? state
+        : { ...state, lastWarmAt: now };
+    case "report":
+      return onReport(state, event, now);
+    case "tick":
+      return expire(state, now);
+  }
+}
+
+function onSuccess(
+  state: LimitState,
+  event: { startedAt: number; slowness: number; used: boolean },
+  now: number,
+): LimitState {
+  // A call from before the last sign of cold start says nothing of the target now.
+  if (event.startedAt < state.lastColdAt) return state;
+  if (event.slowness >= BAD_SLOWNESS) return fall(state, event.startedAt, now);
+  const seen = { ...state, successes: state.successes + 1, lastWarmAt: now };
+  if (seen.cold) {
+    return seen.successes >= state.cfg.provenAfter
+      ? { ...seen, cold: false }
+      : seen;
+  }
+  const good = event.slowness <= GOOD_SLOWNESS;
+  return good && event.used ? grow(seen) : seen;
+}
+
+function grow(state: LimitState): LimitState {
+  const credit = state.credit + 1;
+  const needed = state.limit < state.threshold ? 1 : state.limit;
+  if (credit < needed) return { ...state, credit };
+  const limit = Math.min(state.cfg.maxLimit, state.limit + 1);
+  return { ...state, limit, credit: 0 };
+}
+
+/** Lowers the limit once for each round of calls. */
+function fall(state: LimitState, startedAt: number, now: number): LimitState {
+  if (startedAt < state.lastFallAt) return state;
+  const limit = Math.max(
+    Math.min(state.cfg.coldLimit, state.limit),
+    Math.floor(state.limit * FALL_RATIO),
+  );
+  return { ...state, limit, threshold: limit, credit: 0, lastFallAt: now };
+}
+
+function turnCold(state: LimitState, now: number): LimitState {
+  return {
+    ...state,
+    cold: true,
+    limit: Math.min(state.cfg.coldLimit, state.cfg.maxLimit),
+    successes: 0,
+    threshold: state.cfg.maxLimit,
+    credit: 0,
+    lastFallAt: now,
+    lastColdAt: now,
+  };
+}
+
+/** A report counts only when it was sampled after the last sign of cold start. */
+function onReport(
+  state: LimitState,
+  event: { sampledAt: number; cold: boolean },
+  now: number,
+): LimitState {
+  if (event.sampledAt <= state.lastColdAt) return state;
+  if (event.cold) {
+    // A report of a cold start that a later proof of warmth has overtaken.
+    const overtaken = !state.cold && event.sampledAt < state.lastWarmAt;
+    return overtaken ? state : turnCold(state, now);
+  }
+  return {
+    ...state,
+    cold: false,
+    lastWarmAt: Math.max(state.lastWarmAt, event.sampledAt),
+  };
+}
+
+function expire(state: LimitState, now: number): LimitState {
+  if (state.cold || now - state.lastWarmAt < EVIDENCE_MS) return state;
+  const limit = Math.min(state.limit, state.cfg.coldLimit);
+  return { ...state, limit, threshold: state.cfg.maxLimit, credit: 0 };
+}
--- /dev/null
+++ b/src/limits/limit_test.ts
@@ -0,0 +1,152 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { setStrictInvariants } from "../kernel/mod.ts";
+import {
+  applyLimit,
+  createLimit,
+  EVIDENCE_MS,
+  type LimitEvent,
+  type LimitState,
+} from "./limit.ts";
+
+setStrictInvariants(true);
+
+const CFG = { coldLimit: 2, maxLimit: 32, provenAfter: 4 };
+const ok = (startedAt: number, slowness = 1, used = true): LimitEvent => ({
+  kind: "success",
+  startedAt,
+  slowness,
+  used,
+});
+const report = (sampledAt: number, cold: boolean): LimitEvent => ({
+  kind: "report",
+  sampledAt,
+  cold,
+});
+
+/** Applies events one millisecond apart, starting at `from`. */
+function play(
+  events: readonly LimitEvent[],
+  state: LimitState = createLimit(CFG, 0),
+  from = 1,
+): LimitState {
+  return events.reduce(
+    (now, event, i) => applyLimit(now, event, from + i),
+    state,
+  );
+}
+
+/** A limit that a warm report and good completions have opened. */
+function warmLimit(successes = 20): LimitState {
+  const goods = Array.from({ length: successes }, (_, i) => ok(i + 1));
+  return play([report(1, false), ...goods]);
+}
+
+test("applyLimit() keeps the cold limit until enough successes", () => {
+  // Fails when onSuccess() grows a cold limit.
+  const goods = (count: number) => Array.from({ length: count }, () => ok(1));
+  assert.equal(play(goods(3)).limit, 2);
+  assert.equal(play(goods(4)).cold, false);
+  assert.equal(play(goods(6)).limit, 4);
+});
+
+test("applyLimit() leaves cold start by a report sampled after the last cold sign", () => {
+  assert.equal(play([report(1, false)]).cold, false);
+  // Fails when onReport() ignores the age of the report.
+  assert.equal(play([report(0, false)]).cold, true);
+});
+
+test("applyLimit() does not grow while the limit is not used", () => {
+  // Fails when onSuccess() ignores `used`.
+  const idle = Array.from({ length: 50 }, () => ok(1, 1, false));
+  assert.equal(play([report(1, false), ...idle]).limit, 2);
+});
+
+test("applyLimit() falls at once on a latency jump, once for a round", () => {
+  // Fails when BAD_SLOWNESS has no effect.
+  const warm = warmLimit();
+  const { limit } = warm;
+  const once = applyLimit(warm, ok(30, 5), 40);
+  assert.equal(once.limit, Math.floor(limit / 2));
+  assert.equal(applyLimit(once, ok(31, 5), 41).limit, once.limit);
+  assert.equal(applyLimit(once, ok(41, 5), 42).limit, Math.floor(limit / 4));
+});
+
+test("applyLimit() goes to the cold limit on each sign of cold start", () => {
+  const signs: LimitEvent[] = [
+    { kind: "sign", startedAt: 30, cold: true },
+    { kind: "failure", startedAt: 30, cold: true },
+    report(39, true),
+  ];
+  signs.forEach((sign) => {
+    const cold = applyLimit(warmLimit(), sign, 40);
+    assert.deepEqual([cold.limit, cold.cold], [2, true], sign.kind);
+  });
+});
+
+test("applyLimit() ignores evidence from before the last sign of cold start", () => {
+  // Fails when onSuccess() or onReport() does not compare with lastColdAt.
+  const cold = applyLimit(
+    warmLimit(),
+    { kind: "sign", startedAt: 30, cold: true },
+    40,
+  );
+  const stale = play(
+    [...Array.from({ length: 9 }, () => ok(39)), report(40, false)],
+    cold,
+    41,
+  );
+  assert.deepEqual([stale.limit, stale.cold], [2, true]);
+});
+
+test("applyLimit() lets evidence of warmth expire", () => {
+  // Fails when expire() returns the state unchanged.
+  const warm = warmLimit();
+  const later = applyLimit(warm, { kind: "tick" }, EVIDENCE_MS + 100);
+  assert.equal(later.limit, 2);
+});
+
+const eventArb: fc.Arbitrary<LimitEvent> = fc.oneof(
+  fc.record({
+    kind: fc.constant("success" as const),
+    startedAt: fc.integer({ min: 0, max: 400 }),
+    slowness: fc.double({ min: 0.5, max: 6, noNaN: true }),
+    used: fc.boolean(),
+  }),
+  fc.record({
+    kind: fc.constantFrom("failure" as const, "sign" as const),
+    startedAt: fc.integer({ min: 0, max: 400 }),
+    cold: fc.boolean(),
+  }),
+  fc.record({
+    kind: fc.constant("report" as const),
+    sampledAt: fc.integer({ min: 0, max: 400 }),
+    cold: fc.boolean(),
+  }),
+  fc.constant({ kind: "tick" as const }),
+);
+
+test("applyLimit() exceeds the cold limit only by evidence after the last cold sign", () => {
+  fc.assert(
+    fc.property(fc.array(eventArb, { maxLength: 200 }), (events) => {
+      let state = createLimit(CFG, 0);
+      let proofs = 0;
+      events.forEach((event, now) => {
+        const before = state;
+        state = applyLimit(state, event, now);
+        if (state.lastColdAt !== before.lastColdAt) proofs = 0;
+        else if (
+          event.kind === "success" && event.startedAt >= state.lastColdAt
+        ) {
+          proofs += 1;
+        } else if (
+          event.kind === "report" && !event.cold &&
+          event.sampledAt > state.lastColdAt
+        ) proofs += CFG.provenAfter;
+        if (state.limit > CFG.coldLimit) assert.ok(proofs > CFG.provenAfter);
+      });
+    }),
+    { seed: 5, numRuns: 500 },
+  );
+});
--- a/src/model/call.ts
+++ b/src/model/call.ts
@@ -37,6 +37,8 @@
   readonly weight: number;
   /** Time left before the whole answer is due, in milliseconds. */
   readonly remainingMs: number;
+  /** Expected time of the stages after this one, in milliseconds. */
+  readonly laterMs?: number;
   /** Version of the lists that the sender acts on. */
   readonly listsVersion: number;
   /** W3C trace context of the calling span. */
--- a/src/model/target.ts
+++ b/src/model/target.ts
@@ -38,4 +38,6 @@
   readonly cold: boolean;
   /** True when the target or its host is leaving. */
   readonly leaving: boolean;
+  /** Calls of the answered customer at the gate; on answers to calls only. */
+  readonly customerInHand?: number;
 }
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -2,68 +2,93 @@
  * Stand-in for a model engine with continuous batching.
  *
  * Every step generates one token for each completion in the batch; a larger
- * batch makes the steps longer. A cold engine bears few completions and falls
- * over when it is given more.
+ * batch and uncached prompt tokens make the steps longer. Completions beyond
+ * the batch wait, those of a lower priority number first. A cold engine is slow
+ * and bears few completions; when it is given more, it falls over and every
+ * completion in hand is cut.
  *
  * @module
  */
 
-import { Hono } from "hono";
-import { streamSSE } from "hono/streaming";
-import { sleep } from "../kernel/mod.ts";
-import { sha256 } from "../model/mod.ts";
-import { type Faults, withFaults } from "./faults.ts";
-
-/** Bounds and speeds of the engine. */
-export interface EngineConfig {
-  /** Time of one step with one completion, in milliseconds. */
-  readonly stepMs: number;
-  /** Added to a step for each further completion, in milliseconds. */
-  readonly stepMsPerCompletion: number;
-  /** Completions that run at once when warm. */
-  readonly maxBatch: number;
-  /** Completions that a cold engine bears. */
-  readonly coldBears: number;
-  /** Completions after which the engine is warm. */
-  readonly warmAfter: number;
-  /** Time that the engine is down after falling over, in milliseconds. */
-  readonly downMs: number;
+import { AsyncQueue, sleep } from "../kernel/mod.ts";
+import { PrefixCache } from "./engine_cache.ts";
+import {
+  DEFAULT_ENGINE,
+  type EngineConfig,
+  type EngineCounts,
+  zeroCounts,
+} from "./engine_config.ts";
+import { EngineOrders } from "./engine_orders.ts";
+import { tokensFor } from "./engine_text.ts";
+import { seededRandom } from "./faults.ts";
+import { GappyEvents, LaggingReport } from "./lagging.ts";
+
+/** A completion that is asked for. */
+export interface CompletionRequest {
+  readonly prompt: string;
+  readonly maxTokens: number;
+  /** A lower number is served first. */
+  readonly priority?: number;
+  /** Tokens of an earlier answer that are not generated again. */
+  readonly resumeFrom?: number;
+}
+
+/** What happens to the completions in hand when an engine turns cold. */
+export const ColdStart = {
+  /** They are cut, as by a restart. */
+  Cut: "cut",
+  /** They go on slowly. */
+  Keep: "keep",
+} as const;
+export type ColdStart = typeof ColdStart[keyof typeof ColdStart];
+
+/** State of an engine as it reports it. */
+export interface EngineLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly cold: boolean;
 }
 
-/** Usual small engine. */
-export const DEFAULT_ENGINE: EngineConfig = {
-  stepMs: 2,
-  stepMsPerCompletion: 0.05,
-  maxBatch: 32,
-  coldBears: 2,
-  warmAfter: 6,
-  downMs: 1_000,
-};
-
-/** What the stand-in counted. */
-export interface EngineCounts {
-  completions: number;
-  cancelled: number;
-  /** Most completions at once while cold. */
-  coldPeak: number;
-  falls: number;
+/** A completion in hand. */
+interface Job {
+  readonly req: CompletionRequest;
+  readonly tokens: readonly string[];
+  readonly out: AsyncQueue<string>;
+  produced: number;
+  /** Prompt tokens that are still to be worked off. */
+  prefill: number;
+  ended: boolean;
 }
 
 /** Model engine. */
 export class Engine {
   readonly #cfg: EngineConfig;
-  readonly counts: EngineCounts = {
-    completions: 0,
-    cancelled: 0,
-    coldPeak: 0,
-    falls: 0,
-  };
-  #active = 0;
+  readonly counts: EngineCounts = zeroCounts();
+  readonly orders: EngineOrders;
+  readonly cache: PrefixCache;
+  readonly events;
+  readonly #load;
+  #batch: Job[] = [];
+  #waiting: Job[] = [];
   #proven = 0;
   #downUntil = 0;
+  #stepping = false;
 
-  constructor(cfg: EngineConfig = DEFAULT_ENGINE) {
+  constructor(cfg: EngineConfig = DEFAULT_ENGINE, seed = 1) {
     this.#cfg = cfg;
+    const random = seededRandom(seed);
+    this.events = new GappyEvents<unknown>({
+      lagMs: cfg.eventLagMs,
+      isLost: () => random() < cfg.eventLoss,
+    });
+    this.cache = new PrefixCache({
+      blockTokens: cfg.blockTokens,
+      maxBlocks: cfg.cacheBlocks,
+      publish: (event) => this.events.push(event),
+    });
+    this.#load = new LaggingReport<EngineLoad>(cfg.loadLagMs);
+    this.orders = new EngineOrders({ checksFencing: cfg.checksFencing === 1 });
+    this.#sample();
   }
 
   /** True until enough completions were done since the engine turned cold. */
@@ -71,117 +96,171 @@
     return this.#proven < this.#cfg.warmAfter;
   }
 
+  /** True when an answer given now says that the engine is cold. */
+  get marksCold(): boolean {
+    return this.isCold && this.#cfg.marksCold === 1;
+  }
+
   /** True while the engine is down after it fell over. */
   get isDown(): boolean {
     return Date.now() < this.#downUntil;
   }
 
+  /** Completions in hand. */
+  get inHand(): number {
+    return this.#batch.length + this.#waiting.length;
+  }
+
+  /** The lagging load report. */
+  get load(): (EngineLoad & { ageMs: number }) | undefined {
+    const report = this.#load.read();
+    return report && { ...report.value, ageMs: report.ageMs };
+  }
+
   /** Makes the engine cold without warning. */
-  turnCold(): void {
+  turnCold(inHand: ColdStart = ColdStart.Cut): void {
     this.#proven = 0;
+    if (inHand === ColdStart.Cut) {
+      this.cache.clear();
+      this.#cutAll();
+    }
+    this.#sample();
+  }
+
+  /**
+   * Takes a completion in and gives its tokens; undefined when the engine
+   * cannot. The tokens end early when the engine falls over.
+   */
+  complete(
+    req: CompletionRequest,
+    signal: AbortSignal,
+  ): AsyncIterable<string> | undefined {
+    if (!this.#admit()) {
+      this.counts.refused += 1;
+      return undefined;
+    }
+    const job = this.#jobOf(req);
+    signal.addEventListener("abort", () => this.#cancel(job));
+    this.#waiting.push(job);
+    this.#sample();
+    void this.#run();
+    return job.out;
   }
 
-  /** Takes a completion in; false when the engine cannot. */
-  admit(): boolean {
+  #admit(): boolean {
     if (this.isDown) return false;
     if (this.isCold) {
-      this.counts.coldPeak = Math.max(this.counts.coldPeak, this.#active + 1);
-      if (this.#active >= this.#cfg.coldBears) {
+      this.counts.coldPeak = Math.max(this.counts.coldPeak, this.inHand + 1);
+      if (this.inHand >= this.#cfg.coldBears) {
+        this.counts.overfills += 1;
         this.#fall();
         return false;
       }
     }
-    if (this.#active >= this.#cfg.maxBatch) return false;
-    this.#active += 1;
-    return true;
-  }
-
-  /** Generates tokens; ends early when the engine falls over. */
-  async *generate(
-    prompt: string,
-    opts: { maxTokens: number; signal: AbortSignal },
-  ): AsyncGenerator<string> {
-    try {
-      for (const token of tokensFor(prompt, opts.maxTokens)) {
-        await sleep(this.#stepMs(), opts.signal);
-        if (opts.signal.aborted || this.isDown) {
-          this.counts.cancelled += 1;
-          return;
-        }
-        yield token;
-      }
-      this.counts.completions += 1;
-      this.#proven += 1;
-    } finally {
-      this.#active -= 1;
+    return this.#waiting.length < this.#cfg.maxWaiting;
+  }
+
+  #jobOf(req: CompletionRequest): Job {
+    const { tokens, cached } = this.cache.use(req.prompt);
+    this.counts.promptTokens += tokens;
+    this.counts.cachedTokens += cached;
+    return {
+      req,
+      tokens: tokensFor(req.prompt, req.maxTokens).slice(req.resumeFrom ?? 0),
+      out: new AsyncQueue(),
+      produced: 0,
+      prefill: tokens - cached,
+      ended: false,
+    };
+  }
+
+  /** Steps until nothing is in hand. */
+  async #run(): Promise<void> {
+    if (this.#stepping) return;
+    this.#stepping = true;
+    while (this.inHand > 0) {
+      this.#fillBatch();
+      await sleep(this.#stepMs());
+      this.#step();
+      this.#sample();
     }
+    this.#stepping = false;
+  }
+
+  #fillBatch(): void {
+    const byPriority = [...this.#waiting].sort((a, b) =>
+      (a.req.priority ?? 0) - (b.req.priority ?? 0)
+    );
+    const room = this.#cfg.maxBatch - this.#batch.length;
+    const joined = byPriority.slice(0, room);
+    this.#waiting = this.#waiting.filter((job) => !joined.includes(job));
+    this.#batch = [...this.#batch, ...joined];
   }
 
   #stepMs(): number {
-    const more = this.#cfg.stepMsPerCompletion * Math.max(0, this.#active - 1);
-    return this.#cfg.stepMs + more;
+    const { stepMs, stepMsPerCompletion, prefillTokensPerMs } = this.#cfg;
+    const more = stepMsPerCompletion * Math.max(0, this.#batch.length - 1);
+    const prefill = this.#batch.reduce((sum, job) => sum + job.prefill, 0);
+    const slowdown = this.isCold ? this.#cfg.coldSlowdown : 1;
+    return (stepMs + more + prefill / prefillTokensPerMs) * slowdown;
+  }
+
+  #step(): void {
+    this.#batch.forEach((job) => this.#generate(job));
+    const done = this.#batch.filter((job) => job.ended);
+    this.#batch = this.#batch.filter((job) => !job.ended);
+    this.counts.completions += done.length;
+    this.#proven += done.length;
+  }
+
+  #generate(job: Job): void {
+    job.prefill = 0;
+    const token = job.tokens[job.produced];
+    if (token !== undefined) {
+      job.out.push(token);
+      job.produced += 1;
+      this.counts.tokens += 1;
+    }
+    if (job.produced < job.tokens.length) return;
+    job.ended = true;
+    job.out.close();
+  }
+
+  #cancel(job: Job): void {
+    if (job.ended) return;
+    this.#batch = this.#batch.filter((one) => one !== job);
+    this.#waiting = this.#waiting.filter((one) => one !== job);
+    this.#cut(job);
+  }
+
+  #cut(job: Job): void {
+    job.ended = true;
+    job.out.close();
+    this.counts.cancelled += 1;
+    this.counts.wastedTokens += job.produced;
+  }
+
+  #cutAll(): void {
+    const jobs = [...this.#batch, ...this.#waiting];
+    this.#batch = [];
+    this.#waiting = [];
+    jobs.forEach((job) => this.#cut(job));
   }
 
   #fall(): void {
     this.counts.falls += 1;
     this.#proven = 0;
     this.#downUntil = Date.now() + this.#cfg.downMs;
+    this.cache.clear();
+    this.#cutAll();
+    this.#sample();
   }
-}
-
-/**
- * Text for a prompt: the same prompt gives the same text, which names the
- * marker that the prompt carries.
- */
-export function completionFor(prompt: string, maxTokens: number): string {
-  return tokensFor(prompt, maxTokens).join("");
-}
 
-function tokensFor(prompt: string, maxTokens: number): string[] {
-  const marker = /"marker":"([^"]*)"/.exec(prompt)?.[1] ?? "none";
-  const hash = sha256(prompt);
-  const words = Array.from(
-    { length: Math.max(0, maxTokens - 1) },
-    (_, i) => ` w${hash.slice(i % 60, i % 60 + 4)}`,
-  );
-  return [`marker=${marker}`, ...words];
-}
-
-/** HTTP form of an engine. `POST /turn-cold` makes it cold. */
-export function createEngineApp(
-  engine: Engine,
-  opts: { faults: Faults; seed: number },
-): Hono {
-  const app = new Hono();
-  app.post("/v1/completions", async (c) => {
-    const body = await c.req.json<{ prompt: string; max_tokens: number }>();
-    const { isCold } = engine;
-    if (!engine.admit()) {
-      if (isCold) c.header("x-cold-start", "1");
-      return c.text("busy\n", 503, { "x-not-run": "1" });
-    }
-    return streamSSE(c, async (stream) => {
-      const abort = new AbortController();
-      stream.onAbort(() => abort.abort());
-      const tokens = engine.generate(body.prompt, {
-        maxTokens: body.max_tokens,
-        signal: abort.signal,
-      });
-      let produced = 0;
-      for await (const text of tokens) {
-        produced += 1;
-        const choices = [{ text, finish_reason: null }];
-        await stream.writeSSE({ data: JSON.stringify({ choices }) });
-      }
-      if (produced === body.max_tokens) {
-        await stream.writeSSE({ data: "[DONE]" });
-      }
+  #sample(): void {
+    this.#load.sample({
+      running: this.#batch.length,
+      waiting: this.#waiting.length,
+      cold: this.isCold,
     });
-  });
-  app.post("/turn-cold", (c) => {
-    engine.turnCold();
-    return c.json({});
-  });
-  app.get("/counts", (c) => c.json(engine.counts));
-  return withFaults(app, opts);
+  }
 }
--- /dev/null
+++ b/src/standin/engine_cache.ts
@@ -0,0 +1,88 @@
+/**
+ * Prefix cache of the engine stand-in: hashed blocks in limited memory, the
+ * least recently used ones are evicted.
+ *
+ * @module
+ */
+
+import { sha256 } from "../model/mod.ts";
+
+/** Characters that count as one prompt token. */
+const CHARS_PER_TOKEN = 4;
+
+/** Change of the cache, as it is published. */
+export interface CacheEvent {
+  readonly seq: number;
+  readonly kind: "stored" | "removed";
+  readonly block: string;
+}
+
+/** Prefix cache. */
+export class PrefixCache {
+  readonly #blockTokens: number;
+  readonly #maxBlocks: number;
+  readonly #publish: (event: CacheEvent) => void;
+  /** Blocks in the order of their last use, the oldest first. */
+  readonly #blocks = new Set<string>();
+  #seq = 0;
+
+  constructor(opts: {
+    blockTokens: number;
+    maxBlocks: number;
+    publish: (event: CacheEvent) => void;
+  }) {
+    this.#blockTokens = opts.blockTokens;
+    this.#maxBlocks = opts.maxBlocks;
+    this.#publish = opts.publish;
+  }
+
+  /** Looks a prompt up and stores it; gives its tokens and the cached ones. */
+  use(prompt: string): { tokens: number; cached: number } {
+    const blocks = blocksOf(prompt, this.#blockTokens);
+    const missing = blocks.findIndex((block) => !this.#blocks.has(block));
+    const hits = missing < 0 ? blocks.length : missing;
+    this.store(blocks);
+    const tokens = Math.ceil(prompt.length / CHARS_PER_TOKEN);
+    return { tokens, cached: Math.min(tokens, hits * this.#blockTokens) };
+  }
+
+  /** Stores blocks and evicts the least recently used ones. */
+  store(blocks: readonly string[]): void {
+    blocks.forEach((block) => {
+      if (!this.#blocks.delete(block)) this.#emit("stored", block);
+      this.#blocks.add(block);
+    });
+    const excess = this.#blocks.size - this.#maxBlocks;
+    [...this.#blocks].slice(0, Math.max(0, excess)).forEach((block) => {
+      this.#blocks.delete(block);
+      this.#emit("removed", block);
+    });
+  }
+
+  /** Blocks of a prompt that the cache holds, for export. */
+  held(prompt: string): readonly string[] {
+    return blocksOf(prompt, this.#blockTokens)
+      .filter((block) => this.#blocks.has(block));
+  }
+
+  /** Forgets everything, as a restarted engine does, without an event. */
+  clear(): void {
+    this.#blocks.clear();
+  }
+
+  #emit(kind: CacheEvent["kind"], block: string): void {
+    this.#publish({ seq: this.#seq++, kind, block });
+  }
+}
+
+/** Hashes of the full blocks of a prompt; each covers the text before it. */
+export function blocksOf(prompt: string, blockTokens: number): string[] {
+  const size = blockTokens * CHARS_PER_TOKEN;
+  const count = Math.floor(prompt.length / size);
+  const blocks: string[] = [];
+  for (let i = 0; i < count; i += 1) {
+    const text = prompt.slice(i * size, (i + 1) * size);
+    blocks.push(sha256((blocks[i - 1] ?? "") + text).slice(0, 16));
+  }
+  return blocks;
+}
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -5,6 +5,9 @@
  */
 
 export * from "./engine.ts";
+export * from "./engine_app.ts";
+export * from "./engine_config.ts";
+export * from "./engine_text.ts";
 export * from "./faults.ts";
 export * from "./service.ts";
 export * from "./start.ts";
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -44,6 +44,11 @@
     return [...this.#filings.values()];
   }
 
+  /** Calls in hand. */
+  get load(): { running: number; waiting: number } {
+    return { running: this.#active, waiting: this.#waiting.length };
+  }
+
   /** Runs one operation. */
   async run(op: string, call: { input: unknown; key: string }) {
     await this.#acquire();
@@ -97,6 +102,10 @@
     c.header("x-call-id", c.req.header("x-call-id") ?? "");
     return c.json(output);
   });
+  app.get(
+    "/load",
+    (c) => c.json({ ...plain.load, cold: false, ageMs: 0 }),
+  );
   app.get("/filings", (c) => c.json(plain.filings));
   return withFaults(app, opts);
 }
--- a/src/standin/start.ts
+++ b/src/standin/start.ts
@@ -8,7 +8,9 @@
 import { z } from "zod";
 import { HostState } from "../platform/mod.ts";
 import { listen, type Listening } from "../process/mod.ts";
-import { createEngineApp, DEFAULT_ENGINE, Engine } from "./engine.ts";
+import { Engine } from "./engine.ts";
+import { createEngineApp } from "./engine_app.ts";
+import { DEFAULT_ENGINE } from "./engine_config.ts";
 import { NO_FAULTS } from "./faults.ts";
 import { createServiceApp, DEFAULT_SERVICE, PlainService } from "./service.ts";
 import {
@@ -75,7 +77,7 @@
   switch (standIn.kind) {
     case StandInKind.Engine:
       return createEngineApp(
-        new Engine({ ...DEFAULT_ENGINE, ...standIn.tune }),
+        new Engine({ ...DEFAULT_ENGINE, ...standIn.tune }, seed),
         opts,
       );
     case StandInKind.Service:
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -22,6 +22,7 @@
   priority: z.enum(Priority),
   weight: z.number().positive(),
   remainingMs: z.number(),
+  laterMs: z.number().nonnegative().optional(),
   listsVersion: z.number().int().nonnegative(),
   traceparent: z.string().optional(),
   model: z.string().optional(),
