--- a/src/agent/target_client.ts
+++ b/src/agent/target_client.ts
@@ -33,6 +33,8 @@
   readonly onText: (text: string) => void;
   /** Receives the first sign that the target works on the call. */
   readonly onSign?: (sign: { cold: boolean }) => void;
+  /** W3C trace context of the calling span. */
+  readonly traceparent?: string;
 }
 
 /** Speaks to one target. */
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -91,6 +91,11 @@
     this.#sample();
   }
 
+  /** Bounds and speeds. */
+  get config(): EngineConfig {
+    return this.#cfg;
+  }
+
   /** True until enough completions were done since the engine turned cold. */
   get isCold(): boolean {
     return this.#proven < this.#cfg.warmAfter;
@@ -139,6 +144,7 @@
       this.counts.refused += 1;
       return undefined;
     }
+    this.counts.begun += 1;
     const job = this.#jobOf(req);
     signal.addEventListener("abort", () => this.#cancel(job));
     this.#waiting.push(job);
--- a/src/standin/engine_config.ts
+++ b/src/standin/engine_config.ts
@@ -62,6 +62,8 @@
 
 /** What an engine counted. */
 export interface EngineCounts {
+  /** Completions taken in. */
+  begun: number;
   completions: number;
   cancelled: number;
   refused: number;
@@ -83,6 +85,7 @@
 /** Counts of an engine that has just started. */
 export function zeroCounts(): EngineCounts {
   return {
+    begun: 0,
     completions: 0,
     cancelled: 0,
     refused: 0,
