--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -82,7 +82,10 @@
         name: cfg.name,
         target: targetOf(cfg, cfg.control.port),
         gate,
-        claims: new ClaimService(ctx.get(PLATFORM).table),
+        claims: new ClaimService(ctx.get(PLATFORM).table, {
+          log: ctx.get(LOG),
+          metrics: ctx.get(METRICS),
+        }),
         client: clientFor(cfg),
         lists: ctx.get(LISTS),
         metrics: ctx.get(METRICS),
--- a/src/wire/client.ts
+++ b/src/wire/client.ts
@@ -20,6 +20,11 @@
   /** Starts a stage call. The iteration throws when the connection fails. */
   call(call: StageCall, signal: AbortSignal): Promise<AsyncIterable<CallEvent>>;
   targetState(signal?: AbortSignal): Promise<TargetState>;
+  /**
+   * Uses new connections from now on. Streams that are open go on; idle
+   * connections, which may have gone silent, are closed.
+   */
+  renew?(): void;
 }
 
 /** Speaks to any process of the system. */
@@ -32,14 +37,19 @@
 
 /** Client of an agent over tRPC. */
 export class TrpcAgentClient implements AgentClient {
-  readonly #dispatcher: Agent;
+  #dispatcher: Agent;
+  readonly #keys: KeyStore | undefined;
   readonly #unary;
   readonly #streaming;
 
   /** `url` is the base URL of the agent's control address. */
   constructor(url: string, keys?: KeyStore) {
+    this.#keys = keys;
     this.#dispatcher = createDispatcher(keys);
-    const link = { url: url + TRPC_PATH, fetch: fetchBy(this.#dispatcher) };
+    const link = {
+      url: url + TRPC_PATH,
+      fetch: fetchBy(() => this.#dispatcher),
+    };
     this.#unary = createTRPCClient<AgentRouter>({ links: [httpLink(link)] });
     this.#streaming = createTRPCClient<AgentRouter>({
       links: [httpBatchStreamLink({ ...link, maxItems: 1 })],
@@ -66,6 +76,12 @@
     return this.#unary.listsSince.query({ version }, withTimeout(signal));
   }
 
+  renew(): void {
+    const old = this.#dispatcher;
+    this.#dispatcher = createDispatcher(this.#keys);
+    void old.close();
+  }
+
   close(): Promise<void> {
     return this.#dispatcher.destroy();
   }
@@ -81,7 +97,10 @@
     this.#dispatcher = createDispatcher(keys);
     this.#unary = createTRPCClient<PeerRouter>({
       links: [
-        httpLink({ url: url + TRPC_PATH, fetch: fetchBy(this.#dispatcher) }),
+        httpLink({
+          url: url + TRPC_PATH,
+          fetch: fetchBy(() => this.#dispatcher),
+        }),
       ],
     });
   }
@@ -99,9 +118,12 @@
   }
 }
 
-function fetchBy(dispatcher: Agent): typeof fetch {
+function fetchBy(current: () => Agent): typeof fetch {
   const send = (url: unknown, init?: unknown) =>
-    undiciFetch(url as string, { ...(init as object), dispatcher });
+    undiciFetch(url as string, {
+      ...(init as object),
+      dispatcher: current(),
+    });
   return send as unknown as typeof fetch;
 }
 
