--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -232,6 +232,7 @@
         const seq = stream.chunks++;
         stream.events.push({ kind: "chunk", callId: call.callId, seq, text });
       },
+      onSign: (sign) => permit.sign(sign),
     });
     watch.end();
     const serviceMs = monotonicMs() - startedAt;
@@ -242,7 +243,11 @@
         return this.#result(session, value, serviceMs);
       })
       .mapErr((failure) => {
-        permit.release({ kind: "failed", serviceMs, cold: failure.cold });
+        permit.release(
+          session.signal.aborted
+            ? { kind: "abandoned" }
+            : { kind: "failed", serviceMs, cold: failure.cold },
+        );
         if (watch.isExpired) return targetSilent();
         return monotonicMs() >= deadlineAt && failure.mayHaveRun
           ? deadlinePassed()
@@ -290,7 +295,7 @@
     outcome: Result<StageResult, Refusal>,
   ): CallEvent {
     const report = {
-      load: this.#parts.gate.load,
+      load: this.#parts.gate.loadFor(call.customer),
       listsVersion: this.#parts.lists.current.version,
     };
     return outcome.match<CallEvent>(
