--- a/src/soak/sim_fleet.ts
+++ b/src/soak/sim_fleet.ts
@@ -58,7 +58,13 @@
   readonly runner: Runner;
 }
 
-const GATE = { coldLimit: 8, maxLimit: 16, maxQueued: 32 };
+const GATE = {
+  coldLimit: 8,
+  maxLimit: 16,
+  maxQueued: 32,
+  provenAfter: 4,
+  showsProgress: false,
+};
 const LISTS = {
   current: { ...EMPTY_LISTS, version: 1 },
   isConfirmed: true,
