Carry list changes as deltas, by gossip and a small share of store reads

Cause: each process read the whole lists from the table service once a second and took work for 5 s after the last read, so that 960 processes would have made 960 reads/s, each change would have moved about 1 MB to each, and a store outage stopped every process.

Change: each change is a row with its delta and a token; customers are spread over 64 rows; a look at the head brings the next changes along in one read. Processes ask a peer twice a second, offer news to three peers at once, and together ask the store about 100 times a second. A confirmation counts from the question and ages in transit; past 4 s a process takes work only if the store failed and a peer of every other domain that is not out agrees. The agent looks again after the wait for the gate or the claim. The command line offers an accepted change to every registered process, reports the in-force time and names processes that lag or cannot be reached. An accept whose answer was lost is sent again under the same check and settled by the token of the change's row.

Ruled out: polling by all (reads), whole lists on each change (bytes), taking ages from questions that arrive (their time in transit is unbounded).

The proofs of the new parts are not in this commit.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -7,10 +7,10 @@
 import { err, ok, type Result, type ResultAsync } from "neverthrow";
 import { randomUUID } from "node:crypto";
 import { AsyncQueue, monotonicMs, timeoutSignal } from "../kernel/mod.ts";
+import type { ListsUpdate } from "../lists/mod.ts";
 import {
   type CallEvent,
   digest,
-  type Lists,
   notRun,
   outcomeUnknown,
   Proof,
@@ -23,7 +23,13 @@
 import type { PlatformError } from "../platform/mod.ts";
 import type { ListsSync } from "../process/mod.ts";
 import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
-import type { AgentApi, PeerState, TargetState } from "../wire/mod.ts";
+import type {
+  AgentApi,
+  GossipAnswer,
+  GossipQuestion,
+  PeerState,
+  TargetState,
+} from "../wire/mod.ts";
 import type { ClaimService, HeldClaim } from "./claim_service.ts";
 import type { GateService, Permit } from "./gate_service.ts";
 import type {
@@ -61,18 +67,15 @@
   }
 
   peerState(): PeerState {
-    const { name, lists } = this.#parts;
-    return {
-      process: name,
-      listsVersion: lists.current.version,
-      confirmedAgeMs: lists.confirmedAgeMs,
-      ready: this.isReady,
-    };
+    return this.#parts.lists.peerState(this.isReady);
+  }
+
+  listsSince(version: number): ListsUpdate | null {
+    return this.#parts.lists.since(version);
   }
 
-  listsSince(version: number): Lists | null {
-    const { current } = this.#parts.lists;
-    return current.version > version ? current : null;
+  exchange(question: GossipQuestion): GossipAnswer {
+    return this.#parts.lists.answer(question, this.isReady);
   }
 
   targetState(): TargetState {
@@ -137,6 +140,7 @@
     events: AsyncQueue<CallEvent>,
     signal: AbortSignal,
   ): Promise<Result<StageResult, Refusal>> {
+    this.#parts.lists.notice(call.listsVersion);
     const refusal = this.#refusalBeforeGate(call);
     if (refusal) return err(refusal);
     const permit = await this.#parts.gate.enter(call, signal);
@@ -152,7 +156,7 @@
   }
 
   #refusalBeforeGate(call: StageCall): Refusal | undefined {
-    const { target, lists } = this.#parts;
+    const { target } = this.#parts;
     if (call.target !== target.id) {
       return notRun(RefusalReason.NoTarget, "The call is for another target");
     }
@@ -163,6 +167,12 @@
         LEAVING_RETRY_MS,
       );
     }
+    return this.#refusalByLists();
+  }
+
+  /** Refusal of work that the lists in force do not allow. */
+  #refusalByLists(): Refusal | undefined {
+    const { target, lists } = this.#parts;
     if (!lists.isConfirmed) {
       return notRun(
         RefusalReason.NotConfirmed,
@@ -216,6 +226,9 @@
   /** Runs a permitted call at the target. */
   async #run(session: Session): Promise<Result<StageResult, Refusal>> {
     const { call, events, permit } = session;
+    // The wait at the gate or for the claim may have outlived the lists.
+    const refusal = this.#refusalByLists();
+    if (refusal) return err(refusal);
     const startedAt = monotonicMs();
     let seq = 0;
     const answer = await this.#parts.client.run(call, {
--- a/src/cli/lists_commands.ts
+++ b/src/cli/lists_commands.ts
@@ -5,66 +5,160 @@
  */
 
 import type { CAC } from "cac";
+import { monotonicMs } from "../kernel/mod.ts";
+import type { AvailabilityOrder } from "../lists/mod.ts";
+import type { Lists } from "../model/mod.ts";
+import { HttpTable, type Table } from "../platform/mod.ts";
+import { defaultTableUrl } from "./command.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 import {
-  acceptChange,
-  changeAvailability,
+  type Accepted,
+  applyFile,
+  describeLists,
   fetchLists,
+  giveOrder,
   readListsFile,
 } from "./lists.ts";
+import { type Rollout, watchRollout } from "./rollout.ts";
 
-interface TableFlags {
-  table: string;
+/** Wait for a change to come into force unless told otherwise, in seconds. */
+const DEFAULT_WAIT_S = 20;
+const MS_PER_S = 1_000;
+
+interface ListsFlags {
+  table?: string;
+  wait?: number | string;
+  json?: boolean;
 }
 
 /** Adds `lists`, `domain` and `host`. */
 export function listsCommands(cli: CAC): void {
-  cli.command("lists <action> [file]", "Show, check or apply the lists")
-    .option("--table <url>", "Base URL of the table service")
-    .action(runLists);
+  withFlags(
+    cli.command("lists <action> [file]", "Show, check or apply the lists"),
+  ).action(runLists);
   (["domain", "host"] as const).forEach((what) =>
-    cli.command(`${what} <action> <name>`, `Take a ${what} out or put it back`)
-      .option("--table <url>", "Base URL of the table service")
-      .action((action: string, name: string, flags: TableFlags) =>
-        runAvailability({ what, action, name }, flags)
-      )
+    withFlags(
+      cli.command(
+        `${what} <action> <name>`,
+        `Take a ${what} out or put it back`,
+      ),
+    ).action((action: string, name: string, flags: ListsFlags) =>
+      runOrder({ what, action, name: String(name) }, flags)
+    )
+  );
+}
+
+function withFlags(command: ReturnType<CAC["command"]>) {
+  return command
+    .option("--table <url>", "Base URL of the table service", {
+      default: defaultTableUrl(),
+    })
+    .option(
+      "--wait <seconds>",
+      `Longest wait for the change to be in force (${DEFAULT_WAIT_S})`,
+    )
+    .option("--json", "Print JSON");
+}
+
+/** Table service of a command. */
+export function tableOf(flags: { table?: string }): Table {
+  if (flags.table) return new HttpTable(flags.table);
+  throw new CommandError(
+    ExitCode.Usage,
+    "Name the table service with --table or CASSIAPOST_TABLE_URL",
   );
 }
 
 async function runLists(
   action: string,
   file: string | undefined,
-  flags: TableFlags,
+  flags: ListsFlags,
 ): Promise<void> {
-  const standing = await fetchLists(flags.table);
-  if (action === "show") {
-    console.log(JSON.stringify(standing, null, 2));
-    return;
+  const table = tableOf(flags);
+  const waitMs = waitOf(flags);
+  if (action === "show" && !file) {
+    return showLists(await fetchLists(table), flags);
   }
   if (!file || !["check", "apply"].includes(action)) {
-    throw new CommandError(ExitCode.Usage, "Usage: lists show|check|apply");
+    throw new CommandError(
+      ExitCode.Usage,
+      "Usage: lists show | check FILE | apply FILE",
+    );
   }
-  const change = readListsFile(file, standing);
+  const standing = await fetchLists(table);
+  const checked = readListsFile(file, standing);
   if (action === "check") return;
-  const version = await acceptChange(flags.table, standing, change);
-  console.log(`version=${version} accepted=true`);
+  const accepted = await applyFile(table, { file: checked, standing });
+  await reportRollout(table, { accepted, waitMs, flags });
 }
 
-async function runAvailability(
+async function runOrder(
   order: { what: "domain" | "host"; action: string; name: string },
-  flags: TableFlags,
+  flags: ListsFlags,
 ): Promise<void> {
   const { what, action, name } = order;
   if (action !== "out" && action !== "in") {
     throw new CommandError(ExitCode.Usage, `Usage: ${what} out|in NAME`);
   }
-  const standing = await fetchLists(flags.table);
-  const availability = changeAvailability(standing.availability, {
-    what,
-    out: action === "out",
-    name,
+  const table = tableOf(flags);
+  const waitMs = waitOf(flags);
+  const wanted: AvailabilityOrder = { what, name, out: action === "out" };
+  const accepted = await giveOrder(
+    table,
+    wanted,
+    (difference) =>
+      console.error(`Another change was accepted first:\n${difference}`),
+  );
+  await reportRollout(table, { accepted, waitMs, flags });
+}
+
+/** Waits for a change, prints how far it has come and sets the exit code. */
+async function reportRollout(
+  table: Table,
+  opts: { accepted: Accepted | Lists; waitMs: number; flags: ListsFlags },
+): Promise<void> {
+  const { accepted, flags } = opts;
+  const isNew = "update" in accepted;
+  const lists = isNew ? accepted.lists : accepted;
+  const rollout = await watchRollout(lists.version, {
+    table,
+    update: isNew ? accepted.update : undefined,
+    waitMs: opts.waitMs,
+    acceptedAt: monotonicMs(),
   });
-  const change = { availability };
-  const version = await acceptChange(flags.table, standing, change);
-  console.log(`version=${version} ${what}=${name} action=${action}`);
+  const diff = isNew ? accepted.diff : [];
+  if (flags.json) {
+    console.log(JSON.stringify({ accepted: isNew, diff, ...rollout }));
+  } else {
+    [...diff, rolloutLine(rollout, isNew)].forEach((line) => console.log(line));
+  }
+  if (!rollout.done) process.exitCode = ExitCode.Refused;
+}
+
+function rolloutLine(rollout: Rollout, isNew: boolean): string {
+  const { version, inForceMs, inForce, lagging, unreachable, done } = rollout;
+  return [
+    `version=${version}`,
+    `accepted=${isNew}`,
+    `in_force=${done}`,
+    `in_force_ms=${inForceMs}`,
+    `processes=${inForce.length}`,
+    `lagging=${lagging.join(",") || "none"}`,
+    `unreachable=${unreachable.join(",") || "none"}`,
+  ].join(" ");
+}
+
+function showLists(lists: Lists, flags: ListsFlags): void {
+  if (flags.json) {
+    const { version, customers, use, availability } = lists;
+    const file = { version, ...customers, ...use };
+    return console.log(JSON.stringify({ ...file, availability }, null, 2));
+  }
+  describeLists(lists).forEach((line) => console.log(line));
+}
+
+function waitOf({ wait }: ListsFlags): number {
+  const seconds = Number(wait ?? DEFAULT_WAIT_S);
+  if (Number.isFinite(seconds) && seconds >= 0) return seconds * MS_PER_S;
+  throw new CommandError(ExitCode.Usage, "--wait takes a number of seconds");
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,10 +10,12 @@
 import { daemonCommands } from "./daemon_commands.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 import { listsCommands } from "./lists_commands.ts";
+import { statusCommands } from "./status_commands.ts";
 
 const GROUPS: readonly RegisterCommands[] = [
   daemonCommands,
   listsCommands,
+  statusCommands,
 ];
 
 const cli = cac("cassiapost");
--- a/src/config/lists.ts
+++ b/src/config/lists.ts
@@ -7,7 +7,10 @@
 import { Err, Ok } from "ts-results-es";
 import { z } from "zod";
 import {
+  type Availability,
+  canonicalJson,
   type CustomerList,
+  type Lists,
   Priority,
   StageKind,
   type UseList,
@@ -63,6 +66,84 @@
   return check(useListSchema, value);
 }
 
+const listsFileSchema = z.strictObject({
+  version: z.int().nonnegative().optional(),
+  customers: customerListSchema.shape.customers.optional(),
+  plans: useListSchema.shape.plans.optional(),
+  pipelines: useListSchema.shape.pipelines.optional(),
+  availability: z.strictObject({
+    domainsOut: z.array(z.string()),
+    hostsOut: z.array(z.string()),
+  }).optional(),
+});
+
+/** Lists that an operator wants accepted. */
+export interface ListsFile {
+  /** Version that the operator started from. */
+  readonly version?: number;
+  readonly customers?: CustomerList;
+  readonly use?: UseList;
+}
+
+/**
+ * Checks a file of lists together with what stands, and reports every finding.
+ * A list that the file leaves out stays as it stands.
+ */
+export function checkListsFile(
+  value: unknown,
+  standing: Lists,
+): Checked<ListsFile> {
+  const form = check(listsFileSchema, value);
+  const file = partsOf(value, standing);
+  const together = checkTogether(file.customers, file.use);
+  const findings = [
+    ...(form.isErr() ? form.error : []),
+    ...(together.isErr() ? together.error : []),
+    ...(form.isOk() ? changedAvailability(form.value, standing) : []),
+  ];
+  if (findings.length > 0 || form.isErr()) return Err(findings);
+  const { version, customers, plans, pipelines } = form.value;
+  return Ok({
+    version,
+    customers: customers ? { customers } : undefined,
+    use: plans || pipelines ? file.use : undefined,
+  });
+}
+
+/** A file may repeat the availability that stands; orders alone change it. */
+function changedAvailability(
+  { availability }: { availability?: Availability },
+  standing: Lists,
+): Finding[] {
+  return availability === undefined ||
+      canonicalJson(availability) === canonicalJson(standing.availability)
+    ? []
+    : [{
+      path: "$.availability",
+      message: "Change this with domain out|in and host out|in",
+    }];
+}
+
+/** The parts of well-formed members; members with faults count as absent. */
+function partsOf(
+  value: unknown,
+  standing: { customers: CustomerList; use: UseList },
+): { customers: CustomerList; use: UseList } {
+  const { customers, plans, pipelines } = listsFileSchema.shape;
+  const members = Object(value) as Record<string, unknown>;
+  return {
+    customers: {
+      customers: customers.safeParse(members.customers).data ??
+        standing.customers.customers,
+    },
+    use: {
+      plans: plans.safeParse(members.plans).data ?? standing.use.plans,
+      pipelines: pipelines.safeParse(members.pipelines).data ??
+        standing.use.pipelines,
+    },
+  };
+}
+
 /** Checks that the two lists agree with each other. */
 export function checkTogether(
   customers: CustomerList,
@@ -108,9 +189,12 @@
 }
 
 function repeated(names: readonly string[], path: string): Finding[] {
-  return names.flatMap((item, i) =>
-    names.indexOf(item) === i
-      ? []
-      : [{ path: `${path}[${i}]`, message: `${item} stands here twice` }]
-  );
+  const seen = new Set<string>();
+  return names.flatMap((item, i) => {
+    if (!seen.has(item)) {
+      seen.add(item);
+      return [];
+    }
+    return [{ path: `${path}[${i}]`, message: `${item} stands here twice` }];
+  });
 }
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -5,7 +5,7 @@
  */
 
 import { z } from "zod";
-import { TargetKind } from "../model/mod.ts";
+import { OutageRule, TargetKind } from "../model/mod.ts";
 import { LogLevel, TraceExport } from "../telemetry/mod.ts";
 
 const url = z.url();
@@ -30,6 +30,12 @@
   traceUrl: url.optional().describe("URL of the OTLP collector"),
 });
 
+const peerSchema = z.strictObject({
+  name: z.string().min(1).describe("Name of the process"),
+  domain: z.string().min(1).describe("Failure domain of the process"),
+  url: url.describe("Base URL of the process's control address"),
+});
+
 const processFields = {
   name: z.string().min(1).describe("Name of the process, unique in the fleet"),
   host: z.string().min(1).describe("Host in the platform's host list"),
@@ -37,6 +43,10 @@
   control: addressSchema
     .describe("Address for the system's own processes, health and metrics"),
   platform: platformSchema,
+  peers: z.array(peerSchema).default([])
+    .describe("Processes to ask while the table service is out"),
+  outageRule: z.enum(OutageRule).default(OutageRule.EveryDomain)
+    .describe("Failure domains that must be heard to go on in an outage"),
   telemetry: telemetrySchema
     .default({ logLevel: LogLevel.Info, traceExport: TraceExport.None }),
   drainMs: z.int().positive().default(30_000)
--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -118,6 +118,11 @@
     this.#entry(target).load = load;
   }
 
+  /** Takes notice of the lists version on which an agent acts. */
+  noticeLists(version: number): void {
+    this.#lists.notice(version);
+  }
+
   /** Takes notice of a target that could not be reached. */
   suspect(target: Target): void {
     this.#entry(target).suspectedUntil = Date.now() + SUSPECT_MS;
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -172,6 +172,9 @@
     },
   ): Result<StageResult, Refusal> | undefined {
     if ("load" in event) this.#directory.report(target, event.load);
+    if ("listsVersion" in event) {
+      this.#directory.noticeLists(event.listsVersion);
+    }
     switch (event.kind) {
       case "heartbeat":
         return undefined;
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -4,16 +4,20 @@
  * @module
  */
 
+import type { ResultAsync } from "neverthrow";
 import type { EntrySettings } from "../config/mod.ts";
 import {
+  every,
   Kernel,
   service,
   serviceKey,
   type ServiceSpec,
 } from "../kernel/mod.ts";
+import type { PlatformError } from "../platform/mod.ts";
 import {
   baseServices,
   createControlApp,
+  infoOf,
   listen,
   type Listening,
   LISTS,
@@ -21,7 +25,9 @@
   LOG,
   METRICS,
   PLATFORM,
+  registerEntry,
   TRACING,
+  withdrawEntry,
 } from "../process/mod.ts";
 import { createPeerRouter, type PeerApi } from "../wire/mod.ts";
 import { Directory } from "./directory.ts";
@@ -31,6 +37,14 @@
 
 const DIRECTORY = serviceKey<Directory>("directory");
 const FRONT = serviceKey<Front>("front");
+/** Time between two renewals of the registration, in milliseconds. */
+const REGISTER_MS = 10_000;
+
+interface Registration {
+  withdraw(): ResultAsync<void, PlatformError>;
+}
+
+const REGISTRATION = serviceKey<Registration>("registration");
 const CONTROL = serviceKey<Listening>("control");
 const LISTEN = serviceKey<Listening>("listen");
 
@@ -41,6 +55,7 @@
     directoryService(cfg),
     frontService(cfg),
     controlService(cfg),
+    registrationService(cfg),
     listenService(cfg),
   ]);
 }
@@ -91,7 +106,7 @@
     start: (ctx) => {
       const front = ctx.get(FRONT);
       const app = createControlApp({
-        router: createPeerRouter(peerApi(cfg, ctx.get(LISTS), front)),
+        router: createPeerRouter(peerApi(ctx.get(LISTS), front)),
         metrics: ctx.get(METRICS),
         isReady: () => front.isReady,
       });
@@ -101,6 +116,26 @@
   });
 }
 
+/** Registers the entry so that operators' commands and peers find it. */
+function registrationService(cfg: EntrySettings): ServiceSpec {
+  return service({
+    key: REGISTRATION,
+    start: (ctx) => {
+      const { table } = ctx.get(PLATFORM);
+      void every(REGISTER_MS, async () => {
+        const done = await registerEntry(table, infoOf(cfg), ctx.signal);
+        done.mapErr((err) =>
+          ctx.get(LOG).warn("registration_failed", { detail: err.message })
+        );
+      }, ctx.signal);
+      return { withdraw: () => withdrawEntry(table, cfg.name) };
+    },
+    drain: async (registration) => {
+      await registration.withdraw();
+    },
+  });
+}
+
 function listenService(cfg: EntrySettings): ServiceSpec {
   return service({
     key: LISTEN,
@@ -114,18 +149,12 @@
 }
 
 function peerApi(
-  cfg: EntrySettings,
   lists: ListsSync,
   front: Front,
 ): PeerApi {
   return {
-    peerState: () => ({
-      process: cfg.name,
-      listsVersion: lists.current.version,
-      confirmedAgeMs: lists.confirmedAgeMs,
-      ready: front.isReady,
-    }),
-    listsSince: (version) =>
-      lists.current.version > version ? lists.current : null,
+    peerState: () => lists.peerState(front.isReady),
+    listsSince: (version) => lists.since(version),
+    exchange: (question) => lists.answer(question, front.isReady),
   };
 }
--- a/src/launch/deployment.ts
+++ b/src/launch/deployment.ts
@@ -108,11 +108,12 @@
   /** Takes a domain out of service, or puts it back. */
   async setDomainOut(domain: string, out: boolean): Promise<void> {
     const table = new HttpTable(this.topology.tableUrl);
-    const { version, availability } = (await readLists(table))._unsafeUnwrap();
+    const standing = (await readLists(table))._unsafeUnwrap();
+    const { availability } = standing;
     const others = availability.domainsOut.filter((name) => name !== domain);
     const domainsOut = out ? [...others, domain] : others;
     const change = { availability: { ...availability, domainsOut } };
-    (await changeLists(table, version, change))._unsafeUnwrap();
+    (await changeLists(table, standing, change))._unsafeUnwrap();
   }
 
   async #applyLists(): Promise<void> {
@@ -122,7 +123,7 @@
       customers: customers as typeof EMPTY_LISTS.customers,
       use: this.#use(),
     };
-    (await changeLists(table, 0, change))._unsafeUnwrap();
+    (await changeLists(table, EMPTY_LISTS, change))._unsafeUnwrap();
   }
 
   #use(): UseList {
--- a/src/launch/topology.ts
+++ b/src/launch/topology.ts
@@ -6,7 +6,7 @@
 
 import { z } from "zod";
 import type { AgentSettings, EntrySettings } from "../config/mod.ts";
-import { TargetKind } from "../model/mod.ts";
+import { OutageRule, TargetKind } from "../model/mod.ts";
 import { HostState } from "../platform/mod.ts";
 import type { StandInSettings } from "../standin/mod.ts";
 
@@ -42,6 +42,8 @@
 
 const ADDRESS = "127.0.0.1";
 const DRAIN_MS = 10_000;
+/** Processes of each domain that the settings name to the others. */
+const SEEDS_PER_DOMAIN = 2;
 
 /** Plans a deployment on consecutive ports from `basePort`. */
 export function planTopology(
@@ -75,9 +77,22 @@
       agentPort: nextPort(),
     }))
   );
+  const peers = deployment.domains.flatMap((domain) =>
+    placed.filter((one) => one.domain === domain).slice(0, SEEDS_PER_DOMAIN)
+      .map(({ id, agentPort }) => ({
+        name: `agent-${id}`,
+        domain,
+        url: urlOf(agentPort),
+      }))
+  );
+  const system = {
+    ...shared,
+    peers,
+    outageRule: OutageRule.EveryDomain,
+  };
   const agents = placed.map(
     ({ pool, id, domain, targetPort, agentPort }): AgentSettings => ({
-      ...shared,
+      ...system,
       name: `agent-${id}`,
       host: `host-${id}`,
       domain,
@@ -95,7 +110,7 @@
   );
   const entries = deployment.domains.flatMap((domain) =>
     Array.from({ length: deployment.entriesPerDomain }, (_, i) => ({
-      ...shared,
+      ...system,
       name: `entry-${domain}-${i + 1}`,
       host: `host-entry-${domain}-${i + 1}`,
       domain,
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./counted.ts";
 export * from "./error.ts";
 export * from "./http.ts";
 export * from "./stores.ts";
--- a/src/process/base.ts
+++ b/src/process/base.ts
@@ -12,12 +12,14 @@
   violationCount,
 } from "../kernel/mod.ts";
 import {
+  CountedTable,
   HttpHostList,
   HttpObjectStore,
   HttpTable,
   HttpWeightStore,
 } from "../platform/mod.ts";
 import { createLogger, Metrics, Tracing } from "../telemetry/mod.ts";
+import { connectPeers, type PeerInfo } from "../wire/mod.ts";
 import { LISTS, LOG, METRICS, PLATFORM, TRACING } from "./keys.ts";
 import { ListsSync } from "./lists_sync.ts";
 
@@ -44,7 +46,10 @@
         }),
       drain: (tracing) => tracing.flush(),
     }),
-    service({ key: PLATFORM, start: () => createPlatform(cfg) }),
+    service({
+      key: PLATFORM,
+      start: (ctx) => createPlatform(cfg, ctx.get(METRICS)),
+    }),
     service({
       key: LISTS,
       start: (ctx) => {
@@ -54,7 +59,15 @@
             log.error("invariant_violated", { invariant: name, detail }),
           ctx.signal,
         );
-        const sync = new ListsSync({ table: ctx.get(PLATFORM).table, log });
+        const sync = new ListsSync({
+          info: infoOf(cfg),
+          table: ctx.get(PLATFORM).table,
+          log,
+          metrics: ctx.get(METRICS),
+          connect: connectPeers(),
+          seeds: cfg.peers,
+          rule: cfg.outageRule,
+        });
         sync.run(ctx.signal);
         return sync;
       },
@@ -62,6 +75,16 @@
   ];
 }
 
+/** How the peers reach the process of these settings. */
+export function infoOf(cfg: ProcessSettings): PeerInfo {
+  const { address, port } = cfg.control;
+  return {
+    name: cfg.name,
+    domain: cfg.domain,
+    url: `http://${address}:${port}`,
+  };
+}
+
 function startMetrics(_signal: AbortSignal): Metrics {
   const metrics = new Metrics();
   metrics.gauge("invariant_violations_total", violationCount);
@@ -69,9 +92,9 @@
   return metrics;
 }
 
-function createPlatform(cfg: ProcessSettings) {
+function createPlatform(cfg: ProcessSettings, metrics: Metrics) {
   return {
-    table: new HttpTable(cfg.platform.tableUrl),
+    table: new CountedTable(new HttpTable(cfg.platform.tableUrl), metrics),
     objects: new HttpObjectStore(cfg.platform.objectStoreUrl),
     hosts: new HttpHostList(cfg.platform.hostListUrl),
     weights: new HttpWeightStore(cfg.platform.weightStoreUrl),
--- /dev/null
+++ b/src/process/lists_rows.ts
@@ -0,0 +1,107 @@
+/**
+ * Rows of the table service that hold the operators' lists.
+ *
+ * The head row is written by every change, so that a check of its version
+ * orders the changes. Each change has a row of its own with its delta. The
+ * customers are spread over several rows, so that a change of one customer
+ * rewrites a small part.
+ *
+ * @module
+ */
+
+import {
+  type ListsChange,
+  type ListsDelta,
+  sortCustomers,
+} from "../lists/mod.ts";
+import {
+  type Customer,
+  type CustomerId,
+  EMPTY_LISTS,
+  type Lists,
+  sha256,
+} from "../model/mod.ts";
+import type { Row, RowPut } from "../platform/mod.ts";
+
+/** Row that every change writes; its row version is the lists' version. */
+export const HEAD_KEY = "lists/head";
+const USE_KEY = "lists/use";
+const AVAILABILITY_KEY = "lists/availability";
+const CUSTOMERS_PREFIX = "lists/customers/";
+const CHANGE_PREFIX = "lists/change/";
+
+/** Rows over which the customers are spread. */
+const SHARDS = 64;
+/** Change rows that are kept for readers who are behind. */
+export const KEPT_CHANGES = 500;
+const VERSION_DIGITS = 12;
+
+/** Value of a change row. */
+export interface ChangeRecord {
+  /** Tells an accepted change from another one under the same version. */
+  readonly token: string;
+  readonly delta: ListsDelta;
+}
+
+/** Keys of all rows that together hold one version of the lists. */
+export const LISTS_KEYS: readonly string[] = [
+  HEAD_KEY,
+  USE_KEY,
+  AVAILABILITY_KEY,
+  ...Array.from({ length: SHARDS }, (_, shard) => shardKey(shard)),
+];
+
+/** Key of the row of the change that made a version. */
+export function changeKey(version: number): string {
+  return CHANGE_PREFIX + String(version).padStart(VERSION_DIGITS, "0");
+}
+
+/** Version of the lists that a head row states. */
+export function headVersion(row: Row | undefined): number {
+  return row?.version ?? 0;
+}
+
+/** Lists that a read of all rows gave. */
+export function listsOf(rows: readonly Row[]): Lists {
+  const value = <T>(key: string, otherwise: T): T =>
+    (rows.find((row) => row.key === key)?.value as T | null) ?? otherwise;
+  const customers = rows
+    .filter(({ key, value }) => key.startsWith(CUSTOMERS_PREFIX) && value)
+    .flatMap((row) => row.value as readonly Customer[]);
+  return {
+    version: headVersion(rows.find(({ key }) => key === HEAD_KEY)),
+    customers: { customers: sortCustomers(customers) },
+    use: value(USE_KEY, EMPTY_LISTS.use),
+    availability: value(AVAILABILITY_KEY, EMPTY_LISTS.availability),
+  };
+}
+
+/** Writes that replace the parts of a change. */
+export function partPuts(
+  after: Lists,
+  change: ListsChange,
+  delta: ListsDelta,
+): RowPut[] {
+  const touched = new Set(
+    [...delta.set.map(({ id }) => id), ...delta.removed].map(shardOf),
+  );
+  const shards = [...touched].map((shard) => ({
+    key: shardKey(shard),
+    value: after.customers.customers.filter(({ id }) => shardOf(id) === shard),
+  }));
+  return [
+    ...shards,
+    ...(change.use ? [{ key: USE_KEY, value: change.use }] : []),
+    ...(change.availability
+      ? [{ key: AVAILABILITY_KEY, value: change.availability }]
+      : []),
+  ];
+}
+
+function shardKey(shard: number): string {
+  return CUSTOMERS_PREFIX + String(shard).padStart(2, "0");
+}
+
+function shardOf(id: CustomerId): number {
+  return parseInt(sha256(id).slice(0, 8), 16) % SHARDS;
+}
--- a/src/wire/api.ts
+++ b/src/wire/api.ts
@@ -4,9 +4,11 @@
  * @module
  */
 
+import type { Standing } from "../freshness/mod.ts";
+import type { ListsUpdate } from "../lists/mod.ts";
 import type {
   CallEvent,
-  Lists,
+  DomainName,
   StageCall,
   Target,
   TargetLoad,
@@ -16,17 +18,50 @@
 export interface PeerApi {
   /** What the peer knows of the configuration. */
   peerState(): PeerState;
-  /** The peer's lists when they are newer than `version`; null otherwise. */
-  listsSince(version: number): Lists | null;
+  /** What brings `version` up to date; null when the peer has nothing newer. */
+  listsSince(version: number): ListsUpdate | null;
+  /** Tells each side what the other knows. */
+  exchange(question: GossipQuestion): GossipAnswer;
+}
+
+/** How a process is reached by its peers. */
+export interface PeerInfo {
+  /** Name of the process. */
+  readonly name: string;
+  readonly domain: DomainName;
+  /** Base URL of the control address. */
+  readonly url: string;
+}
+
+/** What one process tells and asks another. */
+export interface GossipQuestion {
+  /** The asker; absent when it serves no peers itself. */
+  readonly from?: PeerInfo;
+  readonly version: number;
+  /** Newest change, for a receiver who lacks it. */
+  readonly offer?: ListsUpdate;
+}
+
+/** What a process answers to a peer. */
+export interface GossipAnswer {
+  readonly state: PeerState;
+  /** Brings the asker up to date; null when it is. */
+  readonly update: ListsUpdate | null;
+  /** Failure domains that the peer knows to have processes. */
+  readonly domains: readonly DomainName[];
+  /** Some other processes. */
+  readonly peers: readonly PeerInfo[];
 }
 
 /** A peer's view of the configuration. */
 export interface PeerState {
   /** Name of the process. */
   readonly process: string;
+  readonly domain: DomainName;
   readonly listsVersion: number;
-  /** Time since the version was last confirmed newest, in milliseconds. */
-  readonly confirmedAgeMs: number;
+  /** Time since the last confirmation, in milliseconds; null without one. */
+  readonly confirmedAgeMs: number | null;
+  readonly standing: Standing;
   readonly ready: boolean;
 }
 
--- a/src/wire/client.ts
+++ b/src/wire/client.ts
@@ -7,8 +7,15 @@
 import { createTRPCClient, httpBatchStreamLink, httpLink } from "@trpc/client";
 import { Agent, fetch as undiciFetch } from "undici";
 import { timeoutSignal } from "../kernel/mod.ts";
-import type { CallEvent, Lists, StageCall } from "../model/mod.ts";
-import type { PeerState, TargetState } from "./api.ts";
+import type { ListsUpdate } from "../lists/mod.ts";
+import type { CallEvent, StageCall } from "../model/mod.ts";
+import type {
+  GossipAnswer,
+  GossipQuestion,
+  PeerInfo,
+  PeerState,
+  TargetState,
+} from "./api.ts";
 import { type AgentRouter, type PeerRouter, TRPC_PATH } from "./router.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -27,7 +34,14 @@
 /** Speaks to any process of the system. */
 export interface PeerClient {
   peerState(signal?: AbortSignal): Promise<PeerState>;
-  listsSince(version: number, signal?: AbortSignal): Promise<Lists | null>;
+  listsSince(
+    version: number,
+    signal?: AbortSignal,
+  ): Promise<ListsUpdate | null>;
+  exchange(
+    question: GossipQuestion,
+    signal?: AbortSignal,
+  ): Promise<GossipAnswer>;
   /** Abandons every connection. */
   close(): Promise<void>;
 }
@@ -63,10 +77,20 @@
     return this.#unary.peerState.query(undefined, withTimeout(signal));
   }
 
-  listsSince(version: number, signal?: AbortSignal): Promise<Lists | null> {
+  listsSince(
+    version: number,
+    signal?: AbortSignal,
+  ): Promise<ListsUpdate | null> {
     return this.#unary.listsSince.query({ version }, withTimeout(signal));
   }
 
+  exchange(
+    question: GossipQuestion,
+    signal?: AbortSignal,
+  ): Promise<GossipAnswer> {
+    return this.#unary.exchange.mutate(question, withTimeout(signal));
+  }
+
   close(): Promise<void> {
     return this.#dispatcher.destroy();
   }
@@ -74,11 +98,15 @@
 
 /** Client of any process over tRPC. */
 export class TrpcPeerClient implements PeerClient {
-  readonly #dispatcher = createDispatcher();
+  readonly #dispatcher: Agent;
   readonly #unary;
 
-  /** `url` is the base URL of the process's control address. */
-  constructor(url: string) {
+  /**
+   * `url` is the base URL of the process's control address. Clients that speak
+   * to many processes now and then share their connections by a `dispatcher`.
+   */
+  constructor(url: string, dispatcher = createDispatcher()) {
+    this.#dispatcher = dispatcher;
     this.#unary = createTRPCClient<PeerRouter>({
       links: [
         httpLink({ url: url + TRPC_PATH, fetch: fetchBy(this.#dispatcher) }),
@@ -90,15 +118,31 @@
     return this.#unary.peerState.query(undefined, withTimeout(signal));
   }
 
-  listsSince(version: number, signal?: AbortSignal): Promise<Lists | null> {
+  listsSince(
+    version: number,
+    signal?: AbortSignal,
+  ): Promise<ListsUpdate | null> {
     return this.#unary.listsSince.query({ version }, withTimeout(signal));
   }
 
+  exchange(
+    question: GossipQuestion,
+    signal?: AbortSignal,
+  ): Promise<GossipAnswer> {
+    return this.#unary.exchange.mutate(question, withTimeout(signal));
+  }
+
   close(): Promise<void> {
     return this.#dispatcher.destroy();
   }
 }
 
+/** Makes clients of peers that share one set of connections. */
+export function connectPeers(): (info: PeerInfo) => PeerClient {
+  const dispatcher = createDispatcher();
+  return ({ url }) => new TrpcPeerClient(url, dispatcher);
+}
+
 function createDispatcher(): Agent {
   return new Agent({
     connect: { timeout: CONNECT_TIMEOUT_MS },
--- a/src/wire/router.ts
+++ b/src/wire/router.ts
@@ -7,7 +7,7 @@
 import { initTRPC } from "@trpc/server";
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
 import type { AgentApi, PeerApi } from "./api.ts";
-import { listsSinceSchema, stageCallSchema } from "./schema.ts";
+import { gossipSchema, listsSinceSchema, stageCallSchema } from "./schema.ts";
 
 const trpc = initTRPC.create();
 
@@ -21,6 +21,9 @@
     listsSince: trpc.procedure
       .input(listsSinceSchema)
       .query(({ input }) => api.listsSince(input.version)),
+    exchange: trpc.procedure
+      .input(gossipSchema)
+      .mutation(({ input }) => api.exchange(input)),
   });
 }
 
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -5,6 +5,7 @@
  */
 
 import { z } from "zod";
+import type { ListsUpdate } from "../lists/mod.ts";
 import { Priority, StageKind } from "../model/mod.ts";
 
 /** Checks a stage call. */
@@ -36,3 +37,21 @@
 export const listsSinceSchema = z.object({
   version: z.number().int().nonnegative(),
 });
+
+const peerInfoSchema = z.object({
+  name: z.string().min(1),
+  domain: z.string().min(1),
+  url: z.url(),
+});
+
+/** Checks an exchange between peers. */
+export const gossipSchema = z.object({
+  from: peerInfoSchema.optional(),
+  version: z.number().int().nonnegative(),
+  offer: z.custom<ListsUpdate>(isListsUpdate).optional(),
+});
+
+function isListsUpdate(value: unknown): boolean {
+  const kind = (value as { kind?: unknown } | null)?.kind;
+  return kind === "delta" || kind === "lists";
+}
