--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -42,7 +42,7 @@
 /** What sending calls needs of a {@linkcode Directory}. */
 export type TargetBook = Pick<
   Directory,
-  "begin" | "choose" | "client" | "report" | "suspect"
+  "begin" | "choose" | "client" | "noticeLists" | "report" | "suspect"
 >;
 
 /** What an attempt is made with. */
@@ -99,6 +99,7 @@
       watch.heard();
       if (signal.aborted) break;
       if ("load" in event) directory.report(this.#target, event.load);
+      if ("listsVersion" in event) directory.noticeLists(event.listsVersion);
       const end = this.#onStep(this.#apply(event), opts);
       if (end) return end;
     }
--- a/src/soak/sim_fleet.ts
+++ b/src/soak/sim_fleet.ts
@@ -69,6 +69,7 @@
   current: { ...EMPTY_LISTS, version: 1 },
   isConfirmed: true,
   confirmedAgeMs: 0,
+  notice: () => {},
 } as unknown as ListsSync;
 const TRACING = new Tracing({
   to: "none",
@@ -189,6 +190,7 @@
       },
       client: (target) => links.get(target.id) as unknown as AgentClient,
       begin: () => () => {},
+      noticeLists: () => {},
       report: () => {},
       suspect: () => {},
     };
