--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -13,10 +13,10 @@
   Watchdog,
 } from "../kernel/mod.ts";
 import { LATE_OUTCOME_MS } from "../ledger/mod.ts";
+import type { ListsUpdate } from "../lists/mod.ts";
 import {
   type CallEvent,
   digest,
-  type Lists,
   notRun,
   outcomeUnknown,
   type Refusal,
@@ -27,7 +27,13 @@
 } from "../model/mod.ts";
 import type { ListsSync } from "../process/mod.ts";
 import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
-import type { AgentApi, PeerState, TargetState } from "../wire/mod.ts";
+import type {
+  AgentApi,
+  GossipAnswer,
+  GossipQuestion,
+  PeerState,
+  TargetState,
+} from "../wire/mod.ts";
 import type { ClaimService } from "./claim_service.ts";
 import type { GateService, Permit } from "./gate_service.ts";
 import type {
@@ -69,18 +75,15 @@
   }
 
   peerState(): PeerState {
-    const { name, lists } = this.#parts;
-    return {
-      process: name,
-      listsVersion: lists.current.version,
-      confirmedAgeMs: lists.confirmedAgeMs,
-      ready: this.isReady,
-    };
+    return this.#parts.lists.peerState(this.isReady);
+  }
+
+  listsSince(version: number): ListsUpdate | null {
+    return this.#parts.lists.since(version);
   }
 
-  listsSince(version: number): Lists | null {
-    const { current } = this.#parts.lists;
-    return current.version > version ? current : null;
+  exchange(question: GossipQuestion): GossipAnswer {
+    return this.#parts.lists.answer(question, this.isReady);
   }
 
   targetState(): TargetState {
@@ -150,6 +153,7 @@
     hop: Pick<Session, "stream" | "signal" | "traceparent">,
   ): Promise<Result<StageResult, Refusal>> {
     const deadlineAt = monotonicMs() + call.remainingMs;
+    this.#parts.lists.notice(call.listsVersion);
     const refusal = this.#refusalBeforeGate(call);
     if (refusal) return err(refusal);
     const permit = await this.#parts.gate.enter(call, hop.signal);
@@ -170,7 +174,7 @@
   }
 
   #refusalBeforeGate(call: StageCall): Refusal | undefined {
-    const { target, lists } = this.#parts;
+    const { target } = this.#parts;
     if (call.target !== target.id) {
       return notRun(RefusalReason.NoTarget, "The call is for another target");
     }
@@ -181,6 +185,12 @@
         LEAVING_RETRY_MS,
       );
     }
+    return this.#refusalByLists();
+  }
+
+  /** Refusal of work that the lists in force do not allow. */
+  #refusalByLists(): Refusal | undefined {
+    const { target, lists } = this.#parts;
     if (!lists.isConfirmed) {
       return notRun(
         RefusalReason.NotConfirmed,
@@ -218,6 +228,9 @@
   /** Runs a permitted call at the target. */
   async #run(session: Session): Promise<Result<StageResult, Refusal>> {
     const { call, stream, permit, deadlineAt } = session;
+    // The wait at the gate or for the claim may have outlived the lists.
+    const refusal = this.#refusalByLists();
+    if (refusal) return err(refusal);
     const startedAt = monotonicMs();
     const span = this.#parts.tracing.start("agent.target", {
       parent: session.traceparent,
@@ -232,6 +245,7 @@
         const seq = stream.chunks++;
         stream.events.push({ kind: "chunk", callId: call.callId, seq, text });
       },
+      onSign: (sign) => permit.sign(sign),
     });
     watch.end();
     const serviceMs = monotonicMs() - startedAt;
@@ -242,7 +256,11 @@
         return this.#result(session, value, serviceMs);
       })
       .mapErr((failure) => {
-        permit.release({ kind: "failed", serviceMs, cold: failure.cold });
+        permit.release(
+          session.signal.aborted
+            ? { kind: "abandoned" }
+            : { kind: "failed", serviceMs, cold: failure.cold },
+        );
         if (watch.isExpired) return targetSilent();
         return monotonicMs() >= deadlineAt && failure.mayHaveRun
           ? deadlinePassed()
@@ -290,7 +308,7 @@
     outcome: Result<StageResult, Refusal>,
   ): CallEvent {
     const report = {
-      load: this.#parts.gate.load,
+      load: this.#parts.gate.loadFor(call.customer),
       listsVersion: this.#parts.lists.current.version,
     };
     return outcome.match<CallEvent>(
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -19,6 +19,7 @@
     "retry",
     "membership",
     "freshness",
+    "lists",
     "ledger",
     "pipeline",
   ],
@@ -27,7 +28,8 @@
   ["entry", "agent"],
   ["standin"],
   ["load"],
-  ["launch", "bench", "soak"],
+  ["launch"],
+  ["bench", "soak"],
   ["cli"],
 ];
 
--- a/src/soak/sim_fleet.ts
+++ b/src/soak/sim_fleet.ts
@@ -58,11 +58,18 @@
   readonly runner: Runner;
 }
 
-const GATE = { coldLimit: 8, maxLimit: 16, maxQueued: 32 };
+const GATE = {
+  coldLimit: 8,
+  maxLimit: 16,
+  maxQueued: 32,
+  provenAfter: 4,
+  showsProgress: false,
+};
 const LISTS = {
   current: { ...EMPTY_LISTS, version: 1 },
   isConfirmed: true,
   confirmedAgeMs: 0,
+  notice: () => {},
 } as unknown as ListsSync;
 const TRACING = new Tracing({
   to: "none",
@@ -184,6 +191,7 @@
       },
       client: (target) => links.get(target.id) as unknown as AgentClient,
       begin: () => () => {},
+      noticeLists: () => {},
       report: () => {},
       suspect: () => {},
     };
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -34,21 +34,45 @@
   readonly #filings = new Map<string, Filing>();
   readonly #waiting: (() => void)[] = [];
   #active = 0;
+  #begun = 0;
+  #calls = 0;
 
   constructor(cfg: ServiceConfig = DEFAULT_SERVICE) {
     this.#cfg = cfg;
   }
 
+  /** Bounds and speeds. */
+  get config(): ServiceConfig {
+    return this.#cfg;
+  }
+
+  /** Calls taken in so far. */
+  get begun(): number {
+    return this.#begun;
+  }
+
+  /** Calls that ran so far. */
+  get calls(): number {
+    return this.#calls;
+  }
+
   /** All filings so far. */
   get filings(): readonly Filing[] {
     return [...this.#filings.values()];
   }
 
+  /** Calls in hand. */
+  get load(): { running: number; waiting: number } {
+    return { running: this.#active, waiting: this.#waiting.length };
+  }
+
   /** Runs one operation. */
   async run(op: string, call: { input: unknown; key: string }) {
+    this.#begun += 1;
     await this.#acquire();
     try {
       await sleep(this.#cfg.callMs);
+      this.#calls += 1;
       return this.#perform(op, call);
     } finally {
       this.#release();
@@ -97,6 +121,10 @@
     c.header("x-call-id", c.req.header("x-call-id") ?? "");
     return c.json(output);
   });
+  app.get(
+    "/load",
+    (c) => c.json({ ...plain.load, cold: false, ageMs: 0 }),
+  );
   app.get("/filings", (c) => c.json(plain.filings));
   return withFaults(app, opts);
 }
