Soak: a not-run holds for every request of the key that is over

The audit compares the order of events instead of times of one millisecond, and asks whether the other request was over. A request whose caller left is not sent to a target any more.

--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -199,6 +199,7 @@
   #send(stage: Dispatch, signal: AbortSignal): Result<Sent, Refusal> {
     const { req, opts } = stage;
     if (stage.isLate) return err(tooLate());
+    if (opts.signal.aborted) return err(callerGone());
     const { directory } = this.#parts;
     const target = directory.choose(opts.pool, {
       tried: stage.tried,
@@ -441,6 +442,13 @@
   );
 }
 
+function callerGone(): Refusal {
+  return notRun(
+    RefusalReason.Cancelled,
+    "The caller gave the request up before the stage was sent",
+  );
+}
+
 function noTarget(pool: string): Refusal {
   return notRun(
     RefusalReason.NoTarget,
--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -24,6 +24,8 @@
   readonly requestId: string;
   readonly sentAt: number;
   readonly toldAt: number;
+  /** Place of the answer in the order of the execution log. */
+  readonly toldOrder: number;
   readonly told: "done" | "nothing" | Proof;
   readonly reason?: string;
   /** Output, when done. */
@@ -133,6 +135,7 @@
     const { shell, runner } = this.#pick(this.#fleet.entries);
     const sentAt = monotonicMs();
     const texts: string[] = [];
+    const left = new AbortController();
     const { pauses, isPaused } = shell;
     const req: PipelineRequest = {
       requestId: randomUUID(),
@@ -144,11 +147,10 @@
       input: { marker },
       deadlineAt: sentAt + DEADLINE_MS,
       listsVersion: 1,
-      signal: shell.death,
+      signal: left.signal,
       onText: (_stage, text) => texts.push(text),
     };
-    this.#fleet.log.requested(req.requestId);
-    const gone = sleep(PATIENCE_MS, shell.death);
+    const gone = sleep(PATIENCE_MS, shell.death).then(() => left.abort());
     const run = shell.io().then(() => runner.run(req))
       .then(async (outcome) => {
         await shell.io();
@@ -161,6 +163,7 @@
       requestId: req.requestId,
       sentAt,
       toldAt: monotonicMs(),
+      toldOrder: this.#fleet.log.next(),
       text: texts.join(""),
       entryDisturbed: isPaused || shell.pauses > pauses || !shell.isAlive,
     };
--- a/src/soak/sim_target.ts
+++ b/src/soak/sim_target.ts
@@ -33,19 +33,19 @@
   readonly requestId: string;
   readonly key: string;
   readonly marker: string;
-  readonly at: number;
-  /** Monotonic time at which the request was sent, in milliseconds. */
-  readonly requestedAt: number;
+  /** Place of the run in the order of what happened. */
+  readonly order: number;
 }
 
 /** What all targets ran, for the audit. */
 export class ExecutionLog {
   readonly executions: Execution[] = [];
-  readonly #requestedAt = new Map<string, number>();
+  #order = 0;
 
-  /** Notes when a request was sent. */
-  requested(requestId: string): void {
-    this.#requestedAt.set(requestId, performance.now());
+  /** Next place in the order of what happens. */
+  next(): number {
+    this.#order += 1;
+    return this.#order;
   }
 
   add(call: StageCall): void {
@@ -54,8 +54,7 @@
       requestId: call.requestId,
       key: call.idempotencyKey ?? "",
       marker: markerOf(call.input),
-      at: performance.now(),
-      requestedAt: this.#requestedAt.get(call.requestId) ?? 0,
+      order: this.next(),
     });
   }
 }
