--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,11 +10,13 @@
 import type { RegisterCommands } from "./command.ts";
 import { daemonCommands } from "./daemon_commands.ts";
 import { listsCommands } from "./lists_commands.ts";
+import { outcomesCommands } from "./outcomes_commands.ts";
 import { statusCommands } from "./status_commands.ts";
 
 const GROUPS: readonly RegisterCommands[] = [
   daemonCommands,
   listsCommands,
+  outcomesCommands,
   statusCommands,
 ];
 
