--- a/src/launch/demo.ts
+++ b/src/launch/demo.ts
@@ -9,6 +9,9 @@
 import { audit, type Outcome, runLoad, summarise } from "../load/mod.ts";
 import { RunningDeployment } from "./deployment.ts";
 
+const ALL_NAMES = ["lindqvist", "abay"];
+/** Deployments to run; all of them without arguments. */
+const NAMES = process.argv.length > 2 ? process.argv.slice(2) : ALL_NAMES;
 const SEED = 1;
 const RATE_PER_S = 40;
 const DURATION_S = 16;
@@ -25,7 +28,7 @@
 
 const startedAt = Date.now();
 const deployments = await Promise.all(
-  ["lindqvist", "abay"].map((name, i) =>
+  NAMES.map((name, i) =>
     RunningDeployment.start(name, {
       basePort: FIRST_PORT + i * PORTS_PER_DEPLOYMENT,
       seed: SEED,
