--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -79,3 +79,17 @@
   EntrySettings,
   "listen" | "maxBodyBytes" | "seed"
 >;
+
+/** Settings that are described in the reference. */
+export const loadableSchemas = [
+  {
+    title: "Entry",
+    command: "cassiapost entry --settings FILE",
+    schema: entrySettingsSchema,
+  },
+  {
+    title: "Agent",
+    command: "cassiapost agent --settings FILE",
+    schema: agentSettingsSchema,
+  },
+] as const;
--- a/src/kernel/mod.ts
+++ b/src/kernel/mod.ts
@@ -9,3 +9,4 @@
 export * from "./queue.ts";
 export * from "./sleep.ts";
 export * from "./random.ts";
+export * from "./watchdog.ts";
