Let the load tool repeat, burst, stream and follow the balancer

A caller behind the platform's balancer does not end when one entry refuses its connection; the tool did, which counted refused connections as lost requests. It now takes the next entry, repeats what did not run under the same key when told to, sends bursts and shared documents, reads streams and reports first-text and gap quantiles. 'cassiapost load' prints the figures. Mutations seen to fail are named in the tests.

--- a/src/agent/mod.ts
+++ b/src/agent/mod.ts
@@ -11,3 +11,4 @@
 export * from "./target_client.ts";
 export { EngineClient } from "./engine_client.ts";
 export { ServiceClient } from "./service_client.ts";
+export { readSse } from "./sse.ts";
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,10 +10,12 @@
 import type { RegisterCommands } from "./command.ts";
 import { daemonCommands } from "./daemon_commands.ts";
 import { listsCommands } from "./lists_commands.ts";
+import { loadCommands } from "./load_commands.ts";
 
 const GROUPS: readonly RegisterCommands[] = [
   daemonCommands,
   listsCommands,
+  loadCommands,
 ];
 
 const PACKAGE_URL = new URL("../../../package.json", import.meta.url);
--- a/src/load/arrivals.ts
+++ b/src/load/arrivals.ts
@@ -16,18 +16,23 @@
   readonly key: string;
   readonly customer: LoadSettings["customers"][number];
   readonly work: LoadSettings["mix"][number];
+  /** Text that the request shares with others. */
+  readonly document?: string;
 }
 
 const MS_PER_S = 1000;
 
-/** Plans Poisson arrivals over the length of the run. */
+/** Plans Poisson arrivals, with bursts, over the length of the run. */
 export function planArrivals(cfg: LoadSettings): readonly Arrival[] {
   const random = seededRandom(cfg.seed);
+  const peak = cfg.bursts?.factor ?? 1;
   const arrivals: Arrival[] = [];
   let atMs = 0;
   while (true) {
-    atMs += -Math.log(1 - random()) / cfg.ratePerS * MS_PER_S;
+    // Thinning: draws at the highest rate, kept by the rate of the moment.
+    atMs += -Math.log(1 - random()) / (cfg.ratePerS * peak) * MS_PER_S;
     if (atMs >= cfg.durationS * MS_PER_S) return arrivals;
+    if (peak > 1 && random() >= factorAt(cfg, atMs) / peak) continue;
     const marker = `m${cfg.seed}-${arrivals.length}`;
     arrivals.push({
       atMs,
@@ -35,10 +40,29 @@
       key: `k-${marker}`,
       customer: pickWeighted(cfg.customers, random()),
       work: pickWeighted(cfg.mix, random()),
+      document: documentAt(cfg, random),
     });
   }
 }
 
+/** Arrivals at a time as a multiple of the mean rate outside bursts. */
+function factorAt({ bursts }: LoadSettings, atMs: number): number {
+  if (!bursts) return 1;
+  const intoMs = atMs % (bursts.everyS * MS_PER_S);
+  return intoMs < bursts.lengthS * MS_PER_S ? bursts.factor : 1;
+}
+
+/** One of the shared documents; each is as long as the settings say. */
+function documentAt(
+  { documents }: LoadSettings,
+  random: () => number,
+): string | undefined {
+  if (!documents) return undefined;
+  const sentence = `Document ${Math.floor(random() * documents.count)}. `;
+  return sentence.repeat(Math.ceil(documents.chars / sentence.length))
+    .slice(0, documents.chars);
+}
+
 function pickWeighted<T extends { weight: number }>(
   items: readonly T[],
   at: number,
--- /dev/null
+++ b/src/load/arrivals_test.ts
@@ -0,0 +1,38 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { planArrivals } from "./arrivals.ts";
+import type { LoadSettings } from "./settings.ts";
+
+const settings = (over: Partial<LoadSettings> = {}): LoadSettings => ({
+  entryUrls: ["http://127.0.0.1:1"],
+  customers: [{ id: "c", key: "k", weight: 1 }],
+  mix: [{ pipeline: "p", weight: 1, deadlineMs: 1_000, files: false }],
+  ratePerS: 100,
+  durationS: 60,
+  seed: 5,
+  ...over,
+});
+
+test("planArrivals() keeps the mean rate and repeats for a seed", () => {
+  const plan = planArrivals(settings());
+  assert.ok(Math.abs(plan.length - 6_000) < 300);
+  assert.deepEqual(plan, planArrivals(settings()));
+});
+
+// Seen to fail with factorAt() always 1.
+test("planArrivals() sends bursts at a multiple of the mean rate", () => {
+  const bursts = { everyS: 10, lengthS: 2, factor: 4 };
+  const plan = planArrivals(settings({ bursts }));
+  const inBurst = plan.filter(({ atMs }) => atMs % 10_000 < 2_000).length;
+  const outside = plan.length - inBurst;
+  assert.ok(Math.abs(inBurst / 12 - 400) < 40);
+  assert.ok(Math.abs(outside / 48 - 100) < 10);
+});
+
+test("planArrivals() shares a bounded number of documents", () => {
+  const documents = { count: 3, chars: 500 };
+  const plan = planArrivals(settings({ documents }));
+  const texts = new Set(plan.map(({ document }) => document));
+  assert.equal(texts.size, 3);
+  assert.ok([...texts].every((text) => text?.length === 500));
+});
--- a/src/load/audit.ts
+++ b/src/load/audit.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type Outcome, Told } from "./run.ts";
+import { type Outcome, Told } from "./caller.ts";
 
 /** A filing as a service recorded it. */
 export interface FilingRecord {
--- a/src/load/report.ts
+++ b/src/load/report.ts
@@ -5,7 +5,7 @@
  */
 
 import { Durations, type DurationSummary } from "../telemetry/mod.ts";
-import { type Outcome, Told } from "./run.ts";
+import { type Outcome, Told } from "./caller.ts";
 
 /** Mean cost of one stage for each finished request. */
 export interface StageCostSummary {
@@ -25,6 +25,12 @@
   readonly outcomeUnknown: number;
   readonly unanswered: number;
   readonly latency: DurationSummary;
+  /** Time from the planned arrival to the first text; streams only. */
+  readonly firstText: DurationSummary;
+  /** Time between two pieces of text; streams only. */
+  readonly textGap: DurationSummary;
+  /** Requests that were sent more than once. */
+  readonly repeated: number;
   readonly reasons: Readonly<Record<string, number>>;
   /** By `pipeline/stage`. */
   readonly costByStage: Readonly<Record<string, StageCostSummary>>;
@@ -36,8 +42,6 @@
   const inTime = done.filter(({ latencyMs, arrival }) =>
     latencyMs <= arrival.work.deadlineMs
   );
-  const latency = new Durations();
-  done.forEach(({ latencyMs }) => latency.record(latencyMs));
   return {
     requests: outcomes.length,
     attainment: outcomes.length === 0 ? 1 : inTime.length / outcomes.length,
@@ -45,12 +49,21 @@
     refused: count(outcomes, Told.NotRun),
     outcomeUnknown: count(outcomes, Told.OutcomeUnknown),
     unanswered: count(outcomes, Told.Nothing),
-    latency: latency.summary(),
+    latency: summaryOf(done.map(({ latencyMs }) => latencyMs)),
+    firstText: summaryOf(done.flatMap(({ firstTextMs }) => firstTextMs ?? [])),
+    textGap: summaryOf(done.flatMap(({ textGapsMs }) => textGapsMs)),
+    repeated: outcomes.filter(({ sends }) => sends > 1).length,
     reasons: reasonsOf(outcomes),
     costByStage: costsOf(done),
   };
 }
 
+function summaryOf(values: readonly number[]): DurationSummary {
+  const durations = new Durations();
+  values.forEach((ms) => durations.record(ms));
+  return durations.summary();
+}
+
 function count(outcomes: readonly Outcome[], told: Told): number {
   return outcomes.filter((outcome) => outcome.told === told).length;
 }
--- a/src/load/settings.ts
+++ b/src/load/settings.ts
@@ -28,6 +28,24 @@
   ratePerS: z.number().positive().describe("Mean arrivals per second"),
   durationS: z.number().positive().describe("Length of the run, in s"),
   seed: z.int().default(1).describe("Seed of arrivals and choices"),
+  streaming: z.boolean().optional()
+    .describe("True to ask for streams and to measure tokens"),
+  bursts: z.strictObject({
+    everyS: z.number().positive().describe("Time between bursts, in s"),
+    lengthS: z.number().positive().describe("Length of a burst, in s"),
+    factor: z.number().min(1)
+      .describe("Arrivals in a burst as a multiple of the mean rate"),
+  }).optional().describe("Bursts on top of the mean rate"),
+  documents: z.strictObject({
+    count: z.int().positive().describe("Number of shared documents"),
+    chars: z.int().positive().describe("Length of a document, in characters"),
+  }).optional().describe("Documents that requests share as prompt prefixes"),
+  repeats: z.strictObject({
+    notRun: z.int().nonnegative().default(0)
+      .describe("Repeats, with the same key, after not-run with Retry-After"),
+    lost: z.int().nonnegative().default(0)
+      .describe("Repeats, with the same key, after a lost connection"),
+  }).optional().describe("What callers repeat within their deadline"),
 });
 
 /** Settings of a load run. */
