--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -138,6 +138,11 @@
     }
   }
 
+  /** Takes notice of the lists version on which an agent acts. */
+  noticeLists(version: number): void {
+    this.#lists.notice(version);
+  }
+
   /** Takes notice of a target that could not be reached. */
   suspect(target: Target): void {
     this.#known.of(target).suspectedUntil = monotonicMs() + SUSPECT_MS;
