--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -7,9 +7,11 @@
 import { cac } from "cac";
 import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
+import { overhead } from "./overhead.ts";
 
 const EXPERIMENTS: readonly Experiment[] = [
   domainOut,
+  overhead,
 ];
 
 const DEFAULT_SEED = 1;
--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -140,7 +140,7 @@
 
   /** Takes notice of the lists version on which an agent acts. */
   noticeLists(version: number): void {
-    this.#lists.notice(version);
+    this.#opts.lists.notice(version);
   }
 
   /** Takes notice of a target that could not be reached. */
--- a/src/launch/fleet.ts
+++ b/src/launch/fleet.ts
@@ -60,6 +60,11 @@
     return [...this.#members.keys()].filter((name) => name.startsWith(prefix));
   }
 
+  /** Number of the operating system for a process. */
+  pid(name: string): number {
+    return this.#member(name).child.pid ?? 0;
+  }
+
   /** Sends a signal to a process. */
   signal(name: string, signal: NodeJS.Signals): void {
     this.#member(name).child.kill(signal);
--- /dev/null
+++ b/src/launch/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Launcher of deployments on loopback; a development tool.
+ *
+ * @module
+ */
+
+export * from "./deployment.ts";
+export * from "./fleet.ts";
+export * from "./topology.ts";
