--- a/src/soak/history.ts
+++ b/src/soak/history.ts
@@ -5,8 +5,7 @@
  * @module
  */
 
-import { sleep } from "../kernel/mod.ts";
-import { seededRandom } from "../standin/mod.ts";
+import { seededRandom, sleep } from "../kernel/mod.ts";
 import { auditSoak, type SoakAudit } from "./audit.ts";
 import { Callers } from "./callers.ts";
 import { noFaults, SimFleet } from "./sim_fleet.ts";
