Prove list changes, freshness and outages by random histories

Cause: the parts that carry a list change and stop a cut-off process had no proof.

Waits after a failed question no longer grow, since a process that waits long after an outage would let the others go on past the bound; evidence of an outage lasts 2.5 s, and gossip runs at twice the rate from an age of 3 s on.

--- a/src/freshness/freshness.ts
+++ b/src/freshness/freshness.ts
@@ -15,7 +15,7 @@
 /** Age above which a confirmation no longer allows new work, in ms. */
 export const MAX_CONFIRMED_AGE_MS = 4_000;
 /** Age above which an answer of a peer is no evidence of an outage, in ms. */
-export const MAX_HEARD_AGE_MS = 4_000;
+export const MAX_HEARD_AGE_MS = 2_500;
 
 /** What a process may conclude about its configuration. */
 export const Standing = {
--- /dev/null
+++ b/src/freshness/freshness_test.ts
@@ -0,0 +1,154 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { OutageRule } from "../model/mod.ts";
+import {
+  applyFreshness,
+  type Freshness,
+  type FreshnessEvent,
+  MAX_CONFIRMED_AGE_MS,
+  NO_FRESHNESS,
+  Standing,
+  standingOf,
+} from "./mod.ts";
+
+const SEED = 62;
+const DOMAINS = ["north", "south", "west"];
+
+const after = (...events: readonly FreshnessEvent[]): Freshness =>
+  events.reduce(applyFreshness, NO_FRESHNESS);
+const applied = (version: number) => ({ kind: "applied", version } as const);
+const store = (version: number, askedAt: number) =>
+  ({ kind: "store-answered", version, askedAt }) as const;
+const storeFailed = { kind: "store-failed" } as const;
+const peer = (domain: string, askedAt: number, over = {}): FreshnessEvent => ({
+  kind: "peer-answered",
+  domain,
+  version: 3,
+  confirmedAgeMs: 60_000,
+  askedAt,
+  domains: DOMAINS,
+  ...over,
+});
+const at = (
+  now: number,
+  state: Freshness,
+  over: { out?: string[]; rule?: OutageRule } = {},
+) =>
+  standingOf(state, {
+    now,
+    home: "north",
+    out: [],
+    rule: OutageRule.EveryDomain,
+    ...over,
+  });
+
+test("standingOf() stops a process that reaches nobody", () => {
+  const state = after(applied(3), store(3, 0), storeFailed);
+  assert.equal(at(MAX_CONFIRMED_AGE_MS, state), Standing.Confirmed);
+  assert.equal(at(MAX_CONFIRMED_AGE_MS + 1, state), Standing.CutOff);
+});
+
+test("standingOf() goes on in an outage while every domain agrees", () => {
+  const base = [applied(3), store(3, 0), storeFailed];
+  const all = after(...base, peer("south", 9_000), peer("west", 9_000));
+  assert.equal(at(10_000, all), Standing.Outage);
+  assert.equal(at(11_501, all), Standing.CutOff);
+  const one = after(...base, peer("south", 9_000));
+  assert.equal(at(10_000, one), Standing.CutOff);
+  assert.equal(at(10_000, one, { out: ["west"] }), Standing.Outage);
+  const rule = OutageRule.Majority;
+  assert.equal(at(10_000, one, { rule }), Standing.Outage);
+  const older = after(
+    ...base,
+    peer("south", 9_000),
+    peer("west", 9_000, { version: 2 }),
+  );
+  assert.equal(at(10_000, older), Standing.CutOff);
+});
+
+test("standingOf() does not serve before any lists are known", () => {
+  const state = after(storeFailed, peer("south", 9_000), peer("west", 9_000));
+  assert.equal(at(10_000, state), Standing.Unknown);
+});
+
+test("applyFreshness() keeps a version that a newer one follows unconfirmed", () => {
+  const state = after(
+    applied(3),
+    peer("south", 9_000, {
+      version: 4,
+      confirmedAgeMs: 0,
+    }),
+  );
+  assert.equal(state.confirmedAt, undefined);
+});
+
+/** One step of a history of one process, its peers and the store. */
+const step = fc.record({
+  afterMs: fc.nat(1_500),
+  what: fc.constantFrom(
+    "accept",
+    "ask-store",
+    "lose-store",
+    "ask-peer",
+    "pause",
+  ),
+  peer: fc.nat(2),
+  /** Time between a question and the processing of its answer. */
+  transitMs: fc.oneof(fc.nat(50), fc.nat(8_000)),
+});
+
+test("applyFreshness() never confirms past a change that is not in force", () => {
+  // Fails when a peer's age counts from the answer, when a confirmation of a
+  // newer version is taken, or when an unknown age counts as zero.
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 80 }), (steps) => {
+      const acceptedAt = [0];
+      const states = DOMAINS.map(() => NO_FRESHNESS);
+      let now = 0;
+      const newestAt = (time: number) =>
+        acceptedAt.findLastIndex((accepted) => accepted <= time) + 1;
+      steps.forEach(({ afterMs, what, peer, transitMs }, i) => {
+        now += afterMs;
+        const self = i % DOMAINS.length;
+        const askedAt = now;
+        const answeredAt = now + transitMs / 2;
+        const state = states[self] as Freshness;
+        if (what === "accept") acceptedAt.push(now);
+        if (what === "lose-store") states[self] = after(storeFailed);
+        if (what === "pause") now += 10_000;
+        if (what === "ask-store") {
+          now = askedAt + transitMs;
+          const version = newestAt(answeredAt);
+          states[self] = [applied(version), store(version, askedAt)]
+            .reduce(applyFreshness, state);
+        }
+        if (what === "ask-peer") {
+          const other = states[peer] as Freshness;
+          const age = other.confirmedAt === undefined
+            ? Infinity
+            : answeredAt - other.confirmedAt;
+          now = askedAt + transitMs;
+          states[self] = [
+            // Half of the answers bring only the statement, not the lists.
+            ...(transitMs % 2 === 0 ? [applied(other.version)] : []),
+            {
+              kind: "peer-answered" as const,
+              domain: DOMAINS[peer] as string,
+              version: other.version,
+              confirmedAgeMs: age,
+              askedAt,
+              domains: DOMAINS,
+            },
+          ].reduce(applyFreshness, state);
+        }
+        states.forEach(({ confirmedAt, version }) =>
+          assert.ok(
+            confirmedAt === undefined || newestAt(confirmedAt) <= version,
+          )
+        );
+      });
+    }),
+    { seed: SEED, numRuns: 2_000 },
+  );
+});
--- a/src/process/gossip.ts
+++ b/src/process/gossip.ts
@@ -16,10 +16,13 @@
   PeerClient,
   PeerInfo,
 } from "../wire/mod.ts";
+import { ASK_AGE_MS } from "./pacing.ts";
 import type { PeerBook } from "./peers.ts";
 
 /** Time between two rounds, in milliseconds. */
 const ROUND_MS = 500;
+/** The same while the lists are about to count as unconfirmed. */
+const URGENT_ROUND_MS = 250;
 /** Peers that are offered a new version at once. */
 const OFFERS = 3;
 /** Longest wait for a peer's answer, in milliseconds. */
@@ -31,6 +34,7 @@
 export interface GossipSide {
   readonly info: PeerInfo;
   readonly version: number;
+  readonly confirmedAgeMs: number;
   /** Takes a peer's answer to a question asked at `askedAt`. */
   onAnswer(answer: GossipAnswer, askedAt: number): void;
 }
@@ -62,7 +66,10 @@
     while (!signal.aborted) {
       const peer = this.#book.next(monotonicMs());
       if (peer) void this.ask(peer, signal);
-      await sleep(ROUND_MS * (0.75 + this.#random() / 2), signal);
+      const round = this.#side.confirmedAgeMs > ASK_AGE_MS
+        ? URGENT_ROUND_MS
+        : ROUND_MS;
+      await sleep(round * (0.75 + this.#random() / 2), signal);
     }
   }
 
--- a/src/process/lists_sync.ts
+++ b/src/process/lists_sync.ts
@@ -14,7 +14,7 @@
   Standing,
   standingOf,
 } from "../freshness/mod.ts";
-import { invariant, monotonicMs, sleep } from "../kernel/mod.ts";
+import { invariant, monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
 import {
   applyUpdate,
   EMPTY_HISTORY,
@@ -39,6 +39,8 @@
 
 /** Time between two looks at what is due, in milliseconds. */
 const TICK_MS = 200;
+/** Longest wait for the store's answer, in milliseconds. */
+const STORE_ANSWER_MS = 1_000;
 /** Time between two reads of the registrations, for each known process. */
 const PEERS_MS_PER_PROCESS = 500;
 const MIN_PEERS_MS = 10_000;
@@ -226,9 +228,9 @@
     const asked = await readNewerLists(
       this.#opts.table,
       this.version,
-      signal,
+      timeoutSignal(STORE_ANSWER_MS, signal),
     );
-    this.#pacing = applyAsked(this.#pacing, {
+    this.#pacing = applyAsked({
       now: monotonicMs(),
       ok: asked.isOk(),
       fleet: this.#book.size + 1,
--- a/src/process/pacing.ts
+++ b/src/process/pacing.ts
@@ -5,24 +5,18 @@
  * @module
  */
 
-/** Reads of the lists that the whole fleet makes in a second. */
+/** Reads of the lists that the whole fleet makes in a second; jitter adds up to a half. */
 export const FLEET_READS_PER_S = 100;
-/** Shortest time between two questions of one process, in milliseconds. */
+/** Usual time between two questions in a small fleet, in milliseconds. */
 const MIN_INTERVAL_MS = 1_000;
 /** Confirmed age above which a process asks out of turn, in milliseconds. */
 export const ASK_AGE_MS = 3_000;
-/** Longest wait after failures in a small fleet, in milliseconds. */
-const MAX_BACKOFF_MS = 4_000;
-/** Largest shift of a time, as a share of the interval. */
+/** Largest cut of an interval, as a share of it. */
 const JITTER = 0.5;
 const MS_PER_S = 1_000;
 
 /** Questions of one process; times are monotonic, in milliseconds. */
 export interface Pacing {
-  /** Time of the last question. */
-  readonly askedAt: number;
-  /** Failures since the last answer. */
-  readonly failures: number;
   /** Time from which the next question is due. */
   readonly dueAt: number;
   /** Earliest time of a question out of turn. */
@@ -30,16 +24,14 @@
 }
 
 /** Pacing of a process that has not asked yet. */
-export const NO_PACING: Pacing = {
-  askedAt: -Infinity,
-  failures: 0,
-  dueAt: -Infinity,
-  earliestAt: -Infinity,
-};
+export const NO_PACING: Pacing = { dueAt: -Infinity, earliestAt: -Infinity };
 
-/** Pacing after a question at time `now` among `fleet` processes. */
+/**
+ * Pacing after a question at time `now` among `fleet` processes. After a
+ * failure there is no question out of turn, so that a store that is out or
+ * limits its callers gets no more than the usual rate.
+ */
 export function applyAsked(
-  before: Pacing,
   opts: { now: number; ok: boolean; fleet: number; random: () => number },
 ): Pacing {
   const { now, ok, fleet } = opts;
@@ -47,23 +39,9 @@
     MIN_INTERVAL_MS,
     fleet / FLEET_READS_PER_S * MS_PER_S,
   );
-  const jitter = 1 - JITTER + 2 * JITTER * opts.random();
-  if (ok) {
-    const dueAt = now + interval * jitter;
-    const earliestAt = now + Math.min(interval, MIN_INTERVAL_MS) * jitter;
-    return { askedAt: now, failures: 0, dueAt, earliestAt };
-  }
-  const backoff = Math.min(
-    MIN_INTERVAL_MS * 2 ** before.failures,
-    Math.max(MAX_BACKOFF_MS, interval),
-  );
-  const dueAt = now + backoff * jitter;
-  return {
-    askedAt: now,
-    failures: before.failures + 1,
-    dueAt,
-    earliestAt: dueAt,
-  };
+  const share = 1 - JITTER * opts.random();
+  const dueAt = now + interval * share;
+  return { dueAt, earliestAt: ok ? now + MIN_INTERVAL_MS * share : dueAt };
 }
 
 /** True when the process should ask now. */
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -12,8 +12,8 @@
 const TARGET_PREFIX = "target/";
 const ENTRY_PREFIX = "entry/";
 /** Time after which a peer that did not answer is asked again, in ms. */
-const RETRY_MS = 2_000;
-const MAX_RETRY_MS = 30_000;
+const RETRY_MS = 1_000;
+const MAX_RETRY_MS = 5_000;
 
 interface Known {
   readonly info: PeerInfo;
