--- a/src/cli/lists_commands.ts
+++ b/src/cli/lists_commands.ts
@@ -9,7 +9,7 @@
 import type { AvailabilityOrder } from "../lists/mod.ts";
 import type { Lists } from "../model/mod.ts";
 import { HttpTable, type Table } from "../platform/mod.ts";
-import { defaultTableUrl } from "./command.ts";
+import { tableUrlOf } from "./command.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 import {
   type Accepted,
@@ -50,9 +50,7 @@
 
 function withFlags(command: ReturnType<CAC["command"]>) {
   return command
-    .option("--table <url>", "Base URL of the table service", {
-      default: defaultTableUrl(),
-    })
+    .option("--table <url>", "Base URL of the table service")
     .option(
       "--wait <seconds>",
       `Longest wait for the change to be in force (${DEFAULT_WAIT_S})`,
@@ -62,11 +60,7 @@
 
 /** Table service of a command. */
 export function tableOf(flags: { table?: string }): Table {
-  if (flags.table) return new HttpTable(flags.table);
-  throw new CommandError(
-    ExitCode.Usage,
-    "Name the table service with --table or CASSIAPOST_TABLE_URL",
-  );
+  return new HttpTable(tableUrlOf(flags));
 }
 
 async function runLists(
--- a/src/cli/status_commands.ts
+++ b/src/cli/status_commands.ts
@@ -7,7 +7,6 @@
 import type { CAC } from "cac";
 import { readLists, readPeers } from "../process/mod.ts";
 import { connectPeers } from "../wire/mod.ts";
-import { defaultTableUrl } from "./command.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 import { tableOf } from "./lists_commands.ts";
 import { askAll, type Asked } from "./rollout.ts";
@@ -20,9 +19,7 @@
 /** Adds `status`. */
 export function statusCommands(cli: CAC): void {
   cli.command("status", "Show each process and the lists it acts on")
-    .option("--table <url>", "Base URL of the table service", {
-      default: defaultTableUrl(),
-    })
+    .option("--table <url>", "Base URL of the table service")
     .option("--json", "Print JSON")
     .action(runStatus);
 }
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -32,8 +32,8 @@
 
 /** What the front is made of. */
 export interface FrontParts {
-  readonly runner: Runner;
-  readonly lists: ListsSync;
+  readonly runner: Pick<Runner, "run"> & Partial<Pick<Runner, "confirm">>;
+  readonly lists: Pick<ListsSync, "current" | "isConfirmed">;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
   readonly log: Logger;
@@ -61,7 +61,7 @@
     app.use(bodyLimit({
       maxSize: this.#parts.maxBodyBytes,
       onError: () =>
-        refuse(notRun(RefusalReason.BadRequest, "The body is too large")),
+        refuse(notRun(RefusalReason.BodyTooLarge, "The body is too large")),
     }));
     app.post("/v1/pipelines/:name", (c) => this.#serve(c));
     app.get(
@@ -72,18 +72,19 @@
     app.notFound(() =>
       refuse(notRun(RefusalReason.UnknownPipeline, "No such resource"))
     );
-    app.onError((failure) => this.#onError(failure));
+    app.onError((failure) => refuse(this.#internal(failure)));
     return app;
   }
 
-  #onError(failure: Error): Response {
+  /** Refusal of a request that failed by a fault of the entry itself. */
+  #internal(failure: Error): Refusal {
     this.#parts.log.error("request_failed", {
       detail: failure.stack ?? failure.message,
     });
-    return refuse(outcomeUnknown(
+    return outcomeUnknown(
       RefusalReason.Internal,
       "The request failed inside the entry",
-    ));
+    );
   }
 
   /** Stops taking requests and resolves once none is in hand. */
@@ -94,7 +95,9 @@
 
   async #serve(c: Context): Promise<Response> {
     const checked = await this.#check(c);
-    if (checked.isErr()) return refuse(checked.error);
+    if (checked.isErr()) {
+      return refuse(await this.#confirm(c, checked.error));
+    }
     const req = checked.value;
     c.header("x-request-id", req.requestId);
     c.header("idempotency-key", req.key);
@@ -143,7 +146,8 @@
       parent: req.traceparent,
       attributes: { request: req.requestId, pipeline: req.spec.name },
     });
-    const work = runner.run({ ...req, traceparent: span.traceparent });
+    const work = runner.run({ ...req, traceparent: span.traceparent })
+      .catch((failure: Error) => err(this.#internal(failure)));
     this.#inHand.add(work);
     const outcome = await work.finally(() => this.#inHand.delete(work));
     const result = outcome.isOk() ? "done" : outcome.error.reason;
@@ -182,15 +186,34 @@
       ...caller.value,
       spec: spec.value,
       key: key.value,
+      keyGiven: isKeyGiven(c),
       input: input.value,
       deadlineAt: monotonicMs() + deadlineMs.value,
       listsVersion: lists.current.version,
       signal: c.req.raw.signal,
       traceparent: c.req.header("traceparent"),
-      onText: () => {},
     });
   }
 
+  /** Makes sure that a "not run" of a request that is not let in is true. */
+  async #confirm(c: Context, refusal: Refusal): Promise<Refusal> {
+    const { runner, lists } = this.#parts;
+    const caller = this.#authenticate(c);
+    const key = keyOf(c);
+    if (caller.isErr() || key.isErr() || !runner.confirm) return refusal;
+    const spec = this.#pipeline(c, caller.value.plan);
+    if (spec.isErr()) return refusal;
+    return await runner.confirm({
+      requestId: randomUUID(),
+      ...caller.value,
+      spec: spec.value,
+      key: key.value,
+      keyGiven: isKeyGiven(c),
+      input: null,
+      listsVersion: lists.current.version,
+    }, refusal);
+  }
+
   #authenticate(
     c: Context,
   ): Result<{ customer: Customer; plan: Plan }, Refusal> {
@@ -242,6 +265,11 @@
   ));
 }
 
+/** True when the caller sent a key of its own. */
+function isKeyGiven(c: Context): boolean {
+  return c.req.header("idempotency-key") !== undefined;
+}
+
 async function inputOf(c: Context): Promise<Result<unknown, Refusal>> {
   try {
     const body: unknown = await c.req.json();
@@ -265,8 +293,8 @@
     output: last?.output ?? null,
     digest: last?.digest ?? "",
     replayed: last?.replayed ?? false,
-    stages: results.map((result, i) => ({
-      stage: req.spec.stages[i]?.name,
+    stages: results.map((result) => ({
+      stage: result.stage,
       target: result.target,
       tokens: result.tokens,
       serviceMs: result.serviceMs,
--- a/src/model/refusal.ts
+++ b/src/model/refusal.ts
@@ -17,6 +17,7 @@
 /** Why a request or a stage call was refused. */
 export const RefusalReason = {
   BadRequest: "bad-request",
+  BodyTooLarge: "body-too-large",
   Unauthenticated: "unauthenticated",
   NotPermitted: "not-permitted",
   UnknownPipeline: "unknown-pipeline",
@@ -34,8 +35,10 @@
   KeyConflict: "key-conflict",
   KeyRunning: "key-running",
   KeyUnknown: "key-unknown",
+  Superseded: "superseded",
   NotConfirmed: "configuration-not-confirmed",
   Silent: "connection-silent",
+  BrokenAnswer: "broken-answer",
   Cancelled: "cancelled",
   Internal: "internal",
 } as const;
--- a/src/wire/client.ts
+++ b/src/wire/client.ts
@@ -5,10 +5,11 @@
  */
 
 import { createTRPCClient, httpBatchStreamLink, httpLink } from "@trpc/client";
-import { Agent, fetch as undiciFetch } from "undici";
+import { type Agent, fetch as undiciFetch } from "undici";
 import { timeoutSignal } from "../kernel/mod.ts";
 import type { ListsUpdate } from "../lists/mod.ts";
 import type { CallEvent, StageCall } from "../model/mod.ts";
+import type { KeyStore } from "../tls/mod.ts";
 import type {
   GossipAnswer,
   GossipQuestion,
@@ -16,19 +17,21 @@
   PeerState,
   TargetState,
 } from "./api.ts";
+import { createDispatcher } from "./connector.ts";
 import { type AgentRouter, type PeerRouter, TRPC_PATH } from "./router.ts";
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const ANSWER_TIMEOUT_MS = 2_000;
-const KEEP_ALIVE_MS = 10_000;
-/** Connections to one process; streams share none with each other. */
-const MAX_CONNECTIONS = 256;
 
 /** Speaks to the agent beside a target. */
 export interface AgentClient extends PeerClient {
   /** Starts a stage call. The iteration throws when the connection fails. */
   call(call: StageCall, signal: AbortSignal): Promise<AsyncIterable<CallEvent>>;
   targetState(signal?: AbortSignal): Promise<TargetState>;
+  /**
+   * Uses new connections from now on. Streams that are open go on; idle
+   * connections, which may have gone silent, are closed.
+   */
+  renew?(): void;
 }
 
 /** Speaks to any process of the system. */
@@ -48,13 +51,19 @@
 
 /** Client of an agent over tRPC. */
 export class TrpcAgentClient implements AgentClient {
-  readonly #dispatcher = createDispatcher();
+  #dispatcher: Agent;
+  readonly #keys: KeyStore | undefined;
   readonly #unary;
   readonly #streaming;
 
   /** `url` is the base URL of the agent's control address. */
-  constructor(url: string) {
-    const link = { url: url + TRPC_PATH, fetch: fetchBy(this.#dispatcher) };
+  constructor(url: string, keys?: KeyStore) {
+    this.#keys = keys;
+    this.#dispatcher = createDispatcher(keys);
+    const link = {
+      url: url + TRPC_PATH,
+      fetch: fetchBy(() => this.#dispatcher),
+    };
     this.#unary = createTRPCClient<AgentRouter>({ links: [httpLink(link)] });
     this.#streaming = createTRPCClient<AgentRouter>({
       links: [httpBatchStreamLink({ ...link, maxItems: 1 })],
@@ -84,6 +93,12 @@
     return this.#unary.listsSince.query({ version }, withTimeout(signal));
   }
 
+  renew(): void {
+    const old = this.#dispatcher;
+    this.#dispatcher = createDispatcher(this.#keys);
+    void old.close();
+  }
+
   exchange(
     question: GossipQuestion,
     signal?: AbortSignal,
@@ -109,7 +124,10 @@
     this.#dispatcher = dispatcher;
     this.#unary = createTRPCClient<PeerRouter>({
       links: [
-        httpLink({ url: url + TRPC_PATH, fetch: fetchBy(this.#dispatcher) }),
+        httpLink({
+          url: url + TRPC_PATH,
+          fetch: fetchBy(() => this.#dispatcher),
+        }),
       ],
     });
   }
@@ -138,24 +156,17 @@
 }
 
 /** Makes clients of peers that share one set of connections. */
-export function connectPeers(): (info: PeerInfo) => PeerClient {
-  const dispatcher = createDispatcher();
+export function connectPeers(keys?: KeyStore): (info: PeerInfo) => PeerClient {
+  const dispatcher = createDispatcher(keys);
   return ({ url }) => new TrpcPeerClient(url, dispatcher);
 }
 
-function createDispatcher(): Agent {
-  return new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    connections: MAX_CONNECTIONS,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
-}
-
-function fetchBy(dispatcher: Agent): typeof fetch {
+function fetchBy(current: () => Agent): typeof fetch {
   const send = (url: unknown, init?: unknown) =>
-    undiciFetch(url as string, { ...(init as object), dispatcher });
+    undiciFetch(url as string, {
+      ...(init as object),
+      dispatcher: current(),
+    });
   return send as unknown as typeof fetch;
 }
 
