--- a/src/bench/control_cost.ts
+++ b/src/bench/control_cost.ts
@@ -49,7 +49,7 @@
 }
 
 /** The experiment `control-cost`. */
-export const CONTROL_COST: Experiment = {
+export const controlCost: Experiment = {
   name: "control-cost",
   summary: "CPU, memory and bytes of idle processes by targets and customers",
   run: async ({ seed }) => {
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -5,10 +5,14 @@
  */
 
 import { cac } from "cac";
-import { CONTROL_COST } from "./control_cost.ts";
+import { controlCost } from "./control_cost.ts";
+import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
 
-const EXPERIMENTS: readonly Experiment[] = [CONTROL_COST];
+const EXPERIMENTS: readonly Experiment[] = [
+  controlCost,
+  domainOut,
+];
 
 const DEFAULT_SEED = 1;
 
@@ -29,7 +33,9 @@
       return;
     }
     const report = await experiment.run({ seed: flags.seed });
-    console.log(JSON.stringify(report, null, flags.json ? 0 : 2));
+    const text = JSON.stringify(report, null, flags.json ? 0 : 2);
+    // Connections that went silent would keep the process alive.
+    process.stdout.write(text + "\n", () => process.exit());
   });
 cli.help();
 cli.parse();
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -11,6 +11,7 @@
   ["telemetry"],
   ["model"],
   ["config"],
+  ["tls"],
   [
     "routing",
     "admission",
@@ -27,7 +28,8 @@
   ["entry", "agent"],
   ["standin"],
   ["load"],
-  ["launch", "bench", "soak"],
+  ["launch"],
+  ["bench", "soak"],
   ["cli"],
 ];
 
