--- a/src/cli/lists_fleet_test.ts
+++ b/src/cli/lists_fleet_test.ts
@@ -3,7 +3,12 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { errAsync, ResultAsync } from "neverthrow";
-import { monotonicMs, setStrictInvariants, sleep } from "../kernel/mod.ts";
+import {
+  monotonicMs,
+  seededRandom,
+  setStrictInvariants,
+  sleep,
+} from "../kernel/mod.ts";
 import { type AvailabilityOrder, isInEffect } from "../lists/mod.ts";
 import { EMPTY_LISTS, type Lists } from "../model/mod.ts";
 import {
@@ -21,7 +26,7 @@
   readLists,
   registerEntry,
 } from "../process/mod.ts";
-import { MemoryTable, seededRandom } from "../standin/mod.ts";
+import { MemoryTable } from "../standin/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import type { PeerClient, PeerInfo } from "../wire/mod.ts";
 import { giveOrder } from "./lists.ts";
@@ -281,7 +286,7 @@
         world.check();
       }
     };
-    INFOS.forEach((info) => void registerEntry(world.table, info));
+    for (const info of INFOS) await registerEntry(world.table, info);
     const first = { availability: EMPTY_LISTS.availability };
     const accepted = acceptLists(world.store(), EMPTY_LISTS, first);
     await clock.tickAsync(STEP_MS);
@@ -422,7 +427,7 @@
   const clock = install();
   const world = new World(SEED);
   try {
-    INFOS.forEach((info) => void registerEntry(world.table, info));
+    for (const info of INFOS) await registerEntry(world.table, info);
     const first = { availability: EMPTY_LISTS.availability };
     const accepted = acceptLists(world.store(), EMPTY_LISTS, first);
     await clock.tickAsync(STEP_MS);
--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -18,7 +18,7 @@
   type TargetLoad,
 } from "../model/mod.ts";
 import { HostState } from "../platform/mod.ts";
-import { type ListsSync, type Platform, readTargets } from "../process/mod.ts";
+import { type ListsSync, Members, type Platform } from "../process/mod.ts";
 import { type EntryPlace, hashOf, prefixKey } from "../routing/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import { type AgentClient, TrpcAgentClient } from "../wire/mod.ts";
@@ -27,7 +27,7 @@
 import { type CallVerdict, PoolRouter } from "./pool_router.ts";
 import { probeSilent } from "./probe.ts";
 
-const REFRESH_MS = 1_000;
+const REFRESH_MS = 2_000;
 /** Time that an unreachable target gets no work, in milliseconds. */
 const SUSPECT_MS = 2_000;
 
@@ -70,16 +70,17 @@
 export class Directory {
   readonly #opts: DirectoryOptions;
   readonly #known: KnownTargets;
+  readonly #members: Members;
   readonly #self: EntryPlace;
   readonly #random: () => number;
   readonly #routers = new Map<PoolName, PoolRouter>();
   readonly #prefixes = new WeakMap<StageRequest, { readonly key?: string }>();
-  #targets: readonly Target[] = [];
   #leavingHosts: ReadonlySet<HostId> = new Set();
   #followed: Membership | undefined;
 
   constructor(opts: DirectoryOptions) {
     this.#opts = opts;
+    this.#members = new Members(opts.platform.table);
     this.#known = new KnownTargets(
       opts.connect ?? ((target) => new TrpcAgentClient(target.agentUrl)),
     );
@@ -145,7 +146,7 @@
 
   /** Takes notice of a target that could not be reached. */
   suspect(target: Target): void {
-    this.#known.of(target).suspectedUntil = monotonicMs() + SUSPECT_MS;
+    this.#known.suspect(target, monotonicMs() + SUSPECT_MS);
   }
 
   /** Puts changed membership in force in the routers. */
@@ -173,9 +174,9 @@
 
   #membership(): Membership {
     return {
-      targets: this.#targets,
+      targets: this.#members.targets,
       leavingHosts: this.#leavingHosts,
-      entries: this.#opts.entries?.() ?? NO_ENTRIES,
+      entries: this.#opts.entries?.() ?? this.#members.entries,
       lists: this.#opts.lists.current,
     };
   }
@@ -203,15 +204,13 @@
   }
 
   async #refresh(signal: AbortSignal): Promise<void> {
-    const { platform: { table, hosts }, log } = this.#opts;
-    const [targets, hostList] = await Promise.all([
-      readTargets(table, signal),
+    const { platform: { hosts }, log } = this.#opts;
+    const [members, hostList] = await Promise.all([
+      this.#members.refresh(signal),
       hosts.list(signal),
     ]);
-    targets.map((read) => {
-      this.#targets = read;
-    }).mapErr((err) =>
-      log.warn("targets_read_failed", { detail: err.message })
+    members.mapErr((err) =>
+      log.warn("members_read_failed", { detail: err.message })
     );
     hostList.map((entries) => {
       const leaving = entries.filter(({ state }) =>
@@ -222,8 +221,6 @@
   }
 }
 
-const NO_ENTRIES: readonly EntryPlace[] = [];
-
 function isSame(a: Membership, b: Membership): boolean {
   return a.targets === b.targets && a.leavingHosts === b.leavingHosts &&
     a.entries === b.entries && a.lists === b.lists;
--- a/src/entry/known_targets.ts
+++ b/src/entry/known_targets.ts
@@ -7,12 +7,15 @@
 
 import { monotonicMs } from "../kernel/mod.ts";
 import type { Target, TargetId, TargetLoad } from "../model/mod.ts";
+import type { TargetRow } from "../process/mod.ts";
 import type { AgentClient } from "../wire/mod.ts";
 
 /** One remembered target. Times are monotonic, in milliseconds. */
 export interface KnownTarget {
   readonly client: AgentClient;
   readonly url: string;
+  /** Process that registered the target; another one starts anew. */
+  readonly instance?: string;
   load?: TargetLoad;
   /** Time of the newest report, or of the first mention. */
   heardAt: number;
@@ -39,12 +42,14 @@
 
   /** What is known of a target; a target that has moved starts anew. */
   of(target: Target): KnownTarget {
+    const current = this.#current(target);
+    if (current) return current;
     const found = this.#known.get(target.id);
-    if (found?.url === target.agentUrl) return found;
     if (found) retire(found);
     const fresh: KnownTarget = {
       client: this.#connect(target),
       url: target.agentUrl,
+      instance: instanceOf(target),
       heardAt: monotonicMs(),
       outstanding: 0,
       begunSince: 0,
@@ -67,14 +72,29 @@
     };
   }
 
-  /** Takes notice of a load report. */
+  /** Takes notice of a load report; late ones of a replaced agent are dropped. */
   report(target: Target, load: TargetLoad): void {
-    const known = this.of(target);
+    const known = this.#current(target);
+    if (!known) return;
     known.load = load;
     known.heardAt = monotonicMs();
     known.begunSince = 0;
   }
 
+  /** Takes notice of an agent that could not be reached. */
+  suspect(target: Target, until: number): void {
+    const known = this.#current(target);
+    if (known) known.suspectedUntil = until;
+  }
+
+  /** What is known of a target unless another process has taken it over. */
+  #current(target: Target): KnownTarget | undefined {
+    const found = this.#known.get(target.id);
+    const isSame = found?.url === target.agentUrl &&
+      found.instance === instanceOf(target);
+    return isSame ? found : undefined;
+  }
+
   /** Forgets targets that are not followed any more and have no calls. */
   forgetAllBut(followed: ReadonlySet<TargetId>): void {
     [...this.#known]
@@ -86,6 +106,10 @@
   }
 }
 
+function instanceOf(target: TargetRow): string | undefined {
+  return target.stamp?.instance;
+}
+
 /** Time for which a replaced client may finish its calls, in milliseconds. */
 const RETIRE_MS = 600_000;
 
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -4,19 +4,18 @@
  * @module
  */
 
-import type { ResultAsync } from "neverthrow";
 import type { EntrySettings } from "../config/mod.ts";
 import {
-  every,
   Kernel,
   service,
   serviceKey,
   type ServiceSpec,
 } from "../kernel/mod.ts";
-import type { PlatformError } from "../platform/mod.ts";
 import {
   baseServices,
   createControlApp,
+  type EntryInfo,
+  entryKey,
   infoOf,
   Ledger,
   listen,
@@ -26,9 +25,8 @@
   LOG,
   METRICS,
   PLATFORM,
-  registerEntry,
+  Registrar,
   TRACING,
-  withdrawEntry,
 } from "../process/mod.ts";
 import { createPeerRouter, type PeerApi } from "../wire/mod.ts";
 import { Checkpoints } from "./checkpoints.ts";
@@ -40,15 +38,8 @@
 
 const DIRECTORY = serviceKey<Directory>("directory");
 const FRONT = serviceKey<Front>("front");
-/** Time between two renewals of the registration, in milliseconds. */
-const REGISTER_MS = 10_000;
-
-interface Registration {
-  withdraw(): ResultAsync<void, PlatformError>;
-}
-
-const REGISTRATION = serviceKey<Registration>("registration");
 const CONTROL = serviceKey<Listening>("control");
+const REGISTRATION = serviceKey<Registrar>("registration");
 const LISTEN = serviceKey<Listening>("listen");
 
 /** Starts an entry. */
@@ -105,6 +96,7 @@
         maxBodyBytes: cfg.maxBodyBytes,
       });
     },
+    leave: (front) => front.leave(),
     drain: (front) => front.drain(),
   });
 }
@@ -125,26 +117,6 @@
   });
 }
 
-/** Registers the entry so that operators' commands and peers find it. */
-function registrationService(cfg: EntrySettings): ServiceSpec {
-  return service({
-    key: REGISTRATION,
-    start: (ctx) => {
-      const { table } = ctx.get(PLATFORM);
-      void every(REGISTER_MS, async () => {
-        const done = await registerEntry(table, infoOf(cfg), ctx.signal);
-        done.mapErr((err) =>
-          ctx.get(LOG).warn("registration_failed", { detail: err.message })
-        );
-      }, ctx.signal);
-      return { withdraw: () => withdrawEntry(table, cfg.name) };
-    },
-    drain: async (registration) => {
-      await registration.withdraw();
-    },
-  });
-}
-
 function listenService(cfg: EntrySettings): ServiceSpec {
   return service({
     key: LISTEN,
@@ -153,10 +125,31 @@
       ctx.get(LOG).info("entry_started", { port: server.port });
       return server;
     },
+    leave: (server) => server.leave(),
     drain: (server) => server.close(),
   });
 }
 
+/** Registers the entry so that operators' commands and peers find it. */
+function registrationService(cfg: EntrySettings): ServiceSpec {
+  return service({
+    key: REGISTRATION,
+    start: (ctx) => {
+      const info: EntryInfo = { ...infoOf(cfg), host: cfg.host };
+      const registrar = new Registrar({
+        table: ctx.get(PLATFORM).table,
+        key: entryKey(cfg.name),
+        value: info,
+        log: ctx.get(LOG),
+      });
+      registrar.run(ctx.signal);
+      return registrar;
+    },
+    leave: (registrar) => registrar.leave(),
+    end: (registrar) => registrar.withdraw(),
+  });
+}
+
 function peerApi(
   lists: ListsSync,
   front: Front,
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -4,13 +4,17 @@
  * @module
  */
 
-import { okAsync, type ResultAsync } from "neverthrow";
-import type { DomainName, Target } from "../model/mod.ts";
+import type { ResultAsync } from "neverthrow";
+import type { DomainName } from "../model/mod.ts";
 import type { PlatformError, Row, Table } from "../platform/mod.ts";
 import type { PeerInfo } from "../wire/mod.ts";
+import {
+  type EntryRow,
+  isTargetKey,
+  readAllMembers,
+  type TargetRow,
+} from "./registry.ts";
 
-const TARGET_PREFIX = "target/";
-const ENTRY_PREFIX = "entry/";
 /** Time after which a peer that did not answer is asked again, in ms. */
 const RETRY_MS = 1_000;
 const MAX_RETRY_MS = 5_000;
@@ -21,57 +25,21 @@
   askAt: number;
 }
 
-/** Registers an entry, or replaces its registration. */
-export function registerEntry(
-  table: Table,
-  info: PeerInfo,
-  signal?: AbortSignal,
-): ResultAsync<void, PlatformError> {
-  const puts = [{ key: ENTRY_PREFIX + info.name, value: info }];
-  return table.commit({ checks: [], puts }, signal).map(() => undefined);
-}
-
-/** Withdraws the registration of an entry. */
-export function withdrawEntry(
-  table: Table,
-  name: string,
-): ResultAsync<void, PlatformError> {
-  const deletes = [ENTRY_PREFIX + name];
-  return table.commit({ checks: [], puts: [], deletes }).map(() => undefined);
-}
-
 /** Reads every registered process. */
 export function readPeers(
   table: Table,
   signal?: AbortSignal,
 ): ResultAsync<readonly PeerInfo[], PlatformError> {
-  return scanAll(table, TARGET_PREFIX, signal).andThen((targets) =>
-    scanAll(table, ENTRY_PREFIX, signal).map((entries) => [
-      ...targets.map(({ value }) => agentInfo(value as Target)),
-      ...entries.map(({ value }) => value as PeerInfo),
-    ])
-  );
-}
-
-function agentInfo(target: Target): PeerInfo {
-  return {
-    name: `agent-${target.id}`,
-    domain: target.domain,
-    url: target.agentUrl,
-  };
+  return readAllMembers(table, signal).map((rows) => rows.map(peerOf));
 }
 
-function scanAll(
-  table: Table,
-  prefix: string,
-  signal?: AbortSignal,
-  after?: string,
-): ResultAsync<readonly Row[], PlatformError> {
-  return table.scan(prefix, { after, signal }).andThen(({ rows, next }) =>
-    next === undefined
-      ? okAsync(rows)
-      : scanAll(table, prefix, signal, next).map((rest) => [...rows, ...rest])
-  );
+function peerOf({ key, value }: Row): PeerInfo {
+  if (isTargetKey(key)) {
+    const { id, domain, agentUrl } = value as TargetRow;
+    return { name: `agent-${id}`, domain, url: agentUrl };
+  }
+  const { name, domain, url } = value as EntryRow;
+  return { name, domain, url };
 }
 
 /** Peers that a process may ask, by their URLs. */
--- a/src/soak/sim_target.ts
+++ b/src/soak/sim_target.ts
@@ -33,19 +33,27 @@
   readonly requestId: string;
   readonly key: string;
   readonly marker: string;
-  readonly at: number;
-  /** Monotonic time at which the request was sent, in milliseconds. */
-  readonly requestedAt: number;
+  /** Place of the run in the order of what happened. */
+  readonly order: number;
+  /** Place of the request's start in the same order. */
+  readonly requestOrder: number;
 }
 
 /** What all targets ran, for the audit. */
 export class ExecutionLog {
   readonly executions: Execution[] = [];
-  readonly #requestedAt = new Map<string, number>();
+  readonly #requests = new Map<string, number>();
+  #order = 0;
 
-  /** Notes when a request was sent. */
+  /** Next place in the order of what happens. */
+  next(): number {
+    this.#order += 1;
+    return this.#order;
+  }
+
+  /** Notes the start of a request. */
   requested(requestId: string): void {
-    this.#requestedAt.set(requestId, performance.now());
+    this.#requests.set(requestId, this.next());
   }
 
   add(call: StageCall): void {
@@ -54,8 +62,8 @@
       requestId: call.requestId,
       key: call.idempotencyKey ?? "",
       marker: markerOf(call.input),
-      at: performance.now(),
-      requestedAt: this.#requestedAt.get(call.requestId) ?? 0,
+      order: this.next(),
+      requestOrder: this.#requests.get(call.requestId) ?? 0,
     });
   }
 }
