--- a/src/config/lists.ts
+++ b/src/config/lists.ts
@@ -10,6 +10,7 @@
   type Availability,
   canonicalJson,
   type CustomerList,
+  EMPTY_LISTS,
   type Lists,
   Priority,
   StageKind,
@@ -94,22 +95,35 @@
   standing: Lists,
 ): Checked<ListsFile> {
   const form = check(listsFileSchema, value);
-  const file = partsOf(value, standing);
-  const together = checkTogether(file.customers, file.use);
   const findings = [
     ...(form.isErr() ? form.error : []),
-    ...(together.isErr() ? together.error : []),
+    ...findTogether(looseLists(value, standing)),
     ...(form.isOk() ? changedAvailability(form.value, standing) : []),
   ];
   if (findings.length > 0 || form.isErr()) return Err(findings);
   const { version, customers, plans, pipelines } = form.value;
+  const use = {
+    plans: plans ?? standing.use.plans,
+    pipelines: pipelines ?? standing.use.pipelines,
+  };
   return Ok({
     version,
     customers: customers ? { customers } : undefined,
-    use: plans || pipelines ? file.use : undefined,
+    use: plans || pipelines ? use : undefined,
   });
 }
 
+/** Checks that the two lists agree with each other. */
+export function checkTogether(
+  customers: CustomerList,
+  use: UseList,
+): Checked<true> {
+  const findings = findTogether(
+    looseLists({ ...customers, ...use }, EMPTY_LISTS),
+  );
+  return findings.length === 0 ? Ok(true) : Err(findings);
+}
+
 /** A file may repeat the availability that stands; orders alone change it. */
 function changedAvailability(
   { availability }: { availability?: Availability },
@@ -124,63 +138,99 @@
     }];
 }
 
-/** The parts of well-formed members; members with faults count as absent. */
-function partsOf(
-  value: unknown,
-  standing: { customers: CustomerList; use: UseList },
-): { customers: CustomerList; use: UseList } {
-  const { customers, plans, pipelines } = listsFileSchema.shape;
-  const members = Object(value) as Record<string, unknown>;
+/** Lists whose members may have faults; a faulty name is undefined. */
+interface LooseLists {
+  readonly customers: readonly LooseCustomer[];
+  readonly plans: readonly LoosePlan[];
+  readonly pipelines: readonly LoosePipeline[];
+}
+
+interface LooseCustomer {
+  readonly id?: string;
+  readonly plan?: string;
+  readonly keySha256?: string;
+}
+
+interface LoosePlan {
+  readonly name?: string;
+  readonly pipelines: readonly (string | undefined)[];
+}
+
+interface LoosePipeline {
+  readonly name?: string;
+  readonly stages: readonly (string | undefined)[];
+}
+
+/** The names in a file, with what stands in place of absent lists. */
+function looseLists(value: unknown, standing: Lists): LooseLists {
+  const file = membersOf(value);
+  const listed = (name: string, otherwise: readonly unknown[]) =>
+    file[name] === undefined ? otherwise : itemsOf(file[name]);
   return {
-    customers: {
-      customers: customers.safeParse(members.customers).data ??
-        standing.customers.customers,
-    },
-    use: {
-      plans: plans.safeParse(members.plans).data ?? standing.use.plans,
-      pipelines: pipelines.safeParse(members.pipelines).data ??
-        standing.use.pipelines,
-    },
+    customers: listed("customers", standing.customers.customers)
+      .map(membersOf)
+      .map((one) => ({
+        id: textOf(one.id),
+        plan: textOf(one.plan),
+        keySha256: textOf(one.keySha256),
+      })),
+    plans: listed("plans", standing.use.plans).map(membersOf).map((one) => ({
+      name: textOf(one.name),
+      pipelines: itemsOf(one.pipelines).map(textOf),
+    })),
+    pipelines: listed("pipelines", standing.use.pipelines).map(membersOf)
+      .map((one) => ({
+        name: textOf(one.name),
+        stages: itemsOf(one.stages).map((stage) =>
+          textOf(membersOf(stage).name)
+        ),
+      })),
   };
 }
 
-/** Checks that the two lists agree with each other. */
-export function checkTogether(
-  customers: CustomerList,
-  use: UseList,
-): Checked<true> {
-  const findings = [
-    ...repeated(customers.customers.map((c) => c.id), "$.customers"),
-    ...repeated(customers.customers.map((c) => c.keySha256), "$.customers"),
-    ...repeated(use.plans.map((plan) => plan.name), "$.plans"),
-    ...repeated(use.pipelines.map((p) => p.name), "$.pipelines"),
-    ...unknownPlans(customers, use),
-    ...unknownPipelines(use),
-    ...use.pipelines.flatMap((pipeline, i) =>
-      repeated(
-        pipeline.stages.map((stage) => stage.name),
-        `$.pipelines[${i}].stages`,
-      )
+function membersOf(value: unknown): Record<string, unknown> {
+  return Object(value) as Record<string, unknown>;
+}
+
+function itemsOf(value: unknown): readonly unknown[] {
+  return Array.isArray(value) ? value : [];
+}
+
+function textOf(value: unknown): string | undefined {
+  return typeof value === "string" ? value : undefined;
+}
+
+/** Findings that the form of each member alone does not show. */
+function findTogether(lists: LooseLists): Finding[] {
+  const { customers, plans, pipelines } = lists;
+  return [
+    ...repeated(customers.map(({ id }) => id), "$.customers"),
+    ...repeated(customers.map((one) => one.keySha256), "$.customers"),
+    ...repeated(plans.map(({ name }) => name), "$.plans"),
+    ...repeated(pipelines.map(({ name }) => name), "$.pipelines"),
+    ...unknownPlans(lists),
+    ...unknownPipelines(lists),
+    ...pipelines.flatMap(({ stages }, i) =>
+      repeated(stages, `$.pipelines[${i}].stages`)
     ),
   ];
-  return findings.length === 0 ? Ok(true) : Err(findings);
 }
 
-function unknownPlans(customers: CustomerList, use: UseList): Finding[] {
-  const plans = new Set(use.plans.map((plan) => plan.name));
-  return customers.customers.flatMap((customer, i) =>
-    plans.has(customer.plan) ? [] : [{
+function unknownPlans({ customers, plans }: LooseLists): Finding[] {
+  const known = new Set(plans.map(({ name }) => name));
+  return customers.flatMap(({ plan }, i) =>
+    plan === undefined || known.has(plan) ? [] : [{
       path: `$.customers[${i}].plan`,
-      message: `No plan is called ${customer.plan}`,
+      message: `No plan is called ${plan}`,
     }]
   );
 }
 
-function unknownPipelines(use: UseList): Finding[] {
-  const known = new Set(use.pipelines.map((pipeline) => pipeline.name));
-  return use.plans.flatMap((plan, i) =>
+function unknownPipelines({ plans, pipelines }: LooseLists): Finding[] {
+  const known = new Set(pipelines.map(({ name }) => name));
+  return plans.flatMap((plan, i) =>
     plan.pipelines.flatMap((pipeline, j) =>
-      known.has(pipeline) ? [] : [{
+      pipeline === undefined || known.has(pipeline) ? [] : [{
         path: `$.plans[${i}].pipelines[${j}]`,
         message: `No pipeline is called ${pipeline}`,
       }]
@@ -188,9 +238,13 @@
   );
 }
 
-function repeated(names: readonly string[], path: string): Finding[] {
+function repeated(
+  names: readonly (string | undefined)[],
+  path: string,
+): Finding[] {
   const seen = new Set<string>();
   return names.flatMap((item, i) => {
+    if (item === undefined) return [];
     if (!seen.has(item)) {
       seen.add(item);
       return [];
--- a/src/standin/faults.ts
+++ b/src/standin/faults.ts
@@ -8,6 +8,10 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { sleep } from "../kernel/mod.ts";
 
+const HTTP_TOO_MANY_REQUESTS = 429;
+const HTTP_UNAVAILABLE = 503;
+const MS_PER_S = 1_000;
+
 /** Faults that every stand-in has. */
 export interface Faults {
   /** Answers every request with status 503. */
@@ -18,6 +22,10 @@
   loseAnswers: number;
   /** Requests that arrive from now on are never answered. */
   mute: boolean;
+  /** Length of alternating times of outage and service, in ms; 0 for none. */
+  flapMs: number;
+  /** Requests a second above which status 429 is answered; 0 for no limit. */
+  ratePerS: number;
 }
 
 /** Faults switched off. */
@@ -26,6 +34,8 @@
   slowMs: 0,
   loseAnswers: 0,
   mute: false,
+  flapMs: 0,
+  ratePerS: 0,
 };
 
 /** Seeded source of numbers in [0, 1). */
@@ -42,6 +52,7 @@
 ): Hono {
   const { faults } = opts;
   const random = seededRandom(opts.seed);
+  const rate = new RateLimit();
   const outer = new Hono();
   outer.post("/control", async (c) => {
     Object.assign(faults, await c.req.json());
@@ -50,7 +61,10 @@
   outer.get("/healthz", (c) => c.text("ok\n"));
   outer.use("*", async (c, next) => {
     if (faults.mute) return await new Promise<Response>(() => {});
-    if (faults.outage) return c.text("outage\n", 503);
+    if (isOut(faults)) return c.text("outage\n", HTTP_UNAVAILABLE);
+    if (!rate.admits(faults.ratePerS)) {
+      return c.text("rate limit\n", HTTP_TOO_MANY_REQUESTS);
+    }
     if (faults.slowMs > 0) await sleep(faults.slowMs);
     await next();
     if (random() < faults.loseAnswers) {
@@ -61,3 +75,23 @@
   outer.route("/", app);
   return outer;
 }
+
+/** True during an outage, and in every other period while flapping. */
+function isOut({ outage, flapMs }: Faults): boolean {
+  if (outage || flapMs <= 0) return outage;
+  return Math.floor(Date.now() / flapMs) % 2 === 1;
+}
+
+/** Counts the requests of each second. */
+class RateLimit {
+  #second = 0;
+  #count = 0;
+
+  admits(ratePerS: number): boolean {
+    const second = Math.floor(Date.now() / MS_PER_S);
+    if (second !== this.#second) this.#count = 0;
+    this.#second = second;
+    this.#count += 1;
+    return ratePerS <= 0 || this.#count <= ratePerS;
+  }
+}
