--- a/src/kernel/mod.ts
+++ b/src/kernel/mod.ts
@@ -8,4 +8,5 @@
 export * from "./kernel.ts";
 export * from "./queue.ts";
 export * from "./sleep.ts";
+export * from "./random.ts";
 export * from "./watchdog.ts";
--- a/src/standin/faults.ts
+++ b/src/standin/faults.ts
@@ -5,8 +5,7 @@
  */
 
 import { Hono } from "hono";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { sleep } from "../kernel/mod.ts";
+import { seededRandom, sleep } from "../kernel/mod.ts";
 
 const HTTP_TOO_MANY_REQUESTS = 429;
 const HTTP_UNAVAILABLE = 503;
@@ -38,13 +37,6 @@
   ratePerS: 0,
 };
 
-/** Seeded source of numbers in [0, 1). */
-export function seededRandom(seed: number): () => number {
-  const source = xoroshiro128plus(seed);
-  const UINT32_RANGE = 0x1_0000_0000;
-  return () => (source.next() >>> 0) / UINT32_RANGE;
-}
-
 /** Wraps an application: `POST /control` sets faults, the rest suffers them. */
 export function withFaults(
   app: Hono,
