Give orders to engines under a lease, judge the host list, clean up registrations

Cause: nothing gave engines their models, the host list was believed whole, a domain that came back got full load at once, and rows of dead hosts stayed.

Change: an agent reads back what its engine holds and gives the next order under a lease with a fencing number; the weight store's refusals are backed off with full jitter and adapters are loaded in an order of each target's own. A host that disappears from the list counts as gone after 10 s unless more than half of the hosts in use disappear; a leaving host returns after 5 s of being live. Targets that are out are kept cold. Dead rows are removed one a minute and process, after 10 minutes, and only under a trusted list.

Mutations seen to fail: settling time 0, gone whatever the share, leaving not avoided, cleaning without trust, cleaning at once, no cold while out, engine's fencing check off, no look at the lease before sending, no wait for the lease, no growing back-off, one adapter order for all. The agents' test does not see the missing wait for orders under way (the lease's own test does), nor the missing jitter of the back-off (the rounds are jittered as well).

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -99,6 +99,11 @@
       !this.#isSuperseded;
   }
 
+  /** Takes notice that the target has to prove itself again. */
+  targetTurnedCold(): void {
+    this.#parts.gate.report({ ageMs: 0, cold: true });
+  }
+
   /** Takes no calls while the registration is another agent's. */
   follow(registration: { readonly isSuperseded: boolean }): void {
     this.#registration = registration;
--- /dev/null
+++ b/src/agent/lease_holder.ts
@@ -0,0 +1,104 @@
+/**
+ * Holds a lease in a row of the table service.
+ *
+ * @module
+ */
+
+import { monotonicMs, sleep } from "../kernel/mod.ts";
+import {
+  applyLease,
+  createLease,
+  fenceOf,
+  type LeaseConfig,
+  type LeaseRow,
+  type LeaseState,
+  type LeaseStep,
+  mayOrder,
+  nextLeaseStep,
+  releaseStep,
+} from "../lease/mod.ts";
+import type { Row, Table } from "../platform/mod.ts";
+
+/** Longest pause before the row is looked at again, in milliseconds. */
+const LOOK_MS = 2_000;
+/** Pause after a failed call to the table service, in milliseconds. */
+const FAILED_MS = 1_000;
+
+/** A lease as one process tries to hold it. */
+export class LeaseHolder {
+  readonly #table: Table;
+  readonly #key: string;
+  #state: LeaseState;
+
+  constructor(opts: { table: Table; key: string; cfg: LeaseConfig }) {
+    this.#table = opts.table;
+    this.#key = opts.key;
+    this.#state = createLease(opts.cfg);
+  }
+
+  /** True while an order may be sent; ask right before sending it. */
+  get mayOrder(): boolean {
+    return mayOrder(this.#state, monotonicMs());
+  }
+
+  /** Fencing number of the orders under the lease. */
+  get fence(): number {
+    return fenceOf(this.#state);
+  }
+
+  /** Gets or renews the lease; false when `signal` aborted first. */
+  async acquire(signal: AbortSignal): Promise<boolean> {
+    await this.#look(signal);
+    while (!signal.aborted) {
+      const step = nextLeaseStep(this.#state, monotonicMs());
+      if (step.kind === "hold") return true;
+      if (step.kind === "wait") {
+        await sleep(Math.min(step.ms, LOOK_MS), signal);
+        await this.#look(signal);
+      } else await this.#write(step, signal);
+    }
+    return false;
+  }
+
+  /** Gives the lease up, so that others need not wait for it to lapse. */
+  async release(): Promise<void> {
+    const step = releaseStep(this.#state);
+    if (step?.kind === "write") await this.#write(step);
+  }
+
+  async #look(signal: AbortSignal): Promise<void> {
+    const read = await this.#table.read([this.#key], signal);
+    if (read.isOk()) return this.#seen(read.value[0]);
+    await sleep(FAILED_MS, signal);
+  }
+
+  async #write(
+    step: LeaseStep & { kind: "write" },
+    signal?: AbortSignal,
+  ): Promise<void> {
+    const askedAt = monotonicMs();
+    const result = await this.#table.commit({
+      checks: [{ key: this.#key, version: step.version }],
+      puts: [{ key: this.#key, value: step.row }],
+    }, signal);
+    if (result.isErr()) {
+      await sleep(FAILED_MS, signal);
+      if (signal) await this.#look(signal);
+      return;
+    }
+    if (!result.value.committed) return this.#seen(result.value.conflicts[0]);
+    const version = result.value.rows[0]?.version ?? 0;
+    const event = { kind: "written", version, row: step.row, askedAt } as const;
+    this.#state = applyLease(this.#state, event, monotonicMs());
+  }
+
+  #seen(row: Row | undefined): void {
+    if (!row) return;
+    const event = {
+      kind: "read",
+      version: row.version,
+      row: row.value as LeaseRow | null,
+    } as const;
+    this.#state = applyLease(this.#state, event, monotonicMs());
+  }
+}
--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { randomUUID } from "node:crypto";
 import type { AgentSettings } from "../config/mod.ts";
 import {
   Kernel,
@@ -27,15 +28,20 @@
 } from "../process/mod.ts";
 import { createAgentRouter } from "../wire/mod.ts";
 import { Agent } from "./agent.ts";
+import { keepColdWhileOut } from "./availability.ts";
 import { ClaimService } from "./claim_service.ts";
 import { EngineClient } from "./engine_client.ts";
+import { HttpEngineControl, ORDER_MS } from "./engine_control.ts";
 import { GateService } from "./gate_service.ts";
+import { LeaseHolder } from "./lease_holder.ts";
 import { followLoad } from "./load_poll.ts";
+import { Orders } from "./orders.ts";
 import { ServiceClient } from "./service_client.ts";
 import type { TargetClient } from "./target_client.ts";
 
 const AGENT = serviceKey<Agent>("agent");
 const CONTROL = serviceKey<Listening>("control");
+const ORDERS = serviceKey<Orders>("orders");
 const REGISTRATION = serviceKey<Registrar>("registration");
 
 /** Most calls that wait at the gate. */
@@ -43,6 +49,13 @@
 /** Successes that prove a target warm when it makes no load report. */
 const PROVEN_AFTER = 16;
 
+/** Length of a lease on the orders to an engine, in milliseconds. */
+const LEASE_MS = 10_000;
+/** Largest difference of the rates of two hosts' clocks, as a share. */
+const MAX_CLOCK_DRIFT = 0.01;
+/** Report of a target that is known to be cold. */
+const COLD_REPORT = { ageMs: 0, cold: true };
+
 /** Starts an agent. */
 export function startAgent(cfg: AgentSettings): Promise<Kernel> {
   return Kernel.start([
@@ -50,6 +63,7 @@
     agentService(cfg),
     controlService(cfg),
     registrationService(cfg),
+    ...(cfg.target.kind === TargetKind.Engine ? [ordersService(cfg)] : []),
   ]);
 }
 
@@ -57,6 +71,7 @@
   return service({
     key: AGENT,
     start: (ctx) => {
+      const target = targetOf(cfg, cfg.control.port);
       const gate = new GateService({
         coldLimit: cfg.target.coldLimit,
         maxLimit: cfg.target.maxLimit,
@@ -68,9 +83,15 @@
         onReport: (report) => gate.report(report),
         signal: ctx.signal,
       });
+      keepColdWhileOut({
+        target,
+        availability: () => ctx.get(LISTS).current.availability,
+        turnCold: () => gate.report(COLD_REPORT),
+        signal: ctx.signal,
+      });
       return new Agent({
         name: cfg.name,
-        target: targetOf(cfg, cfg.control.port),
+        target,
         gate,
         claims: new ClaimService(ctx.get(PLATFORM).table, {
           log: ctx.get(LOG),
@@ -127,6 +148,35 @@
   });
 }
 
+function ordersService(cfg: AgentSettings): ServiceSpec {
+  return service({
+    key: ORDERS,
+    start: (ctx) => {
+      const { table, weights } = ctx.get(PLATFORM);
+      const { id, checksFencing, url } = cfg.target;
+      const leaseCfg = {
+        holder: randomUUID(),
+        durationMs: LEASE_MS,
+        maxDrift: MAX_CLOCK_DRIFT,
+        orderMs: ORDER_MS,
+        checksFencing,
+      };
+      const orders = new Orders({
+        target: targetOf(cfg, ctx.get(CONTROL).port),
+        control: new HttpEngineControl(url),
+        lease: new LeaseHolder({ table, key: `lease/${id}`, cfg: leaseCfg }),
+        weights,
+        use: () => ctx.get(LISTS).current.use,
+        onCold: () => ctx.get(AGENT).targetTurnedCold(),
+        metrics: ctx.get(METRICS),
+        log: ctx.get(LOG),
+      });
+      orders.run(ctx.signal);
+      return orders;
+    },
+  });
+}
+
 function targetOf(cfg: AgentSettings, port: number): Target {
   return {
     id: cfg.target.id,
--- a/src/bench/control_cost.ts
+++ b/src/bench/control_cost.ts
@@ -114,8 +114,8 @@
   of: RigSize & { role: Role },
   [first, second, third]: readonly [Reading, Reading, Reading],
 ): CostPoint {
-  const idleS = IDLE_MS / MS_PER_S;
-  const changesS = CHANGES * CHANGE_EVERY_MS / MS_PER_S;
+  const idleS = (second.at - first.at) / MS_PER_S;
+  const changesS = (third.at - second.at) / MS_PER_S;
   const perS = (read: (one: Reading) => number) =>
     (read(second) - read(first)) / idleS;
   const perChange = (read: (one: Reading) => number) =>
--- a/src/bench/control_rig.ts
+++ b/src/bench/control_rig.ts
@@ -11,7 +11,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
-import { sleep } from "../kernel/mod.ts";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
 import {
   EMPTY_LISTS,
   type Lists,
@@ -69,6 +69,8 @@
 
 /** Readings of the counters of the measured process. */
 export interface Reading {
+  /** Monotonic time of the reading, in milliseconds. */
+  readonly at: number;
   readonly cpuS: number;
   readonly rssBytes: number;
   /** Control bytes, both directions. */
@@ -114,6 +116,7 @@
     const res = await request(`${this.#controlUrl}/metrics`);
     const text = await res.body.text();
     return {
+      at: monotonicMs(),
       cpuS: metricOf(text, "cassiapost_cpu_seconds_total"),
       rssBytes: metricOf(text, "cassiapost_resident_bytes"),
       bytes: this.#servers.reduce((sum, one) => sum + one.traffic.bytes, 0),
--- a/src/lease/mod.ts
+++ b/src/lease/mod.ts
@@ -1,7 +1,8 @@
 /**
- * Leases with fencing numbers.
+ * Orders to engines: leases with fencing numbers, and what to order.
  *
  * @module
  */
 
+export * from "./desired.ts";
 export * from "./lease.ts";
--- /dev/null
+++ b/src/membership/hosts_test.ts
@@ -0,0 +1,91 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setStrictInvariants } from "../kernel/mod.ts";
+import {
+  applyHostList,
+  type HostsState,
+  judgeHosts,
+  type ListedHost,
+} from "./hosts.ts";
+
+const SEED = 6;
+const IN_USE = new Set(["a", "b", "c", "d"]);
+
+setStrictInvariants(true);
+
+/** Hosts by one letter each; upper case stands for leaving. */
+const list = (text: string): ListedHost[] =>
+  [...text].map((letter) => ({
+    host: letter.toLowerCase(),
+    isLeaving: letter !== letter.toLowerCase(),
+  }));
+
+/** Avoided hosts after lists that were read at the given times. */
+const avoidedAfter = (lists: readonly [number, string][], now: number) => {
+  const state = lists.reduce<HostsState>(
+    (before, [at, text]) => applyHostList(before, list(text), at),
+    new Map(),
+  );
+  return [...judgeHosts(state, IN_USE, now).avoided].join("");
+};
+
+test("judgeHosts() avoids a leaving host at once", () => {
+  assert.equal(avoidedAfter([[0, "abcd"], [1, "Abcd"]], 1), "a");
+});
+
+// Fails when SETTLE_MS is 0.
+test("judgeHosts() avoids a host until it has settled", () => {
+  const lists: [number, string][] = [[0, "Abcd"], [1_000, "abcd"]];
+  assert.equal(avoidedAfter(lists, 5_999), "a");
+  assert.equal(avoidedAfter(lists, 6_000), "");
+});
+
+test("judgeHosts() avoids a flapping host throughout", () => {
+  const lists = Array.from(
+    { length: 20 },
+    (_, i): [number, string] => [i * 2_000, i % 2 === 0 ? "Abcd" : "abcd"],
+  );
+  assert.equal(avoidedAfter(lists, 40_000), "a");
+});
+
+test("judgeHosts() avoids a host that is missing for a while", () => {
+  const lists: [number, string][] = [[0, "abcd"], [1_000, "bcd"]];
+  assert.equal(avoidedAfter(lists, 10_999), "");
+  assert.equal(avoidedAfter(lists, 11_000), "a");
+});
+
+test("judgeHosts() takes a host that was never listed", () => {
+  assert.equal(avoidedAfter([[0, "abc"]], 60_000), "");
+});
+
+// Fails when missing hosts count whatever their share.
+test("judgeHosts() does not believe a list without most hosts", () => {
+  assert.equal(avoidedAfter([[0, "abcd"], [1_000, "D"]], 60_000), "d");
+  assert.equal(avoidedAfter([[0, "abcd"], [1_000, ""]], 60_000), "");
+});
+
+const letters = fc.constantFrom("", "a", "A", "b", "B", "c", "C", "d", "D");
+const lists = fc.array(
+  fc.record({
+    passMs: fc.nat({ max: 8_000 }),
+    hosts: fc.array(letters, { maxLength: 4 }),
+  }),
+  { minLength: 1, maxLength: 40 },
+);
+
+// Fails when isAvoidedAsLeaving() is always false (the invariant throws).
+test("judgeHosts() holds its invariants for any lists", () => {
+  fc.assert(
+    fc.property(lists, (history) => {
+      let now = 0;
+      let state: HostsState = new Map();
+      history.forEach(({ passMs, hosts }) => {
+        now += passMs;
+        state = applyHostList(state, list(hosts.join("")), now);
+        judgeHosts(state, IN_USE, now);
+      });
+    }),
+    { seed: SEED, numRuns: 500 },
+  );
+});
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -5,5 +5,6 @@
  */
 
 export * from "./changes.ts";
+export * from "./hosts.ts";
 export * from "./registration.ts";
 export * from "./view.ts";
--- /dev/null
+++ b/src/process/cleaner_test.ts
@@ -0,0 +1,64 @@
+import { install } from "@sinonjs/fake-timers";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { HostState } from "../platform/mod.ts";
+import { MemoryHostList, MemoryTable } from "../standin/mod.ts";
+import { createLogger, LogLevel } from "../telemetry/mod.ts";
+import { Cleaner } from "./cleaner.ts";
+import { HostsSync } from "./hosts_sync.ts";
+import { Members } from "./members.ts";
+import { registerTarget } from "./registry.ts";
+
+const MINUTE_MS = 60_000;
+const log = await createLogger({ level: LogLevel.Silent, fields: {} });
+
+const live = (host: string) => ({ host, domain: "d", state: HostState.Live });
+
+/** Targets t-a, t-b, t-c on hosts a, b, c; only `listed` stay listed. */
+async function cleanedAfter(listed: string, minutes: number) {
+  const clock = install();
+  const table = new MemoryTable();
+  const list = new MemoryHostList({ hosts: [..."abc"].map(live), lagMs: 0 });
+  for (const host of "abc") {
+    await registerTarget(table, {
+      id: `t-${host}`,
+      pool: "p",
+      kind: "service",
+      host,
+      domain: "d",
+      agentUrl: "u",
+    });
+  }
+  const members = new Members(table);
+  const hosts = new HostsSync({ hosts: list, log });
+  const cleaner = new Cleaner({ table, members, hosts, log });
+  const refresh = async () => {
+    await members.refresh();
+    await hosts.refresh();
+  };
+  await refresh();
+  list.replace([...listed].map(live));
+  await clock.tickAsync(MINUTE_MS);
+  await refresh();
+  for (let minute = 0; minute < minutes; minute += 1) {
+    await clock.tickAsync(MINUTE_MS);
+    await refresh();
+    await cleaner.round();
+  }
+  await members.refresh();
+  clock.uninstall();
+  return members.targets.map(({ id }) => id).join(" ");
+}
+
+test("Cleaner.round() keeps a target whose host is missing for minutes", async () => {
+  assert.equal(await cleanedAfter("bc", 9), "t-a t-b t-c");
+});
+
+test("Cleaner.round() removes a target whose host is gone", async () => {
+  assert.equal(await cleanedAfter("bc", 11), "t-b t-c");
+});
+
+// Fails when the trust in the list is not asked for.
+test("Cleaner.round() removes nothing by a list without most hosts", async () => {
+  assert.equal(await cleanedAfter("c", 30), "t-a t-b t-c");
+});
--- a/src/process/mod.ts
+++ b/src/process/mod.ts
@@ -5,7 +5,9 @@
  */
 
 export * from "./base.ts";
+export * from "./cleaner.ts";
 export * from "./control.ts";
+export * from "./hosts_sync.ts";
 export * from "./group_commit.ts";
 export * from "./keys.ts";
 export * from "./ledger.ts";
--- a/src/process/registrar_test.ts
+++ b/src/process/registrar_test.ts
@@ -9,7 +9,7 @@
 
 const KEY = entryKey("e");
 const VALUE = { name: "e", host: "h", domain: "d", url: "u" };
-const log = await createLogger({ level: LogLevel.Error, fields: {} });
+const log = await createLogger({ level: LogLevel.Silent, fields: {} });
 
 const registrar = (table: MemoryTable) =>
   new Registrar({ table, key: KEY, value: VALUE, log });
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -8,6 +8,7 @@
 export * from "./engine_app.ts";
 export * from "./engine_config.ts";
 export * from "./engine_text.ts";
+export * from "./engine_orders.ts";
 export * from "./faults.ts";
 export * from "./service.ts";
 export * from "./start.ts";
