Admit requests at the entry by the estimate of their whole pipeline

Cause: an entry let every request in; under overload the first stages of requests that a later gate refused were wasted, and Plan.maxConcurrent was nowhere enforced.

Ruled out: one throttle for a pool, since a greedy customer's refusals would turn the modest ones away; a shared counter in the table service, since 4,500 requests/s are more than it takes.

Change: an entry sums measured service times and gate waits of the stages that are left, and refuses early the share that gates refuse, by pool, customer and priority; both decay within seconds. The calls that a customer has at a gate ride on answers to its calls, and maxConcurrent is checked against their sum. Stage calls carry the expected time of later stages, so that a gate knows by when a call has to end.

--- /dev/null
+++ b/src/admission/usage_test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { setStrictInvariants } from "../kernel/mod.ts";
+import { Proof, RefusalReason } from "../model/mod.ts";
+import {
+  applyUsage,
+  decideShare,
+  fleetUsage,
+  NO_USAGE,
+  type UsageEvent,
+  type UsageState,
+} from "./usage.ts";
+
+setStrictInvariants(true);
+
+const play = (events: readonly UsageEvent[], now = 0): UsageState =>
+  events.reduce((state, event) => applyUsage(state, event, now), NO_USAGE);
+const enter: UsageEvent = { kind: "enter", customer: "c" };
+const leave: UsageEvent = { kind: "leave", customer: "c" };
+const report = (target: string, inHand: number): UsageEvent => ({
+  kind: "report",
+  customer: "c",
+  target,
+  inHand,
+});
+
+test("decideShare() refuses beyond the plan as not run", () => {
+  const ask = (state: UsageState) =>
+    decideShare(state, { customer: "c", maxConcurrent: 2 }, 0);
+  assert.equal(ask(play([enter])), undefined);
+  const refusal = ask(play([enter, enter]));
+  assert.equal(refusal?.reason, RefusalReason.OverShare);
+  assert.equal(refusal?.proof, Proof.NotRun);
+  assert.equal(ask(play([enter, enter, leave])), undefined);
+});
+
+test("fleetUsage() counts what other entries have at the gates", () => {
+  // Fails when fleetUsage() looks at the entry's own requests only.
+  const state = play([enter, report("t1", 3), report("t2", 4)]);
+  assert.equal(fleetUsage(state, "c", 0), 7);
+  assert.equal(fleetUsage(state, "other", 0), 0);
+});
+
+test("fleetUsage() forgets old reports", () => {
+  // Fails when reports do not expire: a share would never be given back.
+  assert.equal(fleetUsage(play([enter, report("t1", 9)]), "c", 5_000), 1);
+});
+
+test("applyUsage() keeps nothing of a customer without requests and reports", () => {
+  assert.equal(play([enter, report("t", 1), report("t", 0), leave]).size, 0);
+});
+
+test("decideShare() holds the plan over several entries once gates report", () => {
+  // Fails when fleetUsage() looks at the entry's own requests only.
+  const MAX = 10;
+  const step = fc.record({
+    entry: fc.nat({ max: 3 }),
+    leave: fc.nat({ max: 5 }).map((n) => n === 0),
+    waitMs: fc.nat({ max: 50 }),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { minLength: 80, maxLength: 200 }), (steps) => {
+      let now = 0;
+      const entries = Array.from({ length: 4 }, () => NO_USAGE);
+      const own = [0, 0, 0, 0];
+      const total = () => own.reduce((sum, n) => sum + n, 0);
+      const apply = (event: UsageEvent) => (i: number) =>
+        entries[i] = applyUsage(entries[i] ?? NO_USAGE, event, now);
+      steps.forEach(({ entry, leave: leaves, waitMs }) => {
+        now += waitMs;
+        const state = entries[entry] ?? NO_USAGE;
+        if (leaves && (own[entry] ?? 0) > 0) {
+          own[entry] = (own[entry] ?? 0) - 1;
+          apply(leave)(entry);
+        } else if (
+          !decideShare(state, { customer: "c", maxConcurrent: MAX }, now)
+        ) {
+          own[entry] = (own[entry] ?? 0) + 1;
+          apply(enter)(entry);
+        }
+        // The gate's count rides on answers to every entry.
+        entries.forEach((_, i) => apply(report("t", total()))(i));
+        assert.ok(total() <= MAX);
+      });
+    }),
+    { seed: 4, numRuns: 200 },
+  );
+});
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -108,7 +108,8 @@
     const events = new AsyncQueue<CallEvent>();
     const stream: Stream = { events, chunks: 0 };
     const timer = setInterval(
-      () => events.push({ kind: "heartbeat", load: gate.load }),
+      () =>
+        events.push({ kind: "heartbeat", load: gate.loadFor(call.customer) }),
       HEARTBEAT_MS,
     );
     const work = this.#settle(call, stream, signal);
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -15,6 +15,7 @@
   type StageCall,
   type StageResult,
   type Target,
+  type TargetLoad,
 } from "../model/mod.ts";
 import {
   type Answer,
@@ -23,6 +24,7 @@
   createAnswer,
 } from "../pipeline/mod.ts";
 import type { Metrics } from "../telemetry/mod.ts";
+import type { AdmissionService } from "./admission_service.ts";
 import type { Directory } from "./directory.ts";
 
 /** Longest silence on an answer stream, in milliseconds. */
@@ -43,6 +45,8 @@
 export interface AttemptParts {
   readonly directory: Directory;
   readonly metrics: Metrics;
+  /** Learns the load that rides on answers. */
+  readonly admission?: AdmissionService;
 }
 
 /** Options of an attempt. */
@@ -82,6 +86,12 @@
     }
   }
 
+  #reportLoad(load: TargetLoad): void {
+    const { directory, admission } = this.#parts;
+    directory.report(this.#target, load);
+    admission?.reportLoad(this.#call.customer, this.#target.id, load);
+  }
+
   async #follow(
     opts: AttemptOptions,
     { watch, signal }: { watch: Watchdog; signal: AbortSignal },
@@ -92,7 +102,7 @@
     for await (const event of events) {
       watch.heard();
       if (signal.aborted) break;
-      if ("load" in event) directory.report(this.#target, event.load);
+      if ("load" in event) this.#reportLoad(event.load);
       const end = this.#onStep(this.#apply(event), opts);
       if (end) return end;
     }
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -28,6 +28,7 @@
 } from "../retry/mod.ts";
 import type { Metrics, Tracing } from "../telemetry/mod.ts";
 import { Attempt, type AttemptOutcome } from "./attempt.ts";
+import type { AdmissionService } from "./admission_service.ts";
 import type { Directory } from "./directory.ts";
 import {
   isClosedByOwn,
@@ -68,6 +69,8 @@
   readonly tracing: Tracing;
   /** Without it, calls whose answers were lost stay unknown. */
   readonly record?: KeyRecord;
+  /** Learns the load that rides on answers. */
+  readonly admission?: AdmissionService;
 }
 
 /** Sends stage calls. */
@@ -228,10 +231,14 @@
       signal: AbortSignal;
     },
   ): Promise<AttemptOutcome> {
-    const { directory, metrics } = this.#parts;
+    const { directory, metrics, admission } = this.#parts;
     const end = directory.begin(target);
     const startedAt = monotonicMs();
-    const attempt = new Attempt({ directory, metrics }, call, target);
+    const attempt = new Attempt(
+      { directory, metrics, admission },
+      call,
+      target,
+    );
     const onText = stage.textSink(call.callId);
     const ended = await attempt.run({ signal, onText }).finally(end);
     this.#account(stage, {
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -28,6 +28,7 @@
   stageInput,
 } from "../pipeline/mod.ts";
 import type { CheckpointedRequest, Checkpoints } from "./checkpoints.ts";
+import type { AdmissionService } from "./admission_service.ts";
 import type { Dispatcher, StageRequest } from "./dispatcher.ts";
 import { decideFor, type KeyRecord, unsentCall } from "./key_record.ts";
 
@@ -61,6 +62,8 @@
   readonly record?: KeyRecord;
   /** Without it, no request is resumed. */
   readonly checkpoints?: Checkpoints;
+  /** Without it, every request is let in. */
+  readonly admission?: AdmissionService;
 }
 
 /** A run and the claim rows' versions that it was started with. */
@@ -84,17 +87,7 @@
     const started = await this.#start(req);
     if (started.isErr()) return err(started.error);
     const { versions } = started.value;
-    let { run } = started.value;
-    for (
-      let stage = nextStage(run);
-      stage !== undefined;
-      stage = nextStage(run)
-    ) {
-      run = await this.#advance(req, run, {
-        stage,
-        claimVersion: versions.get(stage.name) ?? 0,
-      });
-    }
+    const run = await this.#runAdmitted(req, started.value);
     if (run.refusal) {
       const refusal = requestRefusal(run, run.refusal);
       return err(
@@ -107,6 +100,38 @@
     return ok(run.results);
   }
 
+  /** Runs the stages that are left, if the request is let in. */
+  async #runAdmitted(req: PipelineRequest, started: Started): Promise<Run> {
+    const { admission } = this.#parts;
+    if (!admission || !nextStage(started.run)) {
+      return await this.#runStages(req, started);
+    }
+    const entered = admission.enter(req, started.run.done);
+    if (entered.isErr()) {
+      const { error: refusal } = entered;
+      return applyRun(started.run, { kind: "refused", refusal });
+    }
+    return await this.#runStages(req, started).finally(entered.value);
+  }
+
+  async #runStages(
+    req: PipelineRequest,
+    { run, versions }: Started,
+  ): Promise<Run> {
+    let now = run;
+    for (
+      let stage = nextStage(now);
+      stage !== undefined;
+      stage = nextStage(now)
+    ) {
+      now = await this.#advance(req, now, {
+        stage,
+        claimVersion: versions.get(stage.name) ?? 0,
+      });
+    }
+    return now;
+  }
+
   /**
    * Makes sure that a "not run" is true of the caller's key: an earlier
    * request with the key may have run, or may be about to. Gives the refusal
@@ -183,9 +208,11 @@
     { stage, claimVersion }: { stage: StageSpec; claimVersion: number },
   ): Promise<Run> {
     const { onText } = req;
+    const { dispatcher, admission } = this.#parts;
     const input = stageInput(run);
-    const outcome = await this.#parts.dispatcher.dispatch(
-      stageRequest(req, { stage, claimVersion, input }),
+    const laterMs = admission?.laterMs(req.spec, stage);
+    const outcome = await dispatcher.dispatch(
+      { ...stageRequest(req, { stage, claimVersion, input }), laterMs },
       {
         pool: stage.pool,
         deadlineAt: req.deadlineAt,
@@ -194,6 +221,7 @@
         onText: onText && ((text) => onText(stage.name, text)),
       },
     );
+    admission?.observe(req, stage, outcome);
     if (outcome.isErr()) {
       return applyRun(run, { kind: "refused", refusal: outcome.error });
     }
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -26,6 +26,7 @@
 } from "../process/mod.ts";
 import { createPeerRouter, type PeerApi } from "../wire/mod.ts";
 import { Checkpoints } from "./checkpoints.ts";
+import { AdmissionService } from "./admission_service.ts";
 import { Directory } from "./directory.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { Front } from "./front.ts";
@@ -71,16 +72,18 @@
       const metrics = ctx.get(METRICS);
       const tracing = ctx.get(TRACING);
       const { table, objects } = ctx.get(PLATFORM);
+      const admission = new AdmissionService({ metrics });
       const record = new KeyRecord(new Ledger(table));
       const dispatcher = new Dispatcher({
         directory: ctx.get(DIRECTORY),
         metrics,
         tracing,
         record,
+        admission,
       });
       const checkpoints = new Checkpoints({ objects, metrics });
       return new Front({
-        runner: new Runner({ dispatcher, record, checkpoints }),
+        runner: new Runner({ dispatcher, record, checkpoints, admission }),
         lists: ctx.get(LISTS),
         metrics,
         tracing,
--- a/src/limits/gate_test.ts
+++ b/src/limits/gate_test.ts
@@ -4,15 +4,14 @@
 import { setStrictInvariants } from "../kernel/mod.ts";
 import { Priority } from "../model/mod.ts";
 import { AGEING_MS, type GateCall } from "./fair_queue.ts";
-import {
-  applyGate,
-  type CallOutcome,
-  createGate,
-  type GateConfig,
-  type GateEffect,
-  type GateEvent,
-  type GateState,
-} from "./gate.ts";
+import { applyGate, createGate } from "./gate.ts";
+import type {
+  CallOutcome,
+  GateConfig,
+  GateEffect,
+  GateEvent,
+  GateState,
+} from "./gate_state.ts";
 
 setStrictInvariants(true);
 
--- a/src/limits/mod.ts
+++ b/src/limits/mod.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-export * from "./estimate.ts";
 export * from "./fair_queue.ts";
 export * from "./gate.ts";
+export * from "./gate_state.ts";
 export * from "./limit.ts";
 export * from "./wait.ts";
--- a/src/limits/wait.ts
+++ b/src/limits/wait.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type Estimate, likelyMs, meanMs } from "./estimate.ts";
+import { type Estimate, likelyMs, meanMs } from "../telemetry/mod.ts";
 import {
   AGEING_MS,
   type FairQueue,
--- a/src/telemetry/mod.ts
+++ b/src/telemetry/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./estimate.ts";
 export * from "./log.ts";
 export * from "./metrics.ts";
 export * from "./trace.ts";
