--- a/src/limits/gate.ts
+++ b/src/limits/gate.ts
@@ -14,12 +14,7 @@
 
 import { invariant } from "../kernel/mod.ts";
 import { type CallId, notRun, RefusalReason } from "../model/mod.ts";
-import {
-  addSample,
-  type Estimate,
-  likelyMs,
-  meanMs,
-} from "../telemetry/mod.ts";
+import { addSample, meanMs } from "../telemetry/mod.ts";
 import {
   dequeue,
   EMPTY_QUEUE,
@@ -297,12 +292,3 @@
   );
   return { kind: "refuse", callId: call.callId, refusal };
 }
-
-/** Time that a call of a class takes at the target, in milliseconds. */
-export function expectedServiceMs(
-  state: GateState,
-  workClass: string,
-  now: number,
-): number {
-  return likelyMs(state.service.get(workClass), now);
-}
