Add the experiments cold-start, overload and shares under a paused clock

Change: engines, agents and entries run in one process without sockets under a paused clock, so that the figures do not depend on how busy the machine is.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -5,10 +5,16 @@
  */
 
 import { cac } from "cac";
+import { coldStart } from "./cold_start.ts";
 import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
+import { overload } from "./overload.ts";
+import { shares } from "./shares.ts";
 
 const EXPERIMENTS: readonly Experiment[] = [
+  coldStart,
+  overload,
+  shares,
   domainOut,
 ];
 
--- a/src/limits/gate.ts
+++ b/src/limits/gate.ts
@@ -194,7 +194,12 @@
   const isSlow = known !== undefined &&
     firstMs > known.baseMs * SLOW_FIRST + LATENCY_SLACK_MS;
   if (isSlow) {
-    return withEvidence({ ...state, first }, { kind: "slow", startedAt }, now);
+    const slowness = firstMs / known.baseMs;
+    return withEvidence(
+      { ...state, first },
+      { kind: "slow", startedAt, slowness },
+      now,
+    );
   }
   const running = new Map(state.running).set(callId, { ...call, shown: true });
   return withEvidence(
