--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -4,17 +4,15 @@
  * @module
  */
 
-import type { ResultAsync } from "neverthrow";
+import { randomUUID } from "node:crypto";
 import type { AgentSettings } from "../config/mod.ts";
 import {
-  every,
   Kernel,
   service,
   serviceKey,
   type ServiceSpec,
 } from "../kernel/mod.ts";
 import { type Target, TargetKind } from "../model/mod.ts";
-import type { PlatformError } from "../platform/mod.ts";
 import {
   baseServices,
   createControlApp,
@@ -24,35 +22,40 @@
   LOG,
   METRICS,
   PLATFORM,
-  registerTarget,
+  Registrar,
+  targetKey,
   TRACING,
-  withdrawTarget,
 } from "../process/mod.ts";
 import { createAgentRouter } from "../wire/mod.ts";
 import { Agent } from "./agent.ts";
+import { keepColdWhileOut } from "./availability.ts";
 import { ClaimService } from "./claim_service.ts";
 import { ClaimSweeper } from "./claim_sweeper.ts";
 import { EngineClient } from "./engine_client.ts";
+import { HttpEngineControl, ORDER_MS } from "./engine_control.ts";
 import { GateService } from "./gate_service.ts";
+import { LeaseHolder } from "./lease_holder.ts";
 import { followLoad } from "./load_poll.ts";
+import { Orders } from "./orders.ts";
 import { ServiceClient } from "./service_client.ts";
 import type { TargetClient } from "./target_client.ts";
 
 const AGENT = serviceKey<Agent>("agent");
 const CONTROL = serviceKey<Listening>("control");
-const REGISTRATION = serviceKey<Registration>("registration");
+const ORDERS = serviceKey<Orders>("orders");
+const REGISTRATION = serviceKey<Registrar>("registration");
 
 /** Most calls that wait at the gate. */
 const MAX_QUEUED = 64;
 /** Successes that prove a target warm when it makes no load report. */
 const PROVEN_AFTER = 16;
-/** Time between two renewals of the registration, in milliseconds. */
-const REGISTER_MS = 10_000;
 
-/** Registration of the target, withdrawn on a planned stop. */
-interface Registration {
-  withdraw(): ResultAsync<void, PlatformError>;
-}
+/** Length of a lease on the orders to an engine, in milliseconds. */
+const LEASE_MS = 10_000;
+/** Largest difference of the rates of two hosts' clocks, as a share. */
+const MAX_CLOCK_DRIFT = 0.01;
+/** Report of a target that is known to be cold. */
+const COLD_REPORT = { ageMs: 0, cold: true };
 
 /** Starts an agent. */
 export function startAgent(cfg: AgentSettings): Promise<Kernel> {
@@ -61,6 +64,7 @@
     agentService(cfg),
     controlService(cfg),
     registrationService(cfg),
+    ...(cfg.target.kind === TargetKind.Engine ? [ordersService(cfg)] : []),
   ]);
 }
 
@@ -68,6 +72,7 @@
   return service({
     key: AGENT,
     start: (ctx) => {
+      const target = targetOf(cfg, cfg.control.port);
       const gate = new GateService({
         coldLimit: cfg.target.coldLimit,
         maxLimit: cfg.target.maxLimit,
@@ -79,9 +84,15 @@
         onReport: (report) => gate.report(report),
         signal: ctx.signal,
       });
+      keepColdWhileOut({
+        target,
+        availability: () => ctx.get(LISTS).current.availability,
+        turnCold: () => gate.report(COLD_REPORT),
+        signal: ctx.signal,
+      });
       return new Agent({
         name: cfg.name,
-        target: targetOf(cfg, cfg.control.port),
+        target,
         gate,
         claims: new ClaimService(ctx.get(PLATFORM).table, {
           log: ctx.get(LOG),
@@ -94,6 +105,7 @@
         log: ctx.get(LOG),
       });
     },
+    leave: (agent) => agent.leave(),
     drain: (agent) => agent.drain(),
   });
 }
@@ -110,6 +122,7 @@
       });
       return listen(app, cfg.control);
     },
+    leave: (server) => server.leave(),
     drain: (server) => server.close(),
   });
 }
@@ -118,15 +131,17 @@
   return service({
     key: REGISTRATION,
     start: (ctx) => {
-      const { table } = ctx.get(PLATFORM);
       const log = ctx.get(LOG);
       const target = targetOf(cfg, ctx.get(CONTROL).port);
-      void every(REGISTER_MS, async () => {
-        const done = await registerTarget(table, target, ctx.signal);
-        done.mapErr((err) =>
-          log.warn("registration_failed", { detail: err.message })
-        );
-      }, ctx.signal);
+      const { table } = ctx.get(PLATFORM);
+      const registrar = new Registrar({
+        table,
+        key: targetKey(target.id),
+        value: target,
+        log,
+      });
+      ctx.get(AGENT).follow(registrar);
+      registrar.run(ctx.signal);
       new ClaimSweeper({
         table,
         log,
@@ -134,10 +149,38 @@
         holder: cfg.name,
       }).run(ctx.signal);
       log.info("agent_started", { target: target.id, url: target.agentUrl });
-      return { withdraw: () => withdrawTarget(table, target.id) };
+      return registrar;
     },
-    drain: async (registration) => {
-      await registration.withdraw();
+    leave: (registrar) => registrar.leave(),
+    end: (registrar) => registrar.withdraw(),
+  });
+}
+
+function ordersService(cfg: AgentSettings): ServiceSpec {
+  return service({
+    key: ORDERS,
+    start: (ctx) => {
+      const { table, weights } = ctx.get(PLATFORM);
+      const { id, checksFencing, url } = cfg.target;
+      const leaseCfg = {
+        holder: randomUUID(),
+        durationMs: LEASE_MS,
+        maxDrift: MAX_CLOCK_DRIFT,
+        orderMs: ORDER_MS,
+        checksFencing,
+      };
+      const orders = new Orders({
+        target: targetOf(cfg, ctx.get(CONTROL).port),
+        control: new HttpEngineControl(url),
+        lease: new LeaseHolder({ table, key: `lease/${id}`, cfg: leaseCfg }),
+        weights,
+        use: () => ctx.get(LISTS).current.use,
+        onCold: () => ctx.get(AGENT).targetTurnedCold(),
+        metrics: ctx.get(METRICS),
+        log: ctx.get(LOG),
+      });
+      orders.run(ctx.signal);
+      return orders;
     },
   });
 }
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -15,6 +15,7 @@
   type StageCall,
   type StageResult,
   type Target,
+  type TargetLoad,
 } from "../model/mod.ts";
 import {
   type Answer,
@@ -23,6 +24,7 @@
   createAnswer,
 } from "../pipeline/mod.ts";
 import type { Metrics } from "../telemetry/mod.ts";
+import type { AdmissionService } from "./admission_service.ts";
 import type { Directory } from "./directory.ts";
 
 /** Longest silence on an answer stream, in milliseconds. */
@@ -49,6 +51,8 @@
 export interface AttemptParts {
   readonly directory: TargetBook;
   readonly metrics: Metrics;
+  /** Learns the load that rides on answers. */
+  readonly admission?: AdmissionService;
 }
 
 /** Options of an attempt. */
@@ -88,6 +92,12 @@
     }
   }
 
+  #reportLoad(load: TargetLoad): void {
+    const { directory, admission } = this.#parts;
+    directory.report(this.#target, load);
+    admission?.reportLoad(this.#call.customer, this.#target.id, load);
+  }
+
   async #follow(
     opts: AttemptOptions,
     { watch, signal }: { watch: Watchdog; signal: AbortSignal },
@@ -98,7 +108,7 @@
     for await (const event of events) {
       watch.heard();
       if (signal.aborted) break;
-      if ("load" in event) directory.report(this.#target, event.load);
+      if ("load" in event) this.#reportLoad(event.load);
       if ("listsVersion" in event) directory.noticeLists(event.listsVersion);
       const end = this.#onStep(this.#apply(event), opts);
       if (end) return end;
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -28,6 +28,7 @@
   spendFor,
 } from "../retry/mod.ts";
 import type { Metrics, Tracing } from "../telemetry/mod.ts";
+import type { AdmissionService } from "./admission_service.ts";
 import { Attempt, type AttemptOutcome, type TargetBook } from "./attempt.ts";
 import {
   isClosedByOwn,
@@ -35,6 +36,7 @@
   neverRuns,
   type Settled,
 } from "./key_record.ts";
+import { type CallVerdict, verdictOf } from "./pool_router.ts";
 
 const RETRY_RATIO = 0.1;
 const MAX_SAVED_RETRIES = 20;
@@ -68,6 +70,8 @@
   readonly tracing: Tracing;
   /** Without it, calls whose answers were lost stay unknown. */
   readonly record?: KeyRecord;
+  /** Learns the load that rides on answers. */
+  readonly admission?: AdmissionService;
 }
 
 /** Sends stage calls. */
@@ -235,12 +239,17 @@
       signal: AbortSignal;
     },
   ): Promise<AttemptOutcome> {
-    const { directory, metrics } = this.#parts;
-    const end = directory.begin(target);
+    const { directory, metrics, admission } = this.#parts;
+    const end = directory.begin(target, stage.req);
     const startedAt = monotonicMs();
-    const attempt = new Attempt({ directory, metrics }, call, target);
+    const attempt = new Attempt(
+      { directory, metrics, admission },
+      call,
+      target,
+    );
     const onText = stage.textSink(call.callId);
-    const ended = await attempt.run({ signal, onText }).finally(end);
+    const ended = await attempt.run({ signal, onText });
+    end(verdictAbout(stage, ended.outcome));
     this.#account(stage, {
       ms: monotonicMs() - startedAt,
       target,
@@ -395,6 +404,20 @@
   }
 }
 
+/** What an outcome says about the target's health. */
+function verdictAbout(
+  { req }: Dispatch,
+  outcome: Result<StageResult, Refusal>,
+): CallVerdict {
+  return outcome.match<CallVerdict>(
+    ({ serviceMs, replayed }) =>
+      replayed
+        ? { kind: "neutral" }
+        : { kind: "done", stage: req.stage, serviceMs },
+    ({ reason }) => verdictOf(reason),
+  );
+}
+
 function outcomeOf(
   settled: Settled,
   stage: Dispatch,
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -20,6 +20,7 @@
     "membership",
     "freshness",
     "lists",
+    "lease",
     "ledger",
     "pipeline",
   ],
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
+export * from "./changes.ts";
+export * from "./hosts.ts";
+export * from "./registration.ts";
 export * from "./view.ts";
--- a/src/process/pacing.ts
+++ b/src/process/pacing.ts
@@ -5,64 +5,53 @@
  * @module
  */
 
-/** Reads of the lists that the whole fleet makes in a second. */
+/** Reads of the lists that the whole fleet makes in a second, on average. */
 export const FLEET_READS_PER_S = 100;
-/** Shortest time between two questions of one process, in milliseconds. */
+/** Usual time between two questions in a small fleet, in milliseconds. */
 const MIN_INTERVAL_MS = 1_000;
-/** Confirmed age above which a process asks out of turn, in milliseconds. */
-export const ASK_AGE_MS = 3_000;
-/** Longest wait after failures in a small fleet, in milliseconds. */
-const MAX_BACKOFF_MS = 4_000;
-/** Largest shift of a time, as a share of the interval. */
-const JITTER = 0.5;
+/** Confirmed age from which peers are asked more often, in milliseconds. */
+export const ASK_AGE_MS = 2_500;
+/**
+ * Spread of the confirmed age at which a process asks out of turn, in
+ * milliseconds. The first to ask save the others the question.
+ */
+const ASK_AGE_SPREAD_MS = 1_000;
 const MS_PER_S = 1_000;
 
 /** Questions of one process; times are monotonic, in milliseconds. */
 export interface Pacing {
-  /** Time of the last question. */
-  readonly askedAt: number;
-  /** Failures since the last answer. */
-  readonly failures: number;
   /** Time from which the next question is due. */
   readonly dueAt: number;
   /** Earliest time of a question out of turn. */
   readonly earliestAt: number;
+  /** Confirmed age from which a question out of turn is made. */
+  readonly askAgeMs: number;
 }
 
 /** Pacing of a process that has not asked yet. */
 export const NO_PACING: Pacing = {
-  askedAt: -Infinity,
-  failures: 0,
   dueAt: -Infinity,
   earliestAt: -Infinity,
+  askAgeMs: ASK_AGE_MS,
 };
 
-/** Pacing after a question at time `now` among `fleet` processes. */
+/**
+ * Pacing after a question at time `now` among `fleet` processes. The next time
+ * is drawn from the whole interval, so that processes that start together do
+ * not ask together. After a failure there is no question out of turn, so that a
+ * store that is out or limits its callers gets no more than the usual rate.
+ */
 export function applyAsked(
-  before: Pacing,
   opts: { now: number; ok: boolean; fleet: number; random: () => number },
 ): Pacing {
-  const { now, ok, fleet } = opts;
-  const interval = Math.max(
-    MIN_INTERVAL_MS,
-    fleet / FLEET_READS_PER_S * MS_PER_S,
-  );
-  const jitter = 1 - JITTER + 2 * JITTER * opts.random();
-  if (ok) {
-    const dueAt = now + interval * jitter;
-    const earliestAt = now + Math.min(interval, MIN_INTERVAL_MS) * jitter;
-    return { askedAt: now, failures: 0, dueAt, earliestAt };
-  }
-  const backoff = Math.min(
-    MIN_INTERVAL_MS * 2 ** before.failures,
-    Math.max(MAX_BACKOFF_MS, interval),
-  );
-  const dueAt = now + backoff * jitter;
+  const { now, ok, fleet, random } = opts;
+  const shortest = MIN_INTERVAL_MS * (1 - random() / 2);
+  const meanInterval = fleet / FLEET_READS_PER_S * MS_PER_S;
+  const dueAt = now + Math.max(shortest, 2 * meanInterval * random());
   return {
-    askedAt: now,
-    failures: before.failures + 1,
     dueAt,
-    earliestAt: dueAt,
+    earliestAt: ok ? now + shortest : dueAt,
+    askAgeMs: ASK_AGE_MS + ASK_AGE_SPREAD_MS * random(),
   };
 }
 
@@ -72,6 +61,6 @@
   opts: { now: number; confirmedAgeMs: number; isBehind: boolean },
 ): boolean {
   if (opts.now >= pacing.dueAt) return true;
-  const isUrgent = opts.isBehind || opts.confirmedAgeMs > ASK_AGE_MS;
+  const isUrgent = opts.isBehind || opts.confirmedAgeMs > pacing.askAgeMs;
   return isUrgent && opts.now >= pacing.earliestAt;
 }
--- a/src/soak/failures_test.ts
+++ b/src/soak/failures_test.ts
@@ -1,9 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Result } from "neverthrow";
-import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { monotonicMs, seededRandom, sleep } from "../kernel/mod.ts";
 import type { Refusal, StageResult } from "../model/mod.ts";
-import { seededRandom } from "../standin/mod.ts";
 import { PIPELINES } from "./callers.ts";
 import { underPausedClock } from "./paused_clock.ts";
 import { type FleetFaults, noFaults, SimFleet } from "./sim_fleet.ts";
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -10,7 +10,7 @@
  * @module
  */
 
-import { AsyncQueue, sleep } from "../kernel/mod.ts";
+import { AsyncQueue, seededRandom, sleep } from "../kernel/mod.ts";
 import { PrefixCache } from "./engine_cache.ts";
 import {
   DEFAULT_ENGINE,
@@ -20,7 +20,6 @@
 } from "./engine_config.ts";
 import { EngineOrders } from "./engine_orders.ts";
 import { tokensFor } from "./engine_text.ts";
-import { seededRandom } from "./faults.ts";
 import { GappyEvents, LaggingReport } from "./lagging.ts";
 
 /** A completion that is asked for. */
