--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -25,6 +25,10 @@
 export interface Filing {
   readonly key: string;
   readonly marker: string;
+  /** Call that made the filing first. */
+  readonly callId: string;
+  /** Time of the first filing, in milliseconds since the epoch. */
+  readonly at: number;
   count: number;
 }
 
@@ -67,7 +71,10 @@
   }
 
   /** Runs one operation. */
-  async run(op: string, call: { input: unknown; key: string }) {
+  async run(
+    op: string,
+    call: { input: unknown; key: string; callId?: string },
+  ) {
     this.#begun += 1;
     await this.#acquire();
     try {
@@ -79,15 +86,24 @@
     }
   }
 
-  #perform(op: string, { input, key }: { input: unknown; key: string }) {
+  #perform(
+    op: string,
+    { input, key, callId = "" }: {
+      input: unknown;
+      key: string;
+      callId?: string;
+    },
+  ) {
     const text = JSON.stringify(input);
     const marker = /"marker":"([^"]*)"/.exec(text)?.[1] ?? "none";
-    if (op === "file") return this.#file(key, marker);
+    if (op === "file") return this.#file({ key, marker, callId });
     return { op, marker, digest: sha256(text) };
   }
 
-  #file(key: string, marker: string) {
-    const filing = this.#filings.get(key) ?? { key, marker, count: 0 };
+  #file(call: { key: string; marker: string; callId: string }) {
+    const { key, marker } = call;
+    const filing = this.#filings.get(key) ??
+      { ...call, at: Date.now(), count: 0 };
     filing.count += 1;
     this.#filings.set(key, filing);
     return { filed: true, marker, receipt: sha256(key) };
@@ -117,8 +133,9 @@
   app.post("/ops/:op", async (c) => {
     const { input } = await c.req.json<{ input: unknown }>();
     const key = c.req.header("idempotency-key") ?? "";
-    const output = await plain.run(c.req.param("op"), { input, key });
-    c.header("x-call-id", c.req.header("x-call-id") ?? "");
+    const callId = c.req.header("x-call-id") ?? "";
+    const output = await plain.run(c.req.param("op"), { input, key, callId });
+    c.header("x-call-id", callId);
     return c.json(output);
   });
   app.get(
