Believe a target's report of cold start rather than its successes

Change: a report counts from the time it was sampled, a later proof of warmth overtakes it, and while a target reports itself cold only its report proves it warm. A target that was silent for 5 s counts as cold, not only its limit.

--- a/src/limits/limit.ts
+++ b/src/limits/limit.ts
@@ -37,6 +37,10 @@
   readonly lastColdAt: number;
   /** Time of the last evidence that the target is warm. */
   readonly lastWarmAt: number;
+  /** Time at which the target was last proven to have left cold start. */
+  readonly provenAt: number;
+  /** Time at which its last report of cold start was sampled. */
+  readonly reportedColdAt: number;
 }
 
 /** Evidence about the target. */
@@ -87,6 +91,8 @@
 const QUEUEING_RATIO = 0.9;
 /** Age at which evidence of warmth expires, in milliseconds. */
 export const EVIDENCE_MS = 5_000;
+/** Time for which a report of cold start overrules successes, in ms. */
+const REPORT_MS = 10_000;
 
 /** Limit of a target of which nothing is known. */
 export function createLimit(cfg: LimitConfig, now: number): LimitState {
@@ -100,6 +106,8 @@
     lastFallAt: now,
     lastColdAt: now,
     lastWarmAt: now,
+    provenAt: Number.NEGATIVE_INFINITY,
+    reportedColdAt: Number.NEGATIVE_INFINITY,
   };
 }
 
@@ -165,8 +173,10 @@
   if (event.slowness >= BAD_SLOWNESS) return fall(state, event.startedAt, now);
   const seen = { ...state, successes: state.successes + 1, lastWarmAt: now };
   if (seen.cold) {
-    return seen.successes >= state.cfg.provenAfter
-      ? { ...seen, cold: false }
+    // A target that reports itself cold is proven warm by its report only.
+    const isReportedCold = now - state.reportedColdAt < REPORT_MS;
+    return seen.successes >= state.cfg.provenAfter && !isReportedCold
+      ? { ...seen, cold: false, provenAt: now }
       : seen;
   }
   const good = event.slowness <= GOOD_SLOWNESS;
@@ -196,7 +206,12 @@
   return { ...state, limit, threshold: limit, credit: 0, lastFallAt: now };
 }
 
-function turnCold(state: LimitState, now: number): LimitState {
+/** Takes the target for cold since `at`. */
+function turnCold(
+  state: LimitState,
+  now: number,
+  at: number = now,
+): LimitState {
   return {
     ...state,
     cold: true,
@@ -205,7 +220,7 @@
     threshold: state.cfg.maxLimit,
     credit: 0,
     lastFallAt: now,
-    lastColdAt: now,
+    lastColdAt: at,
   };
 }
 
@@ -216,20 +231,25 @@
   now: number,
 ): LimitState {
   if (event.sampledAt <= state.lastColdAt) return state;
+  const { sampledAt } = event;
   if (event.cold) {
-    // A report of a cold start that a later proof of warmth has overtaken.
-    const overtaken = !state.cold && event.sampledAt < state.lastWarmAt;
-    return overtaken ? state : turnCold(state, now);
+    // The target was proven warm after this report was sampled.
+    if (!state.cold && sampledAt < state.provenAt) return state;
+    return {
+      ...turnCold(state, now, sampledAt),
+      reportedColdAt: sampledAt,
+    };
   }
   return {
     ...state,
     cold: false,
-    lastWarmAt: Math.max(state.lastWarmAt, event.sampledAt),
+    lastWarmAt: Math.max(state.lastWarmAt, sampledAt),
+    provenAt: Math.max(state.provenAt, sampledAt),
+    reportedColdAt: Number.NEGATIVE_INFINITY,
   };
 }
 
 function expire(state: LimitState, now: number): LimitState {
   if (state.cold || now - state.lastWarmAt < EVIDENCE_MS) return state;
-  const limit = Math.min(state.limit, state.cfg.coldLimit);
-  return { ...state, limit, threshold: state.cfg.maxLimit, credit: 0 };
+  return turnCold(state, now, state.lastWarmAt);
 }
