--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -13,10 +13,10 @@
   Watchdog,
 } from "../kernel/mod.ts";
 import { LATE_OUTCOME_MS } from "../ledger/mod.ts";
+import type { ListsUpdate } from "../lists/mod.ts";
 import {
   type CallEvent,
   digest,
-  type Lists,
   notRun,
   outcomeUnknown,
   type Refusal,
@@ -27,7 +27,13 @@
 } from "../model/mod.ts";
 import type { ListsSync } from "../process/mod.ts";
 import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
-import type { AgentApi, PeerState, TargetState } from "../wire/mod.ts";
+import type {
+  AgentApi,
+  GossipAnswer,
+  GossipQuestion,
+  PeerState,
+  TargetState,
+} from "../wire/mod.ts";
 import type { ClaimService } from "./claim_service.ts";
 import type { GateService, Permit } from "./gate_service.ts";
 import type {
@@ -39,6 +45,11 @@
 /** Time between two heartbeats on an answer stream, in milliseconds. */
 export const HEARTBEAT_MS = 500;
 const LEAVING_RETRY_MS = 100;
+/**
+ * Time that a leaving agent goes on to take calls, in milliseconds, so that
+ * entries hear of the leaving before they meet a refusal.
+ */
+const LEAVE_NOTICE_MS = 1_500;
 const RETRY_AFTER_MS = 1_000;
 /** Longest silence of a target during an idempotent call, in milliseconds. */
 const TARGET_SILENCE_MS = 2_000;
@@ -63,24 +74,22 @@
   readonly #parts: AgentParts;
   readonly #inHand = new Set<Promise<unknown>>();
   #leaving = false;
+  #registration: { readonly isSuperseded: boolean } | undefined;
 
   constructor(parts: AgentParts) {
     this.#parts = parts;
   }
 
   peerState(): PeerState {
-    const { name, lists } = this.#parts;
-    return {
-      process: name,
-      listsVersion: lists.current.version,
-      confirmedAgeMs: lists.confirmedAgeMs,
-      ready: this.isReady,
-    };
+    return this.#parts.lists.peerState(this.isReady);
   }
 
-  listsSince(version: number): Lists | null {
-    const { current } = this.#parts.lists;
-    return current.version > version ? current : null;
+  listsSince(version: number): ListsUpdate | null {
+    return this.#parts.lists.since(version);
+  }
+
+  exchange(question: GossipQuestion): GossipAnswer {
+    return this.#parts.lists.answer(question, this.isReady);
   }
 
   targetState(): TargetState {
@@ -89,7 +98,28 @@
 
   /** True while the agent takes new calls. */
   get isReady(): boolean {
-    return !this.#leaving && this.#parts.lists.isConfirmed;
+    return !this.#parts.gate.load.leaving && this.#parts.lists.isConfirmed &&
+      !this.#isSuperseded;
+  }
+
+  /** Takes notice that the target has to prove itself again. */
+  targetTurnedCold(): void {
+    this.#parts.gate.report({ ageMs: 0, cold: true });
+  }
+
+  /** Takes no calls while the registration is another agent's. */
+  follow(registration: { readonly isSuperseded: boolean }): void {
+    this.#registration = registration;
+  }
+
+  get #isSuperseded(): boolean {
+    return this.#registration?.isSuperseded === true;
+  }
+
+  /** Reports the target as leaving; calls are refused after the notice. */
+  leave(): void {
+    this.#parts.gate.leave();
+    setTimeout(() => this.#leaving = true, LEAVE_NOTICE_MS).unref();
   }
 
   /** Stops taking calls and resolves once none is in hand. */
@@ -151,6 +181,7 @@
     hop: Pick<Session, "stream" | "signal" | "traceparent">,
   ): Promise<Result<StageResult, Refusal>> {
     const deadlineAt = monotonicMs() + call.remainingMs;
+    this.#parts.lists.notice(call.listsVersion);
     const refusal = this.#refusalBeforeGate(call);
     if (refusal) return err(refusal);
     const permit = await this.#parts.gate.enter(call, hop.signal);
@@ -171,17 +202,23 @@
   }
 
   #refusalBeforeGate(call: StageCall): Refusal | undefined {
-    const { target, lists } = this.#parts;
+    const { target } = this.#parts;
     if (call.target !== target.id) {
       return notRun(RefusalReason.NoTarget, "The call is for another target");
     }
-    if (this.#leaving) {
+    if (this.#leaving || this.#isSuperseded) {
       return notRun(
         RefusalReason.Leaving,
         "The target leaves",
         LEAVING_RETRY_MS,
       );
     }
+    return this.#refusalByLists();
+  }
+
+  /** Refusal of work that the lists in force do not allow. */
+  #refusalByLists(): Refusal | undefined {
+    const { target, lists } = this.#parts;
     if (!lists.isConfirmed) {
       return notRun(
         RefusalReason.NotConfirmed,
@@ -219,6 +256,9 @@
   /** Runs a permitted call at the target. */
   async #run(session: Session): Promise<Result<StageResult, Refusal>> {
     const { call, stream, permit, deadlineAt } = session;
+    // The wait at the gate or for the claim may have outlived the lists.
+    const refusal = this.#refusalByLists();
+    if (refusal) return err(refusal);
     const startedAt = monotonicMs();
     const span = this.#parts.tracing.start("agent.target", {
       parent: session.traceparent,
--- a/src/bench/cold_start.ts
+++ b/src/bench/cold_start.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import { sleep } from "../kernel/mod.ts";
-import { ColdStart, seededRandom } from "../standin/mod.ts";
+import { seededRandom, sleep } from "../kernel/mod.ts";
+import { ColdStart } from "../standin/mod.ts";
 import type { Experiment, ExperimentReport } from "./experiment.ts";
 import type { Lab, LabPlan } from "./lab.ts";
 import { DRAFT, LAB_PLAN } from "./lab_plan.ts";
--- a/src/bench/domain_out.ts
+++ b/src/bench/domain_out.ts
@@ -94,9 +94,9 @@
   domain: string,
   out: boolean,
 ): Promise<void> {
-  const { version } = (await readLists(world.table))._unsafeUnwrap();
+  const standing = (await readLists(world.table))._unsafeUnwrap();
   const availability = { domainsOut: out ? [domain] : [], hostsOut: [] };
-  (await changeLists(world.table, version, { availability }))._unsafeUnwrap();
+  (await changeLists(world.table, standing, { availability }))._unsafeUnwrap();
   const hosts = (await world.hosts.list())._unsafeUnwrap();
   world.hosts.replace(hosts.map((one): HostEntry => ({
     ...one,
--- a/src/bench/lab.ts
+++ b/src/bench/lab.ts
@@ -18,7 +18,12 @@
   Runner,
 } from "../entry/mod.ts";
 import { sleep } from "../kernel/mod.ts";
-import { type Target, TargetKind, type UseList } from "../model/mod.ts";
+import {
+  EMPTY_LISTS,
+  type Target,
+  TargetKind,
+  type UseList,
+} from "../model/mod.ts";
 import {
   changeLists,
   ListsSync,
@@ -69,6 +74,7 @@
   readonly plan: LabPlan;
   readonly targets: readonly LabTarget[];
   readonly #abort = new AbortController();
+  readonly #agents = new Map<string, Agent>();
   readonly #table = new MemoryTable();
 
   constructor(plan: LabPlan, opts: { seed: number }) {
@@ -97,15 +103,14 @@
   async startEntries(): Promise<readonly Runner[]> {
     const platform = this.#platform();
     const change = { customers: { customers: [] }, use: this.plan.use };
-    (await changeLists(this.#table, 0, change))._unsafeUnwrap();
-    const agents = new Map<string, Agent>();
+    (await changeLists(this.#table, EMPTY_LISTS, change))._unsafeUnwrap();
     for (const one of this.targets) {
-      agents.set(one.target.id, this.#startAgent(one));
+      this.#agents.set(one.target.agentUrl, this.#startAgent(one));
       await registerTarget(this.#table, one.target);
     }
     const runners = Array.from(
       { length: this.plan.entries },
-      (_, i) => this.#startEntry(i, platform, agents),
+      (_, i) => this.#startEntry(i, platform),
     );
     await sleep(READY_MS);
     return runners;
@@ -146,22 +151,21 @@
       gate,
       claims: new ClaimService(this.#table),
       client,
-      lists: this.#lists(),
+      lists: this.#lists(`agent-${target.id}`, target.domain),
     });
   }
 
   #startEntry(
     i: number,
     platform: Platform,
-    agents: ReadonlyMap<string, Agent>,
   ): Runner {
     const telemetry = this.#telemetry(`entry-${i}`);
     const directory = new Directory({
       ...telemetry,
       platform,
-      lists: this.#lists(),
-      homeDomain: DOMAINS[i % DOMAINS.length] as string,
-      connect: (target) => localAgent(agents.get(target.id) as Agent),
+      lists: this.#lists(`entry-${i}`, domainAt(i)),
+      homeDomain: domainAt(i),
+      connect: ({ agentUrl }) => this.#connect(agentUrl),
     });
     directory.run(this.#abort.signal);
     const admission = new AdmissionService(telemetry);
@@ -169,8 +173,18 @@
     return new Runner({ dispatcher, admission });
   }
 
-  #lists(): ListsSync {
-    const lists = new ListsSync({ table: this.#table, log: SILENT_LOGGER });
+  #connect(url: string): AgentClient {
+    return localAgent(this.#agents.get(url) as Agent);
+  }
+
+  #lists(name: string, domain: string): ListsSync {
+    const lists = new ListsSync({
+      info: { name, domain, url: `local:${name}` },
+      table: this.#table,
+      log: SILENT_LOGGER,
+      metrics: new Metrics(),
+      connect: ({ url }) => this.#connect(url),
+    });
     lists.run(this.#abort.signal);
     return lists;
   }
@@ -184,9 +198,13 @@
   }
 }
 
+function domainAt(i: number): string {
+  return DOMAINS[i % DOMAINS.length] as string;
+}
+
 function targetAt(pool: string, kind: TargetKind, i: number): Target {
   const id = `${pool}-${i + 1}`;
-  const domain = DOMAINS[i % DOMAINS.length] as string;
+  const domain = domainAt(i);
   return {
     id,
     pool,
@@ -202,7 +220,9 @@
     call: (call, signal) => Promise.resolve(agent.call(call, signal)),
     targetState: () => Promise.resolve(agent.targetState()),
     peerState: () => Promise.resolve(agent.peerState()),
-    listsSince: (version: number) => Promise.resolve(agent.listsSince(version)),
+    listsSince: (version) => Promise.resolve(agent.listsSince(version)),
+    exchange: (question) => Promise.resolve(agent.exchange(question)),
+    renew: () => {},
     close: () => Promise.resolve(),
-  } as AgentClient;
+  };
 }
--- a/src/bench/local_client.ts
+++ b/src/bench/local_client.ts
@@ -7,14 +7,18 @@
 
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import {
-  promptOf,
   type RunOptions,
   type TargetAnswer,
   type TargetClient,
   type TargetFailure,
 } from "../agent/mod.ts";
 import { sleep } from "../kernel/mod.ts";
-import { Priority, RefusalReason, type StageCall } from "../model/mod.ts";
+import {
+  Priority,
+  promptOf,
+  RefusalReason,
+  type StageCall,
+} from "../model/mod.ts";
 import type { Engine, PlainService } from "../standin/mod.ts";
 
 /** Time of a message between the agent and its target, in milliseconds. */
--- a/src/bench/paused_clock.ts
+++ b/src/bench/paused_clock.ts
@@ -6,7 +6,7 @@
  */
 
 import { install } from "@sinonjs/fake-timers";
-import { seededRandom } from "../standin/mod.ts";
+import { seededRandom } from "../kernel/mod.ts";
 
 /** Kept from before the clock is paused. */
 const nativeImmediate = setImmediate;
--- a/src/config/reference_test.ts
+++ b/src/config/reference_test.ts
@@ -12,7 +12,11 @@
 
 test("settingsReference() is what docs/CONFIGURATION.md holds", () => {
   const page = readFileSync(pathOf("docs/CONFIGURATION.md"), "utf8");
-  assert.equal(cells(page), cells(settingsReference()));
+  assert.equal(
+    cells(page),
+    cells(settingsReference()),
+    "Run npm run docs:settings",
+  );
 });
 
 test("The sample settings pass their check", () => {
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -36,6 +36,7 @@
   neverRuns,
   type Settled,
 } from "./key_record.ts";
+import { type CallVerdict, verdictOf } from "./pool_router.ts";
 
 const RETRY_RATIO = 0.1;
 const MAX_SAVED_RETRIES = 20;
@@ -238,7 +239,7 @@
     },
   ): Promise<AttemptOutcome> {
     const { directory, metrics, admission } = this.#parts;
-    const end = directory.begin(target);
+    const end = directory.begin(target, stage.req);
     const startedAt = monotonicMs();
     const attempt = new Attempt(
       { directory, metrics, admission },
@@ -246,7 +247,8 @@
       target,
     );
     const onText = stage.textSink(call.callId);
-    const ended = await attempt.run({ signal, onText }).finally(end);
+    const ended = await attempt.run({ signal, onText });
+    end(verdictAbout(stage, ended.outcome));
     this.#account(stage, {
       ms: monotonicMs() - startedAt,
       target,
@@ -401,6 +403,20 @@
   }
 }
 
+/** What an outcome says about the target's health. */
+function verdictAbout(
+  { req }: Dispatch,
+  outcome: Result<StageResult, Refusal>,
+): CallVerdict {
+  return outcome.match<CallVerdict>(
+    ({ serviceMs, replayed }) =>
+      replayed
+        ? { kind: "neutral" }
+        : { kind: "done", stage: req.stage, serviceMs },
+    ({ reason }) => verdictOf(reason),
+  );
+}
+
 function outcomeOf(
   settled: Settled,
   stage: Dispatch,
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -14,6 +14,9 @@
 import {
   baseServices,
   createControlApp,
+  type EntryInfo,
+  entryKey,
+  infoOf,
   Ledger,
   listen,
   type Listening,
@@ -22,6 +25,7 @@
   LOG,
   METRICS,
   PLATFORM,
+  Registrar,
   TRACING,
 } from "../process/mod.ts";
 import { createPeerRouter, type PeerApi } from "../wire/mod.ts";
@@ -36,6 +40,7 @@
 const DIRECTORY = serviceKey<Directory>("directory");
 const FRONT = serviceKey<Front>("front");
 const CONTROL = serviceKey<Listening>("control");
+const REGISTRATION = serviceKey<Registrar>("registration");
 const LISTEN = serviceKey<Listening>("listen");
 
 /** Starts an entry. */
@@ -45,6 +50,7 @@
     directoryService(cfg),
     frontService(cfg),
     controlService(cfg),
+    registrationService(cfg),
     listenService(cfg),
   ]);
 }
@@ -57,7 +63,9 @@
         platform: ctx.get(PLATFORM),
         lists: ctx.get(LISTS),
         log: ctx.get(LOG),
+        name: cfg.name,
         homeDomain: cfg.domain,
+        seed: cfg.seed,
       });
       directory.run(ctx.signal);
       return directory;
@@ -91,6 +99,7 @@
         maxBodyBytes: cfg.maxBodyBytes,
       });
     },
+    leave: (front) => front.leave(),
     drain: (front) => front.drain(),
   });
 }
@@ -101,7 +110,7 @@
     start: (ctx) => {
       const front = ctx.get(FRONT);
       const app = createControlApp({
-        router: createPeerRouter(peerApi(cfg, ctx.get(LISTS), front)),
+        router: createPeerRouter(peerApi(ctx.get(LISTS), front)),
         metrics: ctx.get(METRICS),
         isReady: () => front.isReady,
       });
@@ -119,23 +128,38 @@
       ctx.get(LOG).info("entry_started", { port: server.port });
       return server;
     },
+    leave: (server) => server.leave(),
     drain: (server) => server.close(),
   });
 }
 
+/** Registers the entry so that operators' commands and peers find it. */
+function registrationService(cfg: EntrySettings): ServiceSpec {
+  return service({
+    key: REGISTRATION,
+    start: (ctx) => {
+      const info: EntryInfo = { ...infoOf(cfg), host: cfg.host };
+      const registrar = new Registrar({
+        table: ctx.get(PLATFORM).table,
+        key: entryKey(cfg.name),
+        value: info,
+        log: ctx.get(LOG),
+      });
+      registrar.run(ctx.signal);
+      return registrar;
+    },
+    leave: (registrar) => registrar.leave(),
+    end: (registrar) => registrar.withdraw(),
+  });
+}
+
 function peerApi(
-  cfg: EntrySettings,
   lists: ListsSync,
   front: Front,
 ): PeerApi {
   return {
-    peerState: () => ({
-      process: cfg.name,
-      listsVersion: lists.current.version,
-      confirmedAgeMs: lists.confirmedAgeMs,
-      ready: front.isReady,
-    }),
-    listsSince: (version) =>
-      lists.current.version > version ? lists.current : null,
+    peerState: () => lists.peerState(front.isReady),
+    listsSince: (version) => lists.since(version),
+    exchange: (question) => lists.answer(question, front.isReady),
   };
 }
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -19,6 +19,8 @@
     "retry",
     "membership",
     "freshness",
+    "lists",
+    "lease",
     "ledger",
     "pipeline",
   ],
--- a/src/soak/sim_fleet.ts
+++ b/src/soak/sim_fleet.ts
@@ -69,6 +69,7 @@
   current: { ...EMPTY_LISTS, version: 1 },
   isConfirmed: true,
   confirmedAgeMs: 0,
+  notice: () => {},
 } as unknown as ListsSync;
 const TRACING = new Tracing({
   to: "none",
@@ -119,6 +120,7 @@
   startAgent(target: Target): void {
     const shell = new ProcessShell(`agent-${target.id}`);
     const stop = this.#stopper();
+    shell.death.addEventListener("abort", () => stop.abort());
     const agent = new Agent({
       name: shell.name,
       target,
@@ -189,6 +191,7 @@
       },
       client: (target) => links.get(target.id) as unknown as AgentClient,
       begin: () => () => {},
+      noticeLists: () => {},
       report: () => {},
       suspect: () => {},
     };
