--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -70,8 +70,12 @@
   readonly #inHand = new Set<Promise<unknown>>();
   #leaving = false;
 
+  /** Wall-clock time at which the last call started, in milliseconds. */
+  #lastStartAt = 0;
+
   constructor(parts: AgentParts) {
     this.#parts = parts;
+    parts.metrics.gauge("last_call_started_at_ms", () => this.#lastStartAt);
   }
 
   peerState(): PeerState {
@@ -231,6 +235,7 @@
     // The wait at the gate or for the claim may have outlived the lists.
     const refusal = this.#refusalByLists();
     if (refusal) return err(refusal);
+    this.#lastStartAt = Date.now();
     const startedAt = monotonicMs();
     const span = this.#parts.tracing.start("agent.target", {
       parent: session.traceparent,
--- a/src/cli/lists.ts
+++ b/src/cli/lists.ts
@@ -158,7 +158,9 @@
 
 function differences(before: Lists, after: Lists): string {
   const lines = describeDiff(before, after);
-  return lines.length === 0 ? "nothing" : lines.join("\n");
+  return lines.length === 0
+    ? `nothing that still differs (versions ${before.version} to ${after.version})`
+    : lines.join("\n");
 }
 
 function readJson(path: string): unknown {
--- a/src/cli/lists_fleet_test.ts
+++ b/src/cli/lists_fleet_test.ts
@@ -3,7 +3,12 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { errAsync, ResultAsync } from "neverthrow";
-import { monotonicMs, setStrictInvariants, sleep } from "../kernel/mod.ts";
+import {
+  monotonicMs,
+  seededRandom,
+  setStrictInvariants,
+  sleep,
+} from "../kernel/mod.ts";
 import { type AvailabilityOrder, isInEffect } from "../lists/mod.ts";
 import { EMPTY_LISTS, type Lists } from "../model/mod.ts";
 import {
@@ -21,7 +26,7 @@
   readLists,
   registerEntry,
 } from "../process/mod.ts";
-import { MemoryTable, seededRandom } from "../standin/mod.ts";
+import { MemoryTable } from "../standin/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import type { PeerClient, PeerInfo } from "../wire/mod.ts";
 import { giveOrder } from "./lists.ts";
--- a/src/process/lists_store.ts
+++ b/src/process/lists_store.ts
@@ -160,7 +160,10 @@
   return {
     checks: [{ key: HEAD_KEY, version: standing.version }],
     puts: [
-      { key: HEAD_KEY, value: { version: after.version } },
+      {
+        key: HEAD_KEY,
+        value: { version: after.version, acceptedAt: Date.now() },
+      },
       { key: changeKey(after.version), value: record },
       ...partPuts(after, change, delta),
     ],
