--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -5,11 +5,19 @@
  */
 
 import { cac } from "cac";
+import { coldStart } from "./cold_start.ts";
+import { controlCost } from "./control_cost.ts";
 import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
 import { overhead } from "./overhead.ts";
+import { overload } from "./overload.ts";
+import { shares } from "./shares.ts";
 
 const EXPERIMENTS: readonly Experiment[] = [
+  coldStart,
+  controlCost,
+  overload,
+  shares,
   domainOut,
   overhead,
 ];
--- /dev/null
+++ b/src/bench/shares.ts
@@ -0,0 +1,95 @@
+/**
+ * Experiment: a greedy customer sends ten times its share beside modest ones.
+ *
+ * @module
+ */
+
+import { measureCapacity } from "./capacity.ts";
+import type { Experiment, ExperimentReport } from "./experiment.ts";
+import { attainmentOf, type LabOutcome, round } from "./lab_load.ts";
+import { DRAFT, LAB_PLAN } from "./lab_plan.ts";
+import { type LabRun, runLabSide } from "./overload.ts";
+import { underPausedClock } from "./paused_clock.ts";
+
+const DURATION_S = 30;
+const MS_PER_S = 1000;
+/** Share of their own share that the modest customers use. */
+const MODEST_USE = 0.8;
+const GREEDY_FACTOR = 10;
+const MODEST = ["m1", "m2", "m3"] as const;
+const GREEDY = "greedy";
+const CUSTOMERS = MODEST.length + 1;
+const PLAN = { ...LAB_PLAN, engine: { ...LAB_PLAN.engine, warmAfter: 0 } };
+
+/** Attainment of the modest customers with and without the greedy one. */
+export const shares: Experiment = {
+  name: "shares",
+  summary: "attainment of modest customers beside one at ten times its share",
+  async run({ seed }): Promise<ExperimentReport> {
+    const capacity = await underPausedClock(
+      () =>
+        measureCapacity(PLAN, {
+          tokens: DRAFT.stages[1]?.maxTokens ?? 0,
+          seed,
+        }),
+      { seed },
+    );
+    const share = capacity / CUSTOMERS;
+    const run = (policy: boolean, greedyFactor: number) =>
+      runLabSide({
+        plan: PLAN,
+        load: loadOf(share, greedyFactor),
+        seed,
+        policy,
+      });
+    const alone = await run(true, MODEST_USE);
+    const beside = await run(true, GREEDY_FACTOR);
+    const baselineAlone = await run(false, MODEST_USE);
+    const baselineBeside = await run(false, GREEDY_FACTOR);
+    return {
+      experiment: "shares",
+      seed,
+      share_per_s: round(share),
+      policy: beside.side,
+      baseline: baselineBeside.side,
+      policy_shares: figuresOf(alone, beside, share),
+      baseline_shares: figuresOf(baselineAlone, baselineBeside, share),
+    };
+  },
+};
+
+function loadOf(share: number, greedyFactor: number) {
+  const customers = [
+    ...MODEST.map((id) => ({ id, weight: MODEST_USE, plan: "standard" })),
+    { id: GREEDY, weight: greedyFactor, plan: "standard" },
+  ];
+  const weights = customers.reduce((sum, { weight }) => sum + weight, 0);
+  return {
+    ratePerS: share * weights,
+    durationS: DURATION_S,
+    customers,
+    mix: [{ pipeline: DRAFT.name, weight: 1 }],
+  };
+}
+
+function figuresOf(alone: LabRun, beside: LabRun, share: number) {
+  const modest = ({ outcomes }: LabRun) =>
+    outcomes.filter(({ arrival }) => arrival.customer.id !== GREEDY);
+  const before = attainmentOf(modest(alone));
+  const after = attainmentOf(modest(beside));
+  return {
+    modest_attainment_alone: before,
+    modest_attainment_beside: after,
+    moved_points: round((before - after) * 100),
+    greedy_shares_got: round(perSecond(beside.outcomes, GREEDY) / share),
+  };
+}
+
+/** Requests of a customer that ended in time, per second. */
+function perSecond(outcomes: readonly LabOutcome[], customer: string): number {
+  const good = outcomes.filter(({ inTime, arrival, endedAtMs }) =>
+    inTime && arrival.customer.id === customer &&
+    endedAtMs < DURATION_S * MS_PER_S
+  );
+  return good.length / DURATION_S;
+}
--- a/src/cli/lists_fleet_test.ts
+++ b/src/cli/lists_fleet_test.ts
@@ -286,7 +286,7 @@
         world.check();
       }
     };
-    INFOS.forEach((info) => void registerEntry(world.table, info));
+    for (const info of INFOS) await registerEntry(world.table, info);
     const first = { availability: EMPTY_LISTS.availability };
     const accepted = acceptLists(world.store(), EMPTY_LISTS, first);
     await clock.tickAsync(STEP_MS);
@@ -427,7 +427,7 @@
   const clock = install();
   const world = new World(SEED);
   try {
-    INFOS.forEach((info) => void registerEntry(world.table, info));
+    for (const info of INFOS) await registerEntry(world.table, info);
     const first = { availability: EMPTY_LISTS.availability };
     const accepted = acceptLists(world.store(), EMPTY_LISTS, first);
     await clock.tickAsync(STEP_MS);
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -28,6 +28,7 @@
   spendFor,
 } from "../retry/mod.ts";
 import type { Metrics, Tracing } from "../telemetry/mod.ts";
+import type { AdmissionService } from "./admission_service.ts";
 import { Attempt, type AttemptOutcome, type TargetBook } from "./attempt.ts";
 import {
   isClosedByOwn,
@@ -69,6 +70,8 @@
   readonly tracing: Tracing;
   /** Without it, calls whose answers were lost stay unknown. */
   readonly record?: KeyRecord;
+  /** Learns the load that rides on answers. */
+  readonly admission?: AdmissionService;
 }
 
 /** Sends stage calls. */
@@ -235,10 +238,14 @@
       signal: AbortSignal;
     },
   ): Promise<AttemptOutcome> {
-    const { directory, metrics } = this.#parts;
+    const { directory, metrics, admission } = this.#parts;
     const end = directory.begin(target, stage.req);
     const startedAt = monotonicMs();
-    const attempt = new Attempt({ directory, metrics }, call, target);
+    const attempt = new Attempt(
+      { directory, metrics, admission },
+      call,
+      target,
+    );
     const onText = stage.textSink(call.callId);
     const ended = await attempt.run({ signal, onText });
     end(verdictAbout(stage, ended.outcome));
