--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -30,6 +30,7 @@
 import { Agent } from "./agent.ts";
 import { keepColdWhileOut } from "./availability.ts";
 import { ClaimService } from "./claim_service.ts";
+import { ClaimSweeper } from "./claim_sweeper.ts";
 import { EngineClient } from "./engine_client.ts";
 import { HttpEngineControl, ORDER_MS } from "./engine_control.ts";
 import { GateService } from "./gate_service.ts";
@@ -140,6 +141,12 @@
       });
       ctx.get(AGENT).follow(registrar);
       registrar.run(ctx.signal);
+      new ClaimSweeper({
+        table: ctx.get(PLATFORM).table,
+        log,
+        metrics: ctx.get(METRICS),
+        holder: cfg.name,
+      }).run(ctx.signal);
       log.info("agent_started", { target: target.id, url: target.agentUrl });
       return registrar;
     },
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -8,10 +8,12 @@
 import { controlCost } from "./control_cost.ts";
 import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
+import { overhead } from "./overhead.ts";
 
 const EXPERIMENTS: readonly Experiment[] = [
   controlCost,
   domainOut,
+  overhead,
 ];
 
 const DEFAULT_SEED = 1;
--- a/src/bench/world.ts
+++ b/src/bench/world.ts
@@ -5,7 +5,12 @@
  * @module
  */
 
-import { type Target, TargetKind, type UseList } from "../model/mod.ts";
+import {
+  EMPTY_LISTS,
+  type Target,
+  TargetKind,
+  type UseList,
+} from "../model/mod.ts";
 import { HostState } from "../platform/mod.ts";
 import { changeLists, listen, type Listening } from "../process/mod.ts";
 import {
@@ -111,7 +116,7 @@
       customers: { customers: plan.customers.map(customerOf) },
       use: plan.use,
     };
-    (await changeLists(world.table, 0, change))._unsafeUnwrap();
+    (await changeLists(world.table, EMPTY_LISTS, change))._unsafeUnwrap();
     return world;
   }
 
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -35,6 +35,7 @@
   neverRuns,
   type Settled,
 } from "./key_record.ts";
+import { type CallVerdict, verdictOf } from "./pool_router.ts";
 
 const RETRY_RATIO = 0.1;
 const MAX_SAVED_RETRIES = 20;
@@ -235,11 +236,12 @@
     },
   ): Promise<AttemptOutcome> {
     const { directory, metrics } = this.#parts;
-    const end = directory.begin(target);
+    const end = directory.begin(target, stage.req);
     const startedAt = monotonicMs();
     const attempt = new Attempt({ directory, metrics }, call, target);
     const onText = stage.textSink(call.callId);
-    const ended = await attempt.run({ signal, onText }).finally(end);
+    const ended = await attempt.run({ signal, onText });
+    end(verdictAbout(stage, ended.outcome));
     this.#account(stage, {
       ms: monotonicMs() - startedAt,
       target,
@@ -394,6 +396,20 @@
   }
 }
 
+/** What an outcome says about the target's health. */
+function verdictAbout(
+  { req }: Dispatch,
+  outcome: Result<StageResult, Refusal>,
+): CallVerdict {
+  return outcome.match<CallVerdict>(
+    ({ serviceMs, replayed }) =>
+      replayed
+        ? { kind: "neutral" }
+        : { kind: "done", stage: req.stage, serviceMs },
+    ({ reason }) => verdictOf(reason),
+  );
+}
+
 function outcomeOf(
   settled: Settled,
   stage: Dispatch,
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -16,6 +16,7 @@
   createControlApp,
   type EntryInfo,
   entryKey,
+  infoOf,
   Ledger,
   listen,
   type Listening,
@@ -37,8 +38,8 @@
 
 const DIRECTORY = serviceKey<Directory>("directory");
 const FRONT = serviceKey<Front>("front");
-const CONTROL = serviceKey<Listening>("control");
 const REGISTRATION = serviceKey<Registrar>("registration");
+const CONTROL = serviceKey<Listening>("control");
 const LISTEN = serviceKey<Listening>("listen");
 
 /** Starts an entry. */
@@ -61,9 +62,12 @@
         platform: ctx.get(PLATFORM),
         lists: ctx.get(LISTS),
         log: ctx.get(LOG),
+        name: cfg.name,
         homeDomain: cfg.domain,
+        seed: cfg.seed,
       });
       directory.run(ctx.signal);
+      directory.clean(ctx.signal);
       return directory;
     },
   });
@@ -104,7 +108,7 @@
     start: (ctx) => {
       const front = ctx.get(FRONT);
       const app = createControlApp({
-        router: createPeerRouter(peerApi(cfg, ctx.get(LISTS), front)),
+        router: createPeerRouter(peerApi(ctx.get(LISTS), front)),
         metrics: ctx.get(METRICS),
         isReady: () => front.isReady,
       });
@@ -114,34 +118,15 @@
   });
 }
 
-function listenService(cfg: EntrySettings): ServiceSpec {
-  return service({
-    key: LISTEN,
-    start: async (ctx) => {
-      const server = await listen(ctx.get(FRONT).app(), cfg.listen);
-      ctx.get(LOG).info("entry_started", { port: server.port });
-      return server;
-    },
-    leave: (server) => server.leave(),
-    drain: (server) => server.close(),
-  });
-}
-
+/** Registers the entry so that operators' commands and peers find it. */
 function registrationService(cfg: EntrySettings): ServiceSpec {
   return service({
     key: REGISTRATION,
     start: (ctx) => {
-      const { port } = ctx.get(CONTROL);
-      const info: EntryInfo = {
-        name: cfg.name,
-        host: cfg.host,
-        domain: cfg.domain,
-        url: `http://${cfg.control.address}:${port}`,
-      };
       const registrar = new Registrar({
         table: ctx.get(PLATFORM).table,
         key: entryKey(cfg.name),
-        value: info,
+        value: { ...infoOf(cfg), host: cfg.host } satisfies EntryInfo,
         log: ctx.get(LOG),
       });
       registrar.run(ctx.signal);
@@ -152,19 +137,26 @@
   });
 }
 
+function listenService(cfg: EntrySettings): ServiceSpec {
+  return service({
+    key: LISTEN,
+    start: async (ctx) => {
+      const server = await listen(ctx.get(FRONT).app(), cfg.listen);
+      ctx.get(LOG).info("entry_started", { port: server.port });
+      return server;
+    },
+    leave: (server) => server.leave(),
+    drain: (server) => server.close(),
+  });
+}
+
 function peerApi(
-  cfg: EntrySettings,
   lists: ListsSync,
   front: Front,
 ): PeerApi {
   return {
-    peerState: () => ({
-      process: cfg.name,
-      listsVersion: lists.current.version,
-      confirmedAgeMs: lists.confirmedAgeMs,
-      ready: front.isReady,
-    }),
-    listsSince: (version) =>
-      lists.current.version > version ? lists.current : null,
+    peerState: () => lists.peerState(front.isReady),
+    listsSince: (version) => lists.since(version),
+    exchange: (question) => lists.answer(question, front.isReady),
   };
 }
--- a/src/wire/client.ts
+++ b/src/wire/client.ts
@@ -7,9 +7,16 @@
 import { createTRPCClient, httpBatchStreamLink, httpLink } from "@trpc/client";
 import { type Agent, fetch as undiciFetch } from "undici";
 import { timeoutSignal } from "../kernel/mod.ts";
-import type { CallEvent, Lists, StageCall } from "../model/mod.ts";
+import type { ListsUpdate } from "../lists/mod.ts";
+import type { CallEvent, StageCall } from "../model/mod.ts";
 import type { KeyStore } from "../tls/mod.ts";
-import type { PeerState, TargetState } from "./api.ts";
+import type {
+  GossipAnswer,
+  GossipQuestion,
+  PeerInfo,
+  PeerState,
+  TargetState,
+} from "./api.ts";
 import { createDispatcher } from "./connector.ts";
 import { type AgentRouter, type PeerRouter, TRPC_PATH } from "./router.ts";
 
@@ -30,7 +37,14 @@
 /** Speaks to any process of the system. */
 export interface PeerClient {
   peerState(signal?: AbortSignal): Promise<PeerState>;
-  listsSince(version: number, signal?: AbortSignal): Promise<Lists | null>;
+  listsSince(
+    version: number,
+    signal?: AbortSignal,
+  ): Promise<ListsUpdate | null>;
+  exchange(
+    question: GossipQuestion,
+    signal?: AbortSignal,
+  ): Promise<GossipAnswer>;
   /** Abandons every connection. */
   close(): Promise<void>;
 }
@@ -72,7 +86,10 @@
     return this.#unary.peerState.query(undefined, withTimeout(signal));
   }
 
-  listsSince(version: number, signal?: AbortSignal): Promise<Lists | null> {
+  listsSince(
+    version: number,
+    signal?: AbortSignal,
+  ): Promise<ListsUpdate | null> {
     return this.#unary.listsSince.query({ version }, withTimeout(signal));
   }
 
@@ -82,6 +99,13 @@
     void old.close();
   }
 
+  exchange(
+    question: GossipQuestion,
+    signal?: AbortSignal,
+  ): Promise<GossipAnswer> {
+    return this.#unary.exchange.mutate(question, withTimeout(signal));
+  }
+
   close(): Promise<void> {
     return this.#dispatcher.destroy();
   }
@@ -92,9 +116,12 @@
   readonly #dispatcher: Agent;
   readonly #unary;
 
-  /** `url` is the base URL of the process's control address. */
-  constructor(url: string, keys?: KeyStore) {
-    this.#dispatcher = createDispatcher(keys);
+  /**
+   * `url` is the base URL of the process's control address. Clients that speak
+   * to many processes now and then share their connections by a `dispatcher`.
+   */
+  constructor(url: string, dispatcher = createDispatcher()) {
+    this.#dispatcher = dispatcher;
     this.#unary = createTRPCClient<PeerRouter>({
       links: [
         httpLink({
@@ -109,15 +136,31 @@
     return this.#unary.peerState.query(undefined, withTimeout(signal));
   }
 
-  listsSince(version: number, signal?: AbortSignal): Promise<Lists | null> {
+  listsSince(
+    version: number,
+    signal?: AbortSignal,
+  ): Promise<ListsUpdate | null> {
     return this.#unary.listsSince.query({ version }, withTimeout(signal));
   }
 
+  exchange(
+    question: GossipQuestion,
+    signal?: AbortSignal,
+  ): Promise<GossipAnswer> {
+    return this.#unary.exchange.mutate(question, withTimeout(signal));
+  }
+
   close(): Promise<void> {
     return this.#dispatcher.destroy();
   }
 }
 
+/** Makes clients of peers that share one set of connections. */
+export function connectPeers(keys?: KeyStore): (info: PeerInfo) => PeerClient {
+  const dispatcher = createDispatcher(keys);
+  return ({ url }) => new TrpcPeerClient(url, dispatcher);
+}
+
 function fetchBy(current: () => Agent): typeof fetch {
   const send = (url: unknown, init?: unknown) =>
     undiciFetch(url as string, {
