--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -133,8 +133,9 @@
     start: (ctx) => {
       const log = ctx.get(LOG);
       const target = targetOf(cfg, ctx.get(CONTROL).port);
+      const { table } = ctx.get(PLATFORM);
       const registrar = new Registrar({
-        table: ctx.get(PLATFORM).table,
+        table,
         key: targetKey(target.id),
         value: target,
         log,
@@ -142,7 +143,7 @@
       ctx.get(AGENT).follow(registrar);
       registrar.run(ctx.signal);
       new ClaimSweeper({
-        table: ctx.get(PLATFORM).table,
+        table,
         log,
         metrics: ctx.get(METRICS),
         holder: cfg.name,
--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -76,12 +76,12 @@
 export class Directory {
   readonly #opts: DirectoryOptions;
   readonly #known: KnownTargets;
+  readonly #members: Members;
+  readonly #hosts: HostsSync;
   readonly #self: EntryPlace;
   readonly #random: () => number;
   readonly #routers = new Map<PoolName, PoolRouter>();
   readonly #prefixes = new WeakMap<StageRequest, { readonly key?: string }>();
-  readonly #members: Members;
-  readonly #hosts: HostsSync;
   #avoidedHosts: ReadonlySet<HostId> = new Set();
   #followed: Membership | undefined;
 
@@ -164,7 +164,7 @@
 
   /** Takes notice of a target that could not be reached. */
   suspect(target: Target): void {
-    this.#known.of(target).suspectedUntil = monotonicMs() + SUSPECT_MS;
+    this.#known.suspect(target, monotonicMs() + SUSPECT_MS);
   }
 
   /** Puts changed membership in force in the routers. */
--- a/src/entry/known_targets.ts
+++ b/src/entry/known_targets.ts
@@ -41,17 +41,15 @@
   }
 
   /** What is known of a target; a target that has moved starts anew. */
-  of(target: TargetRow): KnownTarget {
+  of(target: Target): KnownTarget {
+    const current = this.#current(target);
+    if (current) return current;
     const found = this.#known.get(target.id);
-    const instance = target.stamp?.instance;
-    const isSame = found?.url === target.agentUrl &&
-      found.instance === instance;
-    if (isSame) return found;
     if (found) retire(found);
     const fresh: KnownTarget = {
       client: this.#connect(target),
       url: target.agentUrl,
-      instance,
+      instance: instanceOf(target),
       heardAt: monotonicMs(),
       outstanding: 0,
       begunSince: 0,
@@ -74,17 +72,29 @@
     };
   }
 
-  /** Takes notice of a load report. */
-  report(target: TargetRow, load: TargetLoad): void {
-    const known = this.#known.get(target.id);
-    // An answer of a replaced process says nothing of its replacement.
-    if (known?.instance !== target.stamp?.instance) return;
+  /** Takes notice of a load report; late ones of a replaced agent are dropped. */
+  report(target: Target, load: TargetLoad): void {
+    const known = this.#current(target);
     if (!known) return;
     known.load = load;
     known.heardAt = monotonicMs();
     known.begunSince = 0;
   }
 
+  /** Takes notice of an agent that could not be reached. */
+  suspect(target: Target, until: number): void {
+    const known = this.#current(target);
+    if (known) known.suspectedUntil = until;
+  }
+
+  /** What is known of a target unless another process has taken it over. */
+  #current(target: Target): KnownTarget | undefined {
+    const found = this.#known.get(target.id);
+    const isSame = found?.url === target.agentUrl &&
+      found.instance === instanceOf(target);
+    return isSame ? found : undefined;
+  }
+
   /** Forgets targets that are not followed any more and have no calls. */
   forgetAllBut(followed: ReadonlySet<TargetId>): void {
     [...this.#known]
@@ -96,6 +106,10 @@
   }
 }
 
+function instanceOf(target: TargetRow): string | undefined {
+  return target.stamp?.instance;
+}
+
 /** Time for which a replaced client may finish its calls, in milliseconds. */
 const RETIRE_MS = 600_000;
 
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -38,8 +38,8 @@
 
 const DIRECTORY = serviceKey<Directory>("directory");
 const FRONT = serviceKey<Front>("front");
-const REGISTRATION = serviceKey<Registrar>("registration");
 const CONTROL = serviceKey<Listening>("control");
+const REGISTRATION = serviceKey<Registrar>("registration");
 const LISTEN = serviceKey<Listening>("listen");
 
 /** Starts an entry. */
@@ -118,15 +118,29 @@
   });
 }
 
+function listenService(cfg: EntrySettings): ServiceSpec {
+  return service({
+    key: LISTEN,
+    start: async (ctx) => {
+      const server = await listen(ctx.get(FRONT).app(), cfg.listen);
+      ctx.get(LOG).info("entry_started", { port: server.port });
+      return server;
+    },
+    leave: (server) => server.leave(),
+    drain: (server) => server.close(),
+  });
+}
+
 /** Registers the entry so that operators' commands and peers find it. */
 function registrationService(cfg: EntrySettings): ServiceSpec {
   return service({
     key: REGISTRATION,
     start: (ctx) => {
+      const info: EntryInfo = { ...infoOf(cfg), host: cfg.host };
       const registrar = new Registrar({
         table: ctx.get(PLATFORM).table,
         key: entryKey(cfg.name),
-        value: { ...infoOf(cfg), host: cfg.host } satisfies EntryInfo,
+        value: info,
         log: ctx.get(LOG),
       });
       registrar.run(ctx.signal);
@@ -137,19 +151,6 @@
   });
 }
 
-function listenService(cfg: EntrySettings): ServiceSpec {
-  return service({
-    key: LISTEN,
-    start: async (ctx) => {
-      const server = await listen(ctx.get(FRONT).app(), cfg.listen);
-      ctx.get(LOG).info("entry_started", { port: server.port });
-      return server;
-    },
-    leave: (server) => server.leave(),
-    drain: (server) => server.close(),
-  });
-}
-
 function peerApi(
   lists: ListsSync,
   front: Front,
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -5,11 +5,16 @@
  */
 
 import type { ResultAsync } from "neverthrow";
-import type { DomainName, Target } from "../model/mod.ts";
-import type { PlatformError, Table } from "../platform/mod.ts";
+import type { DomainName } from "../model/mod.ts";
+import type { PlatformError, Row, Table } from "../platform/mod.ts";
 import type { PeerInfo } from "../wire/mod.ts";
-import { Members } from "./members.ts";
-import { entryKey, readMember, writeMember } from "./registry.ts";
+import type { Members } from "./members.ts";
+import {
+  type EntryRow,
+  isTargetKey,
+  readAllMembers,
+  type TargetRow,
+} from "./registry.ts";
 
 /** Time after which a peer that did not answer is asked again, in ms. */
 const RETRY_MS = 1_000;
@@ -21,37 +26,26 @@
   askAt: number;
 }
 
-/** Registers an entry once, without keeping the registration up. */
-export function registerEntry(
-  table: Table,
-  info: PeerInfo,
-  signal?: AbortSignal,
-): ResultAsync<void, PlatformError> {
-  return readMember(table, entryKey(info.name), signal)
-    .andThen((member) => writeMember(table, member, { value: info, signal }))
-    .map(() => undefined);
-}
-
 /** Reads every registered process. */
 export function readPeers(
   table: Table,
   signal?: AbortSignal,
 ): ResultAsync<readonly PeerInfo[], PlatformError> {
-  const members = new Members(table);
-  return members.refresh(signal).map(() => peersOf(members));
+  return readAllMembers(table, signal).map((rows) => rows.map(peerOf));
 }
 
-/** The registered processes, as peers. */
+/** The registered processes as peers. */
 export function peersOf(members: Members): readonly PeerInfo[] {
-  return [...members.targets.map(agentInfo), ...members.entries];
+  return members.rows.map(peerOf);
 }
 
-function agentInfo(target: Target): PeerInfo {
-  return {
-    name: `agent-${target.id}`,
-    domain: target.domain,
-    url: target.agentUrl,
-  };
+function peerOf({ key, value }: Row): PeerInfo {
+  if (isTargetKey(key)) {
+    const { id, domain, agentUrl } = value as TargetRow;
+    return { name: `agent-${id}`, domain, url: agentUrl };
+  }
+  const { name, domain, url } = value as EntryRow;
+  return { name, domain, url };
 }
 
 /** Peers that a process may ask, by their URLs. */
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -121,6 +121,16 @@
     .map(() => undefined);
 }
 
+/** Registers an entry once, without keeping the registration up. */
+export function registerEntry(
+  table: Table,
+  info: Omit<EntryInfo, "host">,
+): ResultAsync<void, PlatformError> {
+  return readMember(table, entryKey(info.name))
+    .andThen((member) => writeMember(table, member, { value: info }))
+    .map(() => undefined);
+}
+
 /** Reads the heads of all registrations. */
 export function readHeads(
   table: Table,
--- a/src/soak/audit.ts
+++ b/src/soak/audit.ts
@@ -94,14 +94,14 @@
  * ran afterwards for a request that had started before.
  */
 function ranAnyway(
-  { told, marker, toldAt, spec }: Telling,
+  { told, marker, toldOrder, spec }: Telling,
   filings: readonly Execution[],
 ): boolean {
   if (told !== Proof.NotRun) return false;
   const keys = spec.stages.map(({ name }) => `k-${marker}/${name}`);
   return filings.some((one) =>
     keys.includes(one.key) &&
-    (one.at <= toldAt || one.requestedAt <= toldAt)
+    (one.order < toldOrder || one.requestOrder < toldOrder)
   );
 }
 
--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -24,6 +24,8 @@
   readonly requestId: string;
   readonly sentAt: number;
   readonly toldAt: number;
+  /** Place of the answer in the order of the execution log. */
+  readonly toldOrder: number;
   readonly told: "done" | "nothing" | Proof;
   readonly reason?: string;
   /** Output, when done. */
@@ -161,6 +163,7 @@
       requestId: req.requestId,
       sentAt,
       toldAt: monotonicMs(),
+      toldOrder: this.#fleet.log.next(),
       text: texts.join(""),
       entryDisturbed: isPaused || shell.pauses > pauses || !shell.isAlive,
     };
