--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,12 +12,14 @@
 import { listsCommands } from "./lists_commands.ts";
 import { loadCommands } from "./load_commands.ts";
 import { statusCommands } from "./status_commands.ts";
+import { targetsCommands } from "./targets_commands.ts";
 
 const GROUPS: readonly RegisterCommands[] = [
   daemonCommands,
   listsCommands,
   loadCommands,
   statusCommands,
+  targetsCommands,
 ];
 
 const PACKAGE_URL = new URL("../../../package.json", import.meta.url);
