--- /dev/null
+++ b/src/bench/local_client.ts
@@ -0,0 +1,104 @@
+/**
+ * Clients of stand-ins in the same process, with the time of a connection
+ * between two processes of one host.
+ *
+ * @module
+ */
+
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import {
+  type RunOptions,
+  type TargetAnswer,
+  type TargetClient,
+  type TargetFailure,
+} from "../agent/mod.ts";
+import { sleep } from "../kernel/mod.ts";
+import {
+  Priority,
+  promptOf,
+  RefusalReason,
+  type StageCall,
+} from "../model/mod.ts";
+import type { Engine, PlainService } from "../standin/mod.ts";
+
+/** Time of a message between the agent and its target, in milliseconds. */
+const HOP_MS = 0.2;
+const DEFAULT_MAX_TOKENS = 256;
+
+/** Client of an engine in this process. */
+export class LocalEngineClient implements TargetClient {
+  readonly #engine: Engine;
+
+  constructor(engine: Engine) {
+    this.#engine = engine;
+  }
+
+  run(
+    call: StageCall,
+    opts: RunOptions,
+  ): ResultAsync<TargetAnswer, TargetFailure> {
+    return ResultAsync.fromSafePromise(this.#complete(call, opts))
+      .andThen((done) => "reason" in done ? errAsync(done) : okAsync(done));
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  async #complete(
+    call: StageCall,
+    opts: RunOptions,
+  ): Promise<TargetAnswer | TargetFailure> {
+    await sleep(HOP_MS);
+    if (this.#engine.isDown) return failed({ mayHaveRun: false, cold: true });
+    const cold = this.#engine.marksCold;
+    const maxTokens = call.maxTokens ?? DEFAULT_MAX_TOKENS;
+    const tokens = this.#engine.complete({
+      prompt: promptOf(call),
+      maxTokens,
+      priority: call.priority === Priority.Batch ? 1 : 0,
+    }, opts.signal);
+    if (!tokens) return failed({ mayHaveRun: false, cold });
+    const pieces: string[] = [];
+    if (cold) opts.onSign?.({ cold });
+    for await (const text of tokens) {
+      if (pieces.length === 0) opts.onSign?.({ cold: false });
+      pieces.push(text);
+      opts.onText(text);
+    }
+    if (pieces.length < maxTokens) {
+      return failed({ mayHaveRun: true, cold: !opts.signal.aborted });
+    }
+    return { output: { text: pieces.join("") }, tokens: pieces.length };
+  }
+}
+
+/** Client of a plain service in this process. */
+export class LocalServiceClient implements TargetClient {
+  readonly #plain: PlainService;
+
+  constructor(plain: PlainService) {
+    this.#plain = plain;
+  }
+
+  run(call: StageCall): ResultAsync<TargetAnswer, TargetFailure> {
+    const { input, kind } = call;
+    const key = call.idempotencyKey ?? "";
+    return ResultAsync.fromSafePromise(this.#plain.run(kind, { input, key }))
+      .map((output) => ({ output, tokens: 0 }));
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+function failed(
+  opts: { mayHaveRun: boolean; cold: boolean },
+): TargetFailure {
+  return {
+    ...opts,
+    reason: RefusalReason.TargetFailed,
+    detail: "The engine did not complete the call",
+  };
+}
--- /dev/null
+++ b/src/bench/paused_clock.ts
@@ -0,0 +1,50 @@
+/**
+ * Runs a program under a paused clock, so that an experiment takes no notice of
+ * how busy the machine is and gives the same figures for the same seed.
+ *
+ * @module
+ */
+
+import { install } from "@sinonjs/fake-timers";
+import { seededRandom } from "../kernel/mod.ts";
+
+/** Kept from before the clock is paused. */
+const nativeImmediate = setImmediate;
+
+/** Runs `program` with a clock that moves on only when nothing else is to do. */
+export async function underPausedClock<T>(
+  program: () => Promise<T>,
+  opts: { seed: number },
+): Promise<T> {
+  const clock = install({
+    toFake: [
+      "setTimeout",
+      "clearTimeout",
+      "setInterval",
+      "clearInterval",
+      "Date",
+      "performance",
+    ],
+  });
+  const nativeRandom = Math.random;
+  Math.random = seededRandom(opts.seed);
+  try {
+    let ended = false;
+    const result = program().finally(() => ended = true);
+    result.catch(() => {});
+    await settled();
+    while (!ended) {
+      clock.next();
+      await settled();
+    }
+    return await result;
+  } finally {
+    Math.random = nativeRandom;
+    clock.uninstall();
+  }
+}
+
+/** Resolves when every promise that can go on has done so. */
+function settled(): Promise<void> {
+  return new Promise((resolve) => nativeImmediate(resolve));
+}
--- a/src/limits/limit.ts
+++ b/src/limits/limit.ts
@@ -56,8 +56,12 @@
     /** True when the target has to be taken for cold. */
     readonly cold: boolean;
   }
-  /** The target was slow to begin its answer. */
-  | { readonly kind: "slow"; readonly startedAt: number }
+  /** The target was slow to begin its answer, by this multiple of the usual. */
+  | {
+    readonly kind: "slow";
+    readonly startedAt: number;
+    readonly slowness: number;
+  }
   /** An answer in progress says whether the target is cold. */
   | {
     readonly kind: "sign";
@@ -77,6 +81,10 @@
 /** Slowness at which the limit falls. */
 const BAD_SLOWNESS = 3;
 const FALL_RATIO = 0.5;
+/** Slowness of a first answer that a queue inside the target cannot explain. */
+const JUMP_SLOWNESS = 40;
+/** Part of the limit that is kept when the target begins to queue. */
+const QUEUEING_RATIO = 0.9;
 /** Age at which evidence of warmth expires, in milliseconds. */
 export const EVIDENCE_MS = 5_000;
 
@@ -129,7 +137,12 @@
         ? turnCold(state, now)
         : fall(state, event.startedAt, now);
     case "slow":
-      return fall(state, event.startedAt, now);
+      return fall(
+        state,
+        event.startedAt,
+        now,
+        event.slowness < JUMP_SLOWNESS ? QUEUEING_RATIO : FALL_RATIO,
+      );
     case "sign":
       if (event.cold) return turnCold(state, now);
       return event.startedAt < state.lastColdAt
@@ -169,11 +182,16 @@
 }
 
 /** Lowers the limit once for each round of calls. */
-function fall(state: LimitState, startedAt: number, now: number): LimitState {
+function fall(
+  state: LimitState,
+  startedAt: number,
+  now: number,
+  ratio: number = FALL_RATIO,
+): LimitState {
   if (startedAt < state.lastFallAt) return state;
   const limit = Math.max(
     Math.min(state.cfg.coldLimit, state.limit),
-    Math.floor(state.limit * FALL_RATIO),
+    Math.floor(state.limit * ratio),
   );
   return { ...state, limit, threshold: limit, credit: 0, lastFallAt: now };
 }
