--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -17,8 +17,13 @@
   type TargetId,
   type TargetLoad,
 } from "../model/mod.ts";
-import { HostState } from "../platform/mod.ts";
-import { type ListsSync, Members, type Platform } from "../process/mod.ts";
+import {
+  Cleaner,
+  HostsSync,
+  type ListsSync,
+  Members,
+  type Platform,
+} from "../process/mod.ts";
 import { type EntryPlace, hashOf, prefixKey } from "../routing/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import { type AgentClient, TrpcAgentClient } from "../wire/mod.ts";
@@ -59,7 +64,8 @@
 /** What the members of the pools follow from. */
 interface Membership {
   readonly targets: readonly Target[];
-  readonly leavingHosts: ReadonlySet<HostId>;
+  /** Hosts that get no new work by the host list. */
+  readonly avoidedHosts: ReadonlySet<HostId>;
   readonly entries: readonly EntryPlace[];
   readonly lists: Lists;
 }
@@ -71,16 +77,18 @@
   readonly #opts: DirectoryOptions;
   readonly #known: KnownTargets;
   readonly #members: Members;
+  readonly #hosts: HostsSync;
   readonly #self: EntryPlace;
   readonly #random: () => number;
   readonly #routers = new Map<PoolName, PoolRouter>();
   readonly #prefixes = new WeakMap<StageRequest, { readonly key?: string }>();
-  #leavingHosts: ReadonlySet<HostId> = new Set();
+  #avoidedHosts: ReadonlySet<HostId> = new Set();
   #followed: Membership | undefined;
 
   constructor(opts: DirectoryOptions) {
     this.#opts = opts;
     this.#members = new Members(opts.platform.table);
+    this.#hosts = new HostsSync({ hosts: opts.platform.hosts, log: opts.log });
     this.#known = new KnownTargets(
       opts.connect ?? ((target) => new TrpcAgentClient(target.agentUrl)),
     );
@@ -99,6 +107,16 @@
     });
   }
 
+  /** Removes registrations of lost hosts until `signal` aborts. */
+  clean(signal: AbortSignal): void {
+    new Cleaner({
+      table: this.#opts.platform.table,
+      members: this.#members,
+      hosts: this.#hosts,
+      log: this.#opts.log,
+    }).run(signal);
+  }
+
   /** Targets of all pools that this entry keeps load and connections of. */
   get followed(): readonly Target[] {
     this.#follow();
@@ -157,7 +175,7 @@
     const members = serviceable({
       registered: now.targets,
       availability: now.lists.availability,
-      leavingHosts: now.leavingHosts,
+      leavingHosts: now.avoidedHosts,
       suspected: NOBODY,
     });
     const pools = new Set(
@@ -175,7 +193,7 @@
   #membership(): Membership {
     return {
       targets: this.#members.targets,
-      leavingHosts: this.#leavingHosts,
+      avoidedHosts: this.#avoidedHosts,
       entries: this.#opts.entries?.() ?? this.#members.entries,
       lists: this.#opts.lists.current,
     };
@@ -204,24 +222,24 @@
   }
 
   async #refresh(signal: AbortSignal): Promise<void> {
-    const { platform: { hosts }, log } = this.#opts;
-    const [members, hostList] = await Promise.all([
+    const [members] = await Promise.all([
       this.#members.refresh(signal),
-      hosts.list(signal),
+      this.#hosts.refresh(signal),
     ]);
     members.mapErr((err) =>
-      log.warn("members_read_failed", { detail: err.message })
+      this.#opts.log.warn("members_read_failed", { detail: err.message })
     );
-    hostList.map((entries) => {
-      const leaving = entries.filter(({ state }) =>
-        state === HostState.Leaving
-      );
-      this.#leavingHosts = new Set(leaving.map(({ host }) => host));
-    });
+    const inUse = new Set(this.#members.targets.map(({ host }) => host));
+    const { avoided } = this.#hosts.judge(inUse);
+    if (!isSameSet(avoided, this.#avoidedHosts)) this.#avoidedHosts = avoided;
   }
 }
 
 function isSame(a: Membership, b: Membership): boolean {
-  return a.targets === b.targets && a.leavingHosts === b.leavingHosts &&
+  return a.targets === b.targets && a.avoidedHosts === b.avoidedHosts &&
     a.entries === b.entries && a.lists === b.lists;
 }
+
+function isSameSet<T>(a: ReadonlySet<T>, b: ReadonlySet<T>): boolean {
+  return a.size === b.size && [...a].every((item) => b.has(item));
+}
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -68,6 +68,7 @@
         seed: cfg.seed,
       });
       directory.run(ctx.signal);
+      directory.clean(ctx.signal);
       return directory;
     },
   });
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -8,6 +8,7 @@
 import type { DomainName } from "../model/mod.ts";
 import type { PlatformError, Row, Table } from "../platform/mod.ts";
 import type { PeerInfo } from "../wire/mod.ts";
+import type { Members } from "./members.ts";
 import {
   type EntryRow,
   isTargetKey,
@@ -33,6 +34,11 @@
   return readAllMembers(table, signal).map((rows) => rows.map(peerOf));
 }
 
+/** The registered processes as peers. */
+export function peersOf(members: Members): readonly PeerInfo[] {
+  return members.rows.map(peerOf);
+}
+
 function peerOf({ key, value }: Row): PeerInfo {
   if (isTargetKey(key)) {
     const { id, domain, agentUrl } = value as TargetRow;
