Serve the control address over TLS with certificates of the fleet

Cause: an agent ran any stage call that reached its port. Change: with 'tls' in the settings the control address speaks TLS, /trpc and /metrics answer only clients whose certificate the fleet's authority signed, and /healthz and /readyz stay open to probes. Ruled out: refusing strangers in the TLS handshake, which would close the probes out too.

--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -15,7 +15,9 @@
 import { type Target, TargetKind } from "../model/mod.ts";
 import {
   baseServices,
+  controlUrl,
   createControlApp,
+  KEYS,
   listen,
   type Listening,
   LISTS,
@@ -120,7 +122,7 @@
         metrics: ctx.get(METRICS),
         isReady: () => agent.isReady,
       });
-      return listen(app, cfg.control);
+      return listen(app, { ...cfg.control, keys: ctx.get(KEYS) });
     },
     leave: (server) => server.leave(),
     drain: (server) => server.close(),
@@ -192,7 +194,7 @@
     kind: cfg.target.kind,
     host: cfg.host,
     domain: cfg.domain,
-    agentUrl: `http://${cfg.control.address}:${port}`,
+    agentUrl: controlUrl(cfg, port),
   };
 }
 
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -6,6 +6,8 @@
  */
 
 import type { CAC } from "cac";
+import { KeyStore, type TlsFiles } from "../tls/mod.ts";
+import { checkedOrFail } from "./daemon.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 
 /** Adds commands to the command line. */
@@ -27,3 +29,22 @@
   if (URL.canParse(url)) return url;
   throw new CommandError(ExitCode.Usage, `Not a URL: ${url}`);
 }
+
+/** Environment variables that name the operator's certificate files. */
+export const TLS_VARIABLES = {
+  certFile: "CASSIAPOST_TLS_CERT",
+  keyFile: "CASSIAPOST_TLS_KEY",
+  caFile: "CASSIAPOST_TLS_CA",
+} as const satisfies Record<keyof TlsFiles, string>;
+
+/** Certificate for a fleet with TLS; undefined when no variable is set. */
+export function fleetKeys(): KeyStore | undefined {
+  const { certFile, keyFile, caFile } = TLS_VARIABLES;
+  const names = [certFile, keyFile, caFile];
+  if (names.every((name) => process.env[name] === undefined)) return undefined;
+  const [cert, key, ca] = names.map((name) =>
+    requireFlag(process.env[name], name)
+  );
+  const files = { certFile: cert, keyFile: key, caFile: ca } as TlsFiles;
+  return checkedOrFail("The operator's certificate", KeyStore.open(files));
+}
--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -10,10 +10,12 @@
 import {
   agentSettingsSchema,
   entrySettingsSchema,
+  type ProcessSettings,
   readChecked,
 } from "../config/mod.ts";
 import { startEntry } from "../entry/mod.ts";
 import type { Kernel } from "../kernel/mod.ts";
+import { KeyStore } from "../tls/mod.ts";
 import { requireFlag } from "./command.ts";
 import { checkedOrFail, runDaemon } from "./daemon.ts";
 
@@ -23,7 +25,7 @@
 }
 
 /** A daemon that the command line can run. */
-interface Daemon<T extends { drainMs: number }> {
+interface Daemon<T extends ProcessSettings> {
   readonly name: string;
   readonly summary: string;
   readonly schema: z.ZodType<T>;
@@ -46,7 +48,7 @@
   });
 }
 
-function addDaemon<T extends { drainMs: number }>(
+function addDaemon<T extends ProcessSettings>(
   cli: CAC,
   daemon: Daemon<T>,
 ): void {
@@ -56,6 +58,7 @@
     .action(async (flags: DaemonFlags) => {
       const path = requireFlag(flags.settings, "--settings");
       const cfg = checkedOrFail(path, readChecked(path, daemon.schema));
+      if (cfg.tls) checkedOrFail(path, KeyStore.open(cfg.tls));
       if (flags.check) return;
       runDaemon(await daemon.start(cfg), cfg);
     });
--- a/src/cli/rollout.ts
+++ b/src/cli/rollout.ts
@@ -16,6 +16,7 @@
   type PeerInfo,
   type PeerState,
 } from "../wire/mod.ts";
+import { fleetKeys } from "./command.ts";
 
 const ROUND_MS = 100;
 const ANSWER_MS = 1_000;
@@ -63,7 +64,7 @@
   version: number,
   opts: RolloutOptions,
 ): Promise<Rollout> {
-  const connect = opts.connect ?? connectPeers();
+  const connect = opts.connect ?? connectPeers(fleetKeys());
   const until = opts.acceptedAt + opts.waitMs;
   const read = await readPeers(opts.table);
   const peers = read.unwrapOr([]);
--- a/src/cli/status_commands.ts
+++ b/src/cli/status_commands.ts
@@ -10,6 +10,7 @@
 import { CommandError, ExitCode } from "./exit.ts";
 import { tableOf } from "./lists_commands.ts";
 import { askAll, type Asked } from "./rollout.ts";
+import { fleetKeys } from "./command.ts";
 
 interface StatusFlags {
   table?: string;
@@ -35,7 +36,7 @@
     );
   }
   const asked = await askAll(peers.value, {
-    connect: connectPeers(),
+    connect: connectPeers(fleetKeys()),
     question: { version: lists.value.version },
   });
   const { version, availability } = lists.value;
--- a/src/cli/targets_commands.ts
+++ b/src/cli/targets_commands.ts
@@ -12,6 +12,7 @@
 import { CommandError, ExitCode } from "./exit.ts";
 import { tableOf } from "./lists_commands.ts";
 import { statusOf, type TargetStatus } from "./targets.ts";
+import { fleetKeys } from "./command.ts";
 
 /** Agents that are asked at the same time. */
 const ASKED_AT_ONCE = 32;
@@ -96,7 +97,7 @@
 }
 
 async function askLoad(target: TargetRow): Promise<TargetLoad | undefined> {
-  const client = new TrpcAgentClient(target.agentUrl);
+  const client = new TrpcAgentClient(target.agentUrl, fleetKeys());
   try {
     return (await client.targetState(AbortSignal.timeout(ASK_MS))).load;
   } catch {
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -36,12 +36,24 @@
   url: url.describe("Base URL of the process's control address"),
 });
 
+const tlsSchema = z.strictObject({
+  certFile: z.string().min(1)
+    .describe("PEM file with the certificate of the process"),
+  keyFile: z.string().min(1).describe("PEM file with its private key"),
+  caFile: z.string().min(1)
+    .describe(
+      "PEM file with the authority that signs the fleet's certificates",
+    ),
+});
+
 const processFields = {
   name: z.string().min(1).describe("Name of the process, unique in the fleet"),
   host: z.string().min(1).describe("Host in the platform's host list"),
   domain: z.string().min(1).describe("Failure domain of the host"),
   control: addressSchema
     .describe("Address for the system's own processes, health and metrics"),
+  tls: tlsSchema.optional()
+    .describe("Certificate for the control address; without it plain HTTP"),
   platform: platformSchema,
   peers: z.array(peerSchema).default([])
     .describe("Processes to ask while the table service is out"),
@@ -57,6 +69,8 @@
 export const entrySettingsSchema = z.strictObject({
   ...processFields,
   listen: addressSchema.describe("Address for callers"),
+  listenTls: z.boolean().default(false)
+    .describe("True when callers too are served with the certificate"),
   maxBodyBytes: z.int().positive().default(1_048_576)
     .describe("Largest body of a request, in bytes"),
   seed: z.int().optional()
@@ -87,7 +101,7 @@
 /** Settings that entries and agents share. */
 export type ProcessSettings = Omit<
   EntrySettings,
-  "listen" | "maxBodyBytes" | "seed"
+  "listen" | "listenTls" | "maxBodyBytes" | "seed"
 >;
 
 /** Settings that are described in the reference. */
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -17,6 +17,7 @@
   type EntryInfo,
   entryKey,
   infoOf,
+  KEYS,
   Ledger,
   listen,
   type Listening,
@@ -28,7 +29,11 @@
   Registrar,
   TRACING,
 } from "../process/mod.ts";
-import { createPeerRouter, type PeerApi } from "../wire/mod.ts";
+import {
+  createPeerRouter,
+  type PeerApi,
+  TrpcAgentClient,
+} from "../wire/mod.ts";
 import { Checkpoints } from "./checkpoints.ts";
 import { AdmissionService } from "./admission_service.ts";
 import { Directory } from "./directory.ts";
@@ -65,6 +70,7 @@
         log: ctx.get(LOG),
         name: cfg.name,
         homeDomain: cfg.domain,
+        connect: ({ agentUrl }) => new TrpcAgentClient(agentUrl, ctx.get(KEYS)),
         seed: cfg.seed,
       });
       directory.run(ctx.signal);
@@ -115,7 +121,7 @@
         metrics: ctx.get(METRICS),
         isReady: () => front.isReady,
       });
-      return listen(app, cfg.control);
+      return listen(app, { ...cfg.control, keys: ctx.get(KEYS) });
     },
     drain: (server) => server.close(),
   });
@@ -125,7 +131,10 @@
   return service({
     key: LISTEN,
     start: async (ctx) => {
-      const server = await listen(ctx.get(FRONT).app(), cfg.listen);
+      const server = await listen(ctx.get(FRONT).app(), {
+        ...cfg.listen,
+        keys: cfg.listenTls ? ctx.get(KEYS) : undefined,
+      });
       ctx.get(LOG).info("entry_started", { port: server.port });
       return server;
     },
--- a/src/launch/topology.ts
+++ b/src/launch/topology.ts
@@ -116,6 +116,7 @@
       domain,
       listen: { address: ADDRESS, port: nextPort() },
       control: { address: ADDRESS, port: nextPort() },
+      listenTls: false,
       maxBodyBytes: 1_048_576,
     }))
   );
--- a/src/process/base.ts
+++ b/src/process/base.ts
@@ -4,10 +4,11 @@
  * @module
  */
 
-import type { ProcessSettings } from "../config/mod.ts";
+import { formatFindings, type ProcessSettings } from "../config/mod.ts";
 import {
   onViolation,
   service,
+  type ServiceContext,
   type ServiceSpec,
   violationCount,
 } from "../kernel/mod.ts";
@@ -18,11 +19,13 @@
   HttpTable,
   HttpWeightStore,
 } from "../platform/mod.ts";
+import { KeyStore } from "../tls/mod.ts";
 import { createLogger, Metrics, Tracing } from "../telemetry/mod.ts";
 import { connectPeers, type PeerInfo } from "../wire/mod.ts";
-import { LISTS, LOG, METRICS, PLATFORM, TRACING } from "./keys.ts";
+import { KEYS, LISTS, LOG, METRICS, PLATFORM, TRACING } from "./keys.ts";
 import { ListsSync } from "./lists_sync.ts";
 
+const MS_PER_S = 1_000;
 const US_PER_S = 1_000_000;
 
 /** Telemetry, the platform's clients and the lists, in starting order. */
@@ -48,6 +51,10 @@
         }),
       drain: (tracing) => tracing.flush(),
     }),
+    service({
+      key: KEYS,
+      start: (ctx) => startKeys(cfg, ctx),
+    }),
     service({
       key: PLATFORM,
       start: (ctx) => createPlatform(cfg, ctx.get(METRICS)),
@@ -66,7 +73,7 @@
           table: ctx.get(PLATFORM).table,
           log,
           metrics: ctx.get(METRICS),
-          connect: connectPeers(),
+          connect: connectPeers(ctx.get(KEYS)),
           seeds: cfg.peers,
           rule: cfg.outageRule,
         });
@@ -79,14 +86,40 @@
 
 /** How the peers reach the process of these settings. */
 export function infoOf(cfg: ProcessSettings): PeerInfo {
-  const { address, port } = cfg.control;
   return {
     name: cfg.name,
     domain: cfg.domain,
-    url: `http://${address}:${port}`,
+    url: controlUrl(cfg, cfg.control.port),
   };
 }
 
+/** Base URL of the control address on a port. */
+export function controlUrl(cfg: ProcessSettings, port: number): string {
+  const scheme = cfg.tls ? "https" : "http";
+  return `${scheme}://${cfg.control.address}:${port}`;
+}
+
+/** Thrown when certificate files cannot be used. */
+export class KeysError extends Error {
+  override readonly name = "KeysError";
+}
+
+function startKeys(
+  cfg: ProcessSettings,
+  ctx: ServiceContext,
+): KeyStore | undefined {
+  if (!cfg.tls) return undefined;
+  const opened = KeyStore.open(cfg.tls);
+  if (opened.isErr()) throw new KeysError(formatFindings(opened.error));
+  const keys = opened.value;
+  keys.run(ctx.get(LOG), ctx.signal);
+  ctx.get(METRICS).gauge(
+    "tls_expires_seconds",
+    () => (keys.current.expiresAt - Date.now()) / MS_PER_S,
+  );
+  return keys;
+}
+
 function startMetrics(_signal: AbortSignal): Metrics {
   const metrics = new Metrics();
   metrics.gauge("invariant_violations_total", violationCount);
--- a/src/process/control.ts
+++ b/src/process/control.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
-import { Hono } from "hono";
+import type { HttpBindings } from "@hono/node-server";
+import { type Context, Hono, type Next } from "hono";
+import type { TLSSocket } from "node:tls";
 import type { Metrics } from "../telemetry/mod.ts";
 import {
   type AgentRouter,
@@ -13,6 +15,7 @@
   TRPC_PATH,
 } from "../wire/mod.ts";
 
+const HTTP_FORBIDDEN = 403;
 const HTTP_UNAVAILABLE = 503;
 
 /** What the control address serves. */
@@ -25,7 +28,8 @@
 
 /** Makes the application of a control address. */
 export function createControlApp(opts: ControlOptions): Hono {
-  const app = new Hono();
+  const app = new Hono<{ Bindings: HttpBindings }>();
+  [`${TRPC_PATH}/*`, "/metrics"].forEach((path) => app.use(path, onlyPeers));
   app.all(`${TRPC_PATH}/*`, (c) => serveRouter(opts.router, c.req.raw));
   app.get("/metrics", (c) => c.text(opts.metrics.text()));
   app.get("/healthz", (c) => c.text("ok\n"));
@@ -36,5 +40,17 @@
         ? c.text("ready\n")
         : c.text("not ready\n", HTTP_UNAVAILABLE),
   );
-  return app;
+  return app as unknown as Hono;
+}
+
+/** With TLS, refuses clients whose certificate the authority did not sign. */
+async function onlyPeers(
+  c: Context<{ Bindings: HttpBindings }>,
+  next: Next,
+): Promise<Response | void> {
+  const socket = c.env?.incoming?.socket as Partial<TLSSocket> | undefined;
+  if (socket?.encrypted && !socket.authorized) {
+    return c.text("A certificate of the fleet is needed\n", HTTP_FORBIDDEN);
+  }
+  await next();
 }
--- /dev/null
+++ b/src/process/control_test.ts
@@ -0,0 +1,120 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { Agent, request } from "undici";
+import { Metrics } from "../telemetry/mod.ts";
+import { KeyStore, type PemTexts, type TlsFiles } from "../tls/mod.ts";
+import { TestAuthority } from "../tls/testing.ts";
+import { createPeerRouter, TrpcPeerClient } from "../wire/mod.ts";
+import { createDispatcher } from "../wire/connector.ts";
+import { createControlApp } from "./control.ts";
+import { listen, type Listening } from "./server.ts";
+
+const STATE = {
+  process: "p",
+  domain: "d",
+  listsVersion: 3,
+  confirmedAgeMs: 0,
+  standing: "confirmed",
+  ready: true,
+} as const;
+
+const write = (files: TlsFiles, texts: PemTexts) => {
+  writeFileSync(files.certFile, texts.cert);
+  writeFileSync(files.keyFile, texts.key);
+  writeFileSync(files.caFile, texts.ca);
+};
+
+const storeOf = (texts: PemTexts) => {
+  const dir = mkdtempSync(join(tmpdir(), "cassiapost-control-"));
+  const files = {
+    certFile: join(dir, "cert.pem"),
+    keyFile: join(dir, "key.pem"),
+    caFile: join(dir, "ca.pem"),
+  };
+  write(files, texts);
+  return { files, keys: KeyStore.open(files).unwrap() };
+};
+
+const serveWith = (keys: KeyStore) =>
+  listen(
+    createControlApp({
+      router: createPeerRouter({
+        peerState: () => STATE,
+        listsSince: () => null,
+        exchange: () => ({
+          state: STATE,
+          update: null,
+          domains: [],
+          peers: [],
+        }),
+      }),
+      metrics: new Metrics(),
+      isReady: () => true,
+    }),
+    { address: "127.0.0.1", port: 0, keys },
+  );
+
+const clientOf = (server: Listening, keys: KeyStore) =>
+  new TrpcPeerClient(
+    `https://127.0.0.1:${server.port}`,
+    createDispatcher(keys),
+  );
+
+const statusOf = async (server: Listening, path: string, ca: string) => {
+  const dispatcher = new Agent({ connect: { ca } });
+  const url = `https://127.0.0.1:${server.port}${path}`;
+  const res = await request(url, { dispatcher });
+  await res.body.dump();
+  await dispatcher.close();
+  return res.statusCode;
+};
+
+test("createControlApp() serves peers by certificate and strangers only health", async () => {
+  // Fails when onlyPeers() lets every client through.
+  const authority = await TestAuthority.create();
+  const { keys } = storeOf(await authority.issue());
+  const server = await serveWith(keys);
+  const client = clientOf(server, storeOf(await authority.issue()).keys);
+  assert.equal((await client.peerState()).listsVersion, 3);
+  const { ca } = keys.current;
+  assert.equal(await statusOf(server, "/healthz", ca), 200);
+  assert.equal(await statusOf(server, "/readyz", ca), 200);
+  assert.equal(await statusOf(server, "/metrics", ca), 403);
+  assert.equal(await statusOf(server, "/trpc/peerState", ca), 403);
+  await client.close();
+  await server.close();
+});
+
+test("createControlApp() refuses a certificate of another authority", async () => {
+  const authority = await TestAuthority.create();
+  const stranger = await TestAuthority.create();
+  const own = await authority.issue();
+  const foreign = await stranger.issue();
+  const server = await serveWith(storeOf(own).keys);
+  const client = clientOf(server, storeOf({ ...foreign, ca: own.ca }).keys);
+  await assert.rejects(client.peerState());
+  await client.close();
+  await server.close();
+});
+
+test("listen() and its clients follow a rotation without a restart", async () => {
+  // Fails when listen() does not set the secure context on a rotation.
+  const old = await TestAuthority.create();
+  const next = await TestAuthority.create();
+  const { files, keys } = storeOf(await old.issue());
+  const server = await serveWith(keys);
+  const before = clientOf(server, keys);
+  await before.peerState();
+  await before.close();
+  write(files, await next.issue());
+  assert.equal(keys.reload().unwrap(), true);
+  const after = clientOf(server, keys);
+  assert.equal((await after.peerState()).process, "p");
+  const stale = clientOf(server, storeOf(await old.issue()).keys);
+  await assert.rejects(stale.peerState());
+  await Promise.all([after.close(), stale.close()]);
+  await server.close();
+});
--- a/src/process/keys.ts
+++ b/src/process/keys.ts
@@ -12,6 +12,7 @@
   WeightStore,
 } from "../platform/mod.ts";
 import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
+import type { KeyStore } from "../tls/mod.ts";
 import type { ListsSync } from "./lists_sync.ts";
 
 /** Clients of the platform's services. */
@@ -26,4 +27,6 @@
 export const METRICS = serviceKey<Metrics>("metrics");
 export const TRACING = serviceKey<Tracing>("tracing");
 export const PLATFORM = serviceKey<Platform>("platform");
+/** Certificate and key of the process; undefined without TLS. */
+export const KEYS = serviceKey<KeyStore | undefined>("keys");
 export const LISTS = serviceKey<ListsSync>("lists");
--- a/src/process/server.ts
+++ b/src/process/server.ts
@@ -12,9 +12,12 @@
 
 import { serve } from "@hono/node-server";
 import type { Hono } from "hono";
+import { createServer } from "node:https";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Server as TlsServer } from "node:tls";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
+import type { KeyStore, TlsMaterial } from "../tls/mod.ts";
 import { Traffic } from "./traffic.ts";
 
 /** Time a client has to send its headers, in milliseconds. */
@@ -42,22 +45,52 @@
   close(): Promise<void>;
 }
 
+/** Where and how a server listens. */
+export interface ListenOptions {
+  readonly address: string;
+  /** TCP port; 0 picks a free one. */
+  readonly port: number;
+  /** Certificate and key; plain HTTP without them. */
+  readonly keys?: KeyStore;
+}
+
 /** Starts a server for an application. */
-export function listen(
-  app: Hono,
-  at: { address: string; port: number },
-): Promise<Listening> {
+export function listen(app: Hono, at: ListenOptions): Promise<Listening> {
   return new Promise((resolve, reject) => {
     const server = serve(
-      { fetch: app.fetch, hostname: at.address, port: at.port },
+      {
+        fetch: app.fetch,
+        hostname: at.address,
+        port: at.port,
+        ...(at.keys ? tlsOptions(at.keys) : {}),
+      },
       ({ port }) => resolve(new HttpListening(server, port)),
     ) as Server;
+    at.keys?.onRotate((material) =>
+      (server as Server & TlsServer).setSecureContext(contextOf(material))
+    );
     server.once("error", reject);
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.keepAliveTimeout = KEEP_ALIVE_MS;
   });
 }
 
+/** Clients are asked for a certificate; the application decides about it. */
+function tlsOptions(keys: KeyStore) {
+  return {
+    createServer,
+    serverOptions: {
+      ...contextOf(keys.current),
+      requestCert: true,
+      rejectUnauthorized: false,
+    },
+  };
+}
+
+function contextOf({ cert, key, ca }: TlsMaterial) {
+  return { cert, key, ca };
+}
+
 class HttpListening implements Listening {
   readonly port: number;
   readonly traffic = new Traffic();
