Bound what waits for slow readers of streams

The front wrote every chunk without waiting for the one before, and the agent's queue held one event a token, so that a slow reader cost memory and work without bound. Text that comes during a write is now joined into the next one, the agent joins chunks that wait, and a caller that reads nothing for 15 s is given up. tRPC's streaming link reads from the socket's stream by undici.request in place of fetch, with backpressure.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -270,8 +270,7 @@
       signal: this.#runSignal(session, watch),
       onText: (text) => {
         watch.heard();
-        const seq = stream.chunks++;
-        stream.events.push({ kind: "chunk", callId: call.callId, seq, text });
+        pushText(stream, call, text);
       },
       onSign: (sign) => permit.sign(sign),
     });
@@ -406,3 +405,14 @@
     ? outcomeUnknown(reason, detail, RETRY_AFTER_MS)
     : notRun(reason, detail, RETRY_AFTER_MS);
 }
+
+/** Queues text; a reader that lags gets it in fewer and longer chunks. */
+function pushText(stream: Stream, { callId }: StageCall, text: string): void {
+  const seq = stream.chunks;
+  const isJoined = stream.events.merge(
+    { kind: "chunk", callId, seq, text },
+    (last) =>
+      last.kind === "chunk" ? { ...last, text: last.text + text } : undefined,
+  );
+  if (!isJoined) stream.chunks += 1;
+}
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -25,6 +25,7 @@
 import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
 import { problemHeaders, problemOf } from "./problem.ts";
 import type { PipelineRequest, Runner } from "./runner.ts";
+import { TextSink } from "./text_sink.ts";
 
 const MAX_DEADLINE_MS = 600_000;
 const MAX_KEY_LENGTH = 200;
@@ -123,12 +124,22 @@
 
   #stream(c: Context, req: PipelineRequest): Response {
     return streamSSE(c, async (stream) => {
-      const onText = (stage: string, text: string) =>
-        void stream.writeSSE({
-          event: "text",
-          data: JSON.stringify({ stage, text }),
-        });
-      const outcome = await this.#run({ ...req, onText });
+      const stalled = new AbortController();
+      const sink = new TextSink({
+        write: (piece) =>
+          stream.writeSSE({ event: "text", data: JSON.stringify(piece) }),
+        onStalled: () => {
+          this.#parts.metrics.count("callers_stalled_total");
+          stalled.abort();
+          stream.abort();
+        },
+      });
+      const outcome = await this.#run({
+        ...req,
+        signal: AbortSignal.any([req.signal, stalled.signal]),
+        onText: (stage, text) => sink.push({ stage, text }),
+      });
+      await sink.flushed();
       await outcome.match(
         (results) =>
           stream.writeSSE({
--- a/src/kernel/queue.ts
+++ b/src/kernel/queue.ts
@@ -17,6 +17,22 @@
     this.#wake?.();
   }
 
+  /**
+   * Joins an item with the newest one that waits to be read, or adds it;
+   * `merge` gives the joined item, or undefined when the two stay apart.
+   * True when the items were joined.
+   */
+  merge(item: T, merge: (last: T) => T | undefined): boolean {
+    const last = this.#items.at(-1);
+    const joined = last === undefined || this.#closed ? undefined : merge(last);
+    if (joined === undefined) {
+      this.push(item);
+      return false;
+    }
+    this.#items[this.#items.length - 1] = joined;
+    return true;
+  }
+
   /** Ends the iteration after the items that are queued. */
   close(): void {
     this.#closed = true;
--- a/src/wire/client.ts
+++ b/src/wire/client.ts
@@ -19,6 +19,7 @@
 } from "./api.ts";
 import { createDispatcher } from "./connector.ts";
 import { type AgentRouter, type PeerRouter, TRPC_PATH } from "./router.ts";
+import { streamingFetch } from "./streaming_fetch.ts";
 
 const ANSWER_TIMEOUT_MS = 2_000;
 
@@ -66,7 +67,13 @@
     };
     this.#unary = createTRPCClient<AgentRouter>({ links: [httpLink(link)] });
     this.#streaming = createTRPCClient<AgentRouter>({
-      links: [httpBatchStreamLink({ ...link, maxItems: 1 })],
+      links: [
+        httpBatchStreamLink({
+          ...link,
+          fetch: streamingFetch(() => this.#dispatcher),
+          maxItems: 1,
+        }),
+      ],
     });
   }
 
