--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -76,8 +76,12 @@
   #leaving = false;
   #registration: { readonly isSuperseded: boolean } | undefined;
 
+  /** Wall-clock time at which the last call started, in milliseconds. */
+  #lastStartAt = 0;
+
   constructor(parts: AgentParts) {
     this.#parts = parts;
+    parts.metrics.gauge("last_call_started_at_ms", () => this.#lastStartAt);
   }
 
   peerState(): PeerState {
@@ -259,6 +263,7 @@
     // The wait at the gate or for the claim may have outlived the lists.
     const refusal = this.#refusalByLists();
     if (refusal) return err(refusal);
+    this.#lastStartAt = Date.now();
     const startedAt = monotonicMs();
     const span = this.#parts.tracing.start("agent.target", {
       parent: session.traceparent,
--- a/src/limits/limit.ts
+++ b/src/limits/limit.ts
@@ -27,6 +27,10 @@
   readonly cfg: LimitConfig;
   readonly limit: number;
   readonly cold: boolean;
+  /** True when it counts as cold only since it had no work for a moment. */
+  readonly rested: boolean;
+  /** True once an answer said that the target is cold: others say it too. */
+  readonly marksCold: boolean;
   /** Successes since the last sign of cold start. */
   readonly successes: number;
   /** Below this limit each good completion adds one, above it each round. */
@@ -37,6 +41,10 @@
   readonly lastColdAt: number;
   /** Time of the last evidence that the target is warm. */
   readonly lastWarmAt: number;
+  /** Time at which the target was last proven to have left cold start. */
+  readonly provenAt: number;
+  /** Time at which its last report of cold start was sampled. */
+  readonly reportedColdAt: number;
 }
 
 /** Evidence about the target. */
@@ -74,6 +82,8 @@
     readonly sampledAt: number;
     readonly cold: boolean;
   }
+  /** No call is in hand any more. */
+  | { readonly kind: "idle" }
   | { readonly kind: "tick" };
 
 /** Slowness up to which a completion counts as good. */
@@ -87,6 +97,8 @@
 const QUEUEING_RATIO = 0.9;
 /** Age at which evidence of warmth expires, in milliseconds. */
 export const EVIDENCE_MS = 5_000;
+/** Time for which a report of cold start overrules successes, in ms. */
+const REPORT_MS = 10_000;
 
 /** Limit of a target of which nothing is known. */
 export function createLimit(cfg: LimitConfig, now: number): LimitState {
@@ -94,12 +106,16 @@
     cfg,
     limit: cfg.coldLimit,
     cold: true,
+    rested: false,
+    marksCold: false,
     successes: 0,
     threshold: cfg.maxLimit,
     credit: 0,
     lastFallAt: now,
     lastColdAt: now,
     lastWarmAt: now,
+    provenAt: Number.NEGATIVE_INFINITY,
+    reportedColdAt: Number.NEGATIVE_INFINITY,
   };
 }
 
@@ -144,12 +160,14 @@
         event.slowness < JUMP_SLOWNESS ? QUEUEING_RATIO : FALL_RATIO,
       );
     case "sign":
-      if (event.cold) return turnCold(state, now);
+      if (event.cold) return { ...turnCold(state, now), marksCold: true };
       return event.startedAt < state.lastColdAt
         ? state
         : { ...state, lastWarmAt: now };
     case "report":
       return onReport(state, event, now);
+    case "idle":
+      return rest(state, now);
     case "tick":
       return expire(state, now);
   }
@@ -165,8 +183,10 @@
   if (event.slowness >= BAD_SLOWNESS) return fall(state, event.startedAt, now);
   const seen = { ...state, successes: state.successes + 1, lastWarmAt: now };
   if (seen.cold) {
-    return seen.successes >= state.cfg.provenAfter
-      ? { ...seen, cold: false }
+    // A target that reports itself cold is proven warm by its report only.
+    const isReportedCold = now - state.reportedColdAt < REPORT_MS;
+    return seen.successes >= state.cfg.provenAfter && !isReportedCold
+      ? { ...seen, cold: false, rested: false, provenAt: now }
       : seen;
   }
   const good = event.slowness <= GOOD_SLOWNESS;
@@ -196,16 +216,22 @@
   return { ...state, limit, threshold: limit, credit: 0, lastFallAt: now };
 }
 
-function turnCold(state: LimitState, now: number): LimitState {
+/** Takes the target for cold since `at`. */
+function turnCold(
+  state: LimitState,
+  now: number,
+  at: number = now,
+): LimitState {
   return {
     ...state,
     cold: true,
+    rested: false,
     limit: Math.min(state.cfg.coldLimit, state.cfg.maxLimit),
     successes: 0,
     threshold: state.cfg.maxLimit,
     credit: 0,
     lastFallAt: now,
-    lastColdAt: now,
+    lastColdAt: at,
   };
 }
 
@@ -216,20 +242,36 @@
   now: number,
 ): LimitState {
   if (event.sampledAt <= state.lastColdAt) return state;
+  const { sampledAt } = event;
   if (event.cold) {
-    // A report of a cold start that a later proof of warmth has overtaken.
-    const overtaken = !state.cold && event.sampledAt < state.lastWarmAt;
-    return overtaken ? state : turnCold(state, now);
+    // The target was proven warm after this report was sampled.
+    if (!state.cold && sampledAt < state.provenAt) return state;
+    return {
+      ...turnCold(state, now, sampledAt),
+      reportedColdAt: sampledAt,
+    };
   }
   return {
     ...state,
     cold: false,
-    lastWarmAt: Math.max(state.lastWarmAt, event.sampledAt),
+    rested: false,
+    lastWarmAt: Math.max(state.lastWarmAt, sampledAt),
+    provenAt: Math.max(state.provenAt, sampledAt),
+    reportedColdAt: Number.NEGATIVE_INFINITY,
   };
 }
 
+/**
+ * A restart cuts the work in hand, and is seen by that. Without work in hand it
+ * goes unseen, unless the target's answers tell of its cold start.
+ */
+function rest(state: LimitState, now: number): LimitState {
+  if (state.marksCold) return state;
+  const rested = !state.cold || state.rested;
+  return { ...turnCold(state, now), rested };
+}
+
 function expire(state: LimitState, now: number): LimitState {
   if (state.cold || now - state.lastWarmAt < EVIDENCE_MS) return state;
-  const limit = Math.min(state.limit, state.cfg.coldLimit);
-  return { ...state, limit, threshold: state.cfg.maxLimit, credit: 0 };
+  return turnCold(state, now, state.lastWarmAt);
 }
--- a/src/process/lists_sync.ts
+++ b/src/process/lists_sync.ts
@@ -35,7 +35,8 @@
 import { Gossip, type GossipSide } from "./gossip.ts";
 import { type NewerLists, readNewerLists } from "./lists_store.ts";
 import { applyAsked, isAskDue, NO_PACING, type Pacing } from "./pacing.ts";
-import { PeerBook, readPeers } from "./peers.ts";
+import { Members } from "./members.ts";
+import { PeerBook, peersOf } from "./peers.ts";
 
 /** Time between two looks at what is due, in milliseconds. */
 const TICK_MS = 200;
@@ -67,6 +68,7 @@
   readonly info: PeerInfo;
   readonly #opts: ListsSyncOptions;
   readonly #random: () => number;
+  readonly #members: Members;
   readonly #book: PeerBook;
   readonly #gossip: Gossip;
   #signal: AbortSignal = new AbortController().signal;
@@ -81,6 +83,7 @@
     this.#opts = opts;
     this.info = opts.info;
     this.#random = opts.random ?? Math.random;
+    this.#members = new Members(opts.table);
     this.#book = new PeerBook({ self: opts.info.url, random: this.#random });
     opts.seeds?.forEach((seed) => this.#book.add(seed));
     this.#learn({ kind: "domains-read", domains: this.#book.domains() });
@@ -256,8 +259,9 @@
   }
 
   async #readPeers(signal: AbortSignal): Promise<void> {
-    const read = await readPeers(this.#opts.table, signal);
-    read.map((infos) => {
+    const read = await this.#members.refresh(signal);
+    read.map(() => {
+      const infos = peersOf(this.#members);
       const { seeds = [] } = this.#opts;
       this.#book.replace([...infos, ...seeds]);
       const domains = infos.map(({ domain }) => domain);
--- a/src/soak/sim_target.ts
+++ b/src/soak/sim_target.ts
@@ -35,14 +35,11 @@
   readonly marker: string;
   /** Place of the run in the order of what happened. */
   readonly order: number;
-  /** Place of the request's start in the same order. */
-  readonly requestOrder: number;
 }
 
 /** What all targets ran, for the audit. */
 export class ExecutionLog {
   readonly executions: Execution[] = [];
-  readonly #requests = new Map<string, number>();
   #order = 0;
 
   /** Next place in the order of what happens. */
@@ -51,11 +48,6 @@
     return this.#order;
   }
 
-  /** Notes the start of a request. */
-  requested(requestId: string): void {
-    this.#requests.set(requestId, this.next());
-  }
-
   add(call: StageCall): void {
     this.executions.push({
       callId: call.callId,
@@ -63,7 +55,6 @@
       key: call.idempotencyKey ?? "",
       marker: markerOf(call.input),
       order: this.next(),
-      requestOrder: this.#requests.get(call.requestId) ?? 0,
     });
   }
 }
