--- a/src/entry/text_sink_test.ts
+++ b/src/entry/text_sink_test.ts
@@ -9,7 +9,7 @@
 async function paused(
   body: (clock: ReturnType<typeof install>) => Promise<void>,
 ): Promise<void> {
-  const clock = install();
+  const clock = install({ toFake: ["setTimeout", "clearTimeout"] });
   try {
     await body(clock);
   } finally {
