--- /dev/null
+++ b/src/cli/rollout_test.ts
@@ -0,0 +1,88 @@
+import { install } from "@sinonjs/fake-timers";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Standing } from "../freshness/mod.ts";
+import { monotonicMs } from "../kernel/mod.ts";
+import { registerEntry } from "../process/mod.ts";
+import { MemoryTable } from "../standin/mod.ts";
+import type { GossipAnswer, PeerClient } from "../wire/mod.ts";
+import { watchRollout } from "./rollout.ts";
+
+const answer = (listsVersion: number): GossipAnswer => ({
+  state: {
+    process: "p",
+    domain: "north",
+    listsVersion,
+    confirmedAgeMs: 0,
+    standing: Standing.Confirmed,
+    ready: true,
+  },
+  update: null,
+  domains: [],
+  peers: [],
+});
+
+/** Watches version 7 in processes that have a version from a time on. */
+async function watch(
+  versions: Readonly<Record<string, (now: number) => number | undefined>>,
+  waitMs: number,
+) {
+  const clock = install();
+  try {
+    const table = new MemoryTable();
+    for (const name of Object.keys(versions)) {
+      const info = { name, host: name, domain: "north", url: `http://${name}` };
+      await registerEntry(table, info);
+    }
+    const connect = ({ name }: { name: string }) => ({
+      exchange: () => {
+        const version = versions[name]?.(monotonicMs());
+        return version === undefined
+          ? Promise.reject(new Error("unreachable"))
+          : Promise.resolve(answer(version));
+      },
+    } as unknown as PeerClient);
+    const watched = watchRollout(7, {
+      table,
+      waitMs,
+      acceptedAt: monotonicMs(),
+      connect,
+    });
+    await clock.tickAsync(60_000);
+    return await watched;
+  } finally {
+    clock.uninstall();
+  }
+}
+
+test("watchRollout() tells when the last process had the change", async () => {
+  const rollout = await watch({
+    a: () => 7,
+    b: (now) => now < 1_000 ? 6 : 8,
+  }, 20_000);
+  assert.deepEqual(rollout, {
+    version: 7,
+    inForceMs: 1_000,
+    inForce: ["a", "b"],
+    lagging: [],
+    unreachable: [],
+    done: true,
+  });
+});
+
+test("watchRollout() names the processes that lag", async () => {
+  const { done, lagging } = await watch({ a: () => 7, b: () => 6 }, 2_000);
+  assert.deepEqual({ done, lagging }, { done: false, lagging: ["b"] });
+});
+
+test("watchRollout() gives unreachable processes the time to stop", async () => {
+  // Fails when a change counts as done while an unreachable process may still
+  // take work: at the first round, or with a wait of 2 s.
+  const versions = { a: () => 7, b: () => undefined };
+  const rollout = await watch(versions, 20_000);
+  assert.deepEqual(
+    { done: rollout.done, unreachable: rollout.unreachable },
+    { done: true, unreachable: ["b"] },
+  );
+  assert.equal((await watch(versions, 2_000)).done, false);
+});
--- a/src/process/lists_sync.ts
+++ b/src/process/lists_sync.ts
@@ -151,22 +151,21 @@
 
   /**
    * Takes notice of the version on which a peer acts. A process that is behind
-   * asks at once.
+   * asks at once: that peer, or any when it cannot be asked.
    */
-  notice(version: number): void {
-    if (version <= this.version || version <= this.#noticed) return;
-    this.#noticed = version;
-    this.#book.sample(1, monotonicMs())
-      .forEach((peer) => void this.#gossip.ask(peer, this.#signal));
+  notice(version: number, peer?: PeerInfo): void {
+    if (version <= this.version) return;
+    if (version <= this.#noticed && !peer) return;
+    this.#noticed = Math.max(version, this.#noticed);
+    const asked = peer ? [peer] : this.#book.sample(1, monotonicMs());
+    asked.forEach((one) => void this.#gossip.ask(one, this.#signal));
   }
 
   /** Answers a peer's question. */
   answer(question: GossipQuestion, ready: boolean): GossipAnswer {
     if (question.from) this.#book.add(question.from);
     if (question.offer) this.apply(question.offer);
-    if (question.version > this.version && question.from) {
-      void this.#gossip.ask(question.from, this.#signal);
-    }
+    this.notice(question.version, question.from);
     return {
       state: this.peerState(ready),
       update: this.since(question.version),
