--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -135,6 +135,7 @@
     const { shell, runner } = this.#pick(this.#fleet.entries);
     const sentAt = monotonicMs();
     const texts: string[] = [];
+    const left = new AbortController();
     const { pauses, isPaused } = shell;
     const req: PipelineRequest = {
       requestId: randomUUID(),
@@ -146,11 +147,10 @@
       input: { marker },
       deadlineAt: sentAt + DEADLINE_MS,
       listsVersion: 1,
-      signal: shell.death,
+      signal: left.signal,
       onText: (_stage, text) => texts.push(text),
     };
-    this.#fleet.log.requested(req.requestId);
-    const gone = sleep(PATIENCE_MS, shell.death);
+    const gone = sleep(PATIENCE_MS, shell.death).then(() => left.abort());
     const run = shell.io().then(() => runner.run(req))
       .then(async (outcome) => {
         await shell.io();
