Give each domain its own address of the table service in the launcher

Cause: the run over separate processes could not cut one domain's processes off from the store while the others and the operators reach it.

Change: table stand-ins of one process are addresses of one table, each with its own faults; the launcher gives each failure domain one. Faults for everyone go to all of them, in the chaos run too. npm run ops orders a domain out that does not reach the store. The random histories of the lists have commits that take effect after their caller gave up.

--- a/src/cli/lists_fleet_test.ts
+++ b/src/cli/lists_fleet_test.ts
@@ -38,6 +38,8 @@
 const ORDER_BOUND_MS = 5_000;
 const STEP_MS = 100;
 const LATENCY_MS = 2;
+/** Longest time between giving up on a commit and its effect, in ms. */
+const LATE_COMMIT_MS = 1_500;
 const HEAL_MS = 12_000;
 
 type Fault =
@@ -95,10 +97,21 @@
     return {
       read: (keys) => call(() => this.table.read(keys)),
       scan: (prefix, opts) => call(() => this.table.scan(prefix, opts)),
-      commit: (tx) => call(() => this.#commit(tx)),
+      commit: (tx) => this.#commitLate(tx) ?? call(() => this.#commit(tx)),
     };
   }
 
+  /** A commit that takes effect after its caller has given up. */
+  #commitLate(tx: Transaction) {
+    if (!this.loseAnswers || this.random() < 0.7) return undefined;
+    setTimeout(() => void this.#commit(tx), LATE_COMMIT_MS * this.random());
+    return new ResultAsync<never, PlatformError>(
+      sleep(LATENCY_MS).then(() =>
+        errAsync(error(PlatformErrorKind.Unanswered))
+      ),
+    );
+  }
+
   #commit(tx: Transaction) {
     return this.table.commit(tx).map((result) => {
       const head = result.committed &&
--- a/src/launch/chaos.ts
+++ b/src/launch/chaos.ts
@@ -7,13 +7,13 @@
  */
 
 import { cac } from "cac";
-import { request } from "undici";
 import { seededRandom, sleep } from "../kernel/mod.ts";
 import { type Arrival, planArrivals } from "../load/mod.ts";
 import type { Filing } from "../standin/mod.ts";
 import { auditChaos } from "./chaos_audit.ts";
 import { ChaosCallers } from "./chaos_callers.ts";
 import { RunningDeployment } from "./deployment.ts";
+import { setFaults } from "./ops_watch.ts";
 
 const DEFAULT_BASE_PORT = 21_000;
 const FIRST_PORT = Number(
@@ -109,7 +109,7 @@
   deployment: RunningDeployment,
   { random, until }: { random: () => number; until: number },
 ): Promise<Record<string, number>> {
-  const { fleet, topology } = deployment;
+  const { fleet } = deployment;
   const counts = { kills: 0, pauses: 0, table_faults: 0 };
   const names = ["entry-", "agent-"].map((prefix) => fleet.names(prefix));
   const recoveries: Promise<void>[] = [];
@@ -121,7 +121,7 @@
     const kind = random();
     if (kind < 0.15) {
       counts.table_faults += 1;
-      recoveries.push(faultTable(topology.tableUrl, random));
+      recoveries.push(faultTable(deployment, random));
     } else if (!busy.has(name)) {
       busy.add(name);
       const isKill = kind < 0.55;
@@ -160,20 +160,14 @@
 }
 
 /** Lets the table service fail for a while. */
-async function faultTable(url: string, random: () => number): Promise<void> {
+async function faultTable(
+  deployment: RunningDeployment,
+  random: () => number,
+): Promise<void> {
   const fault = random() < 0.4
     ? { outage: true }
     : { loseAnswers: random() * 0.4, slowMs: random() * 200 };
-  await setFaults(url, fault);
+  await setFaults(deployment, fault);
   await sleep(random() * LONGEST_FAULT_MS);
-  await setFaults(url, NO_TABLE_FAULTS);
-}
-
-async function setFaults(url: string, faults: object): Promise<void> {
-  const res = await request(`${url}/control`, {
-    method: "POST",
-    headers: { "content-type": "application/json" },
-    body: JSON.stringify(faults),
-  });
-  await res.body.dump();
+  await setFaults(deployment, NO_TABLE_FAULTS);
 }
--- a/src/launch/ops.ts
+++ b/src/launch/ops.ts
@@ -65,6 +65,7 @@
 await plainRounds();
 await killRound();
 await pauseRound();
+await cutRound();
 await outageRound();
 await flapRound();
 await lostAnswerRound();
@@ -131,6 +132,15 @@
   await orderRound("pause", { out: false });
 }
 
+/** Orders on a domain whose processes do not reach the table service. */
+async function cutRound(): Promise<void> {
+  await setFaults(deployment, { outage: true }, domain);
+  await sleep(SETTLE_MS);
+  await orderRound("cut", { out: true });
+  await setFaults(deployment, { outage: false }, domain);
+  await orderRound("cut", { out: false });
+}
+
 /** Work goes on in an outage; a restarted process learns from its peers. */
 async function outageRound(): Promise<void> {
   const { version } = await standing();
--- a/src/launch/ops_watch.ts
+++ b/src/launch/ops_watch.ts
@@ -72,17 +72,26 @@
   };
 }
 
-/** Switches faults of the table service. */
+/**
+ * Switches faults of the table service: for everyone, or for the processes of
+ * one failure domain.
+ */
 export async function setFaults(
   { topology }: RunningDeployment,
   faults: object,
+  domain?: string,
 ): Promise<void> {
-  const res = await request(`${topology.tableUrl}/control`, {
-    method: "POST",
-    headers: { "content-type": "application/json" },
-    body: JSON.stringify(faults),
-  });
-  await res.body.dump();
+  const urls = domain
+    ? [topology.tableUrls.get(domain)]
+    : [topology.tableUrl, ...topology.tableUrls.values()];
+  await Promise.all(urls.map(async (url) => {
+    const res = await request(`${url}/control`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(faults),
+    });
+    await res.body.dump();
+  }));
 }
 
 async function textOf(url: string): Promise<string | undefined> {
--- a/src/launch/topology.ts
+++ b/src/launch/topology.ts
@@ -36,6 +36,8 @@
   /** Base URLs that callers use. */
   readonly entryUrls: readonly string[];
   readonly tableUrl: string;
+  /** URL by which the processes of a failure domain reach the table service. */
+  readonly tableUrls: ReadonlyMap<string, string>;
   /** URLs of the services that record filings. */
   readonly filingUrls: readonly string[];
 }
@@ -54,6 +56,13 @@
   const nextPort = () => port++;
   const platformPorts = Array.from({ length: 4 }, nextPort);
   const urls = platformPorts.map(urlOf);
+  const tablePorts = new Map(
+    deployment.domains.map((domain) => [domain, nextPort()]),
+  );
+  const platformOf = (domain: string) => ({
+    ...platformUrls,
+    tableUrl: urlOf(tablePorts.get(domain) as number),
+  });
   const platformUrls = {
     tableUrl: urls[0] as string,
     objectStoreUrl: urls[1] as string,
@@ -93,6 +102,7 @@
   const agents = placed.map(
     ({ pool, id, domain, targetPort, agentPort }): AgentSettings => ({
       ...system,
+      platform: platformOf(domain),
       name: `agent-${id}`,
       host: `host-${id}`,
       domain,
@@ -111,6 +121,7 @@
   const entries = deployment.domains.flatMap((domain) =>
     Array.from({ length: deployment.entriesPerDomain }, (_, i) => ({
       ...system,
+      platform: platformOf(domain),
       name: `entry-${domain}-${i + 1}`,
       host: `host-entry-${domain}-${i + 1}`,
       domain,
@@ -135,6 +146,11 @@
         { kind: "object-store", port: platformPorts[1] as number, tune: {} },
         { kind: "host-list", port: platformPorts[2] as number, tune: {} },
         { kind: "weight-store", port: platformPorts[3] as number, tune: {} },
+        ...[...tablePorts.values()].map((port) => ({
+          kind: "table" as const,
+          port,
+          tune: {},
+        })),
       ],
     },
     targets: deployment.domains.map((domain, i) => ({
@@ -153,6 +169,9 @@
     entries,
     entryUrls: entries.map(({ listen }) => urlOf(listen.port)),
     tableUrl: platformUrls.tableUrl,
+    tableUrls: new Map(
+      [...tablePorts].map(([domain, port]) => [domain, urlOf(port)]),
+    ),
     filingUrls: agents.filter(({ target }) => target.kind === "service")
       .map(({ target }) => target.url),
   };
--- a/src/standin/start.ts
+++ b/src/standin/start.ts
@@ -58,12 +58,16 @@
 /** Settings of a stand-in process. */
 export type StandInSettings = z.infer<typeof standInSettingsSchema>;
 
-/** Starts every stand-in of the settings. */
+/**
+ * Starts every stand-in of the settings. Several table services are addresses
+ * of one table, each with its own faults.
+ */
 export function startStandIns(
   cfg: StandInSettings,
 ): Promise<readonly Listening[]> {
+  const table = new MemoryTable();
   return Promise.all(cfg.standIns.map((standIn, i) => {
-    const app = appOf(cfg, standIn, cfg.seed + i);
+    const app = appOf(cfg, standIn, { seed: cfg.seed + i, table });
     return listen(app, { address: cfg.address, port: standIn.port });
   }));
 }
@@ -71,7 +75,7 @@
 function appOf(
   cfg: StandInSettings,
   standIn: StandInSettings["standIns"][number],
-  seed: number,
+  { seed, table }: { seed: number; table: MemoryTable },
 ): Hono {
   const opts = { faults: { ...NO_FAULTS }, seed };
   switch (standIn.kind) {
@@ -86,7 +90,7 @@
         opts,
       );
     case StandInKind.Table:
-      return createTableApp(new MemoryTable(), opts);
+      return createTableApp(table, opts);
     case StandInKind.ObjectStore:
       return createObjectStoreApp(new MemoryObjectStore(), opts);
     case StandInKind.HostList:
