Run a sample deployment over TLS; plan topologies in small steps

The planner of deployments was one function of 140 lines; it is a class of small methods now and takes a certificate. The warning of expiry is logged once an hour; it had come every 10 s.

--- a/src/launch/deployment.ts
+++ b/src/launch/deployment.ts
@@ -4,26 +4,39 @@
  * @module
  */
 
-import { readFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { request } from "undici";
+import { type Dispatcher, request } from "undici";
 import { EMPTY_LISTS, type UseList } from "../model/mod.ts";
 import { type FilingRecord, type LoadSettings } from "../load/mod.ts";
 import { HttpTable } from "../platform/mod.ts";
-import { changeLists, readLists } from "../process/mod.ts";
+import { changeLists, infoOf, readLists } from "../process/mod.ts";
+import { KeyStore, type TlsFiles } from "../tls/mod.ts";
+import { TestAuthority } from "./test_authority.ts";
+import { createDispatcher } from "../wire/mod.ts";
 import { Fleet, waitReady } from "./fleet.ts";
 import { deploymentSchema, planTopology, type Topology } from "./topology.ts";
 
 const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
 const METRIC_VIOLATIONS = "cassiapost_invariant_violations_total";
 
+/** How a sample deployment is started. */
+export interface DeploymentOptions {
+  readonly basePort: number;
+  readonly seed: number;
+  /** True when the processes speak TLS to each other. */
+  readonly tls?: boolean;
+}
+
 /** A running deployment. */
 export class RunningDeployment {
   readonly name: string;
   readonly fleet: Fleet;
   readonly topology: Topology;
   readonly #samples: string;
+  /** Connections to the control addresses. */
+  readonly #dispatcher: Dispatcher;
 
   private constructor(
     opts: { name: string; fleet: Fleet; topology: Topology; samples: string },
@@ -32,19 +45,25 @@
     this.fleet = opts.fleet;
     this.topology = opts.topology;
     this.#samples = opts.samples;
+    const { tls } = opts.topology.agents[0] ?? {};
+    this.#dispatcher = createDispatcher(
+      tls ? KeyStore.open(tls).unwrap() : undefined,
+    );
   }
 
   /** Starts a sample deployment and waits until it serves. */
   static async start(
     name: string,
-    opts: { basePort: number; seed: number },
+    opts: DeploymentOptions,
   ): Promise<RunningDeployment> {
+    const dir = join(ROOT, ".run", name);
+    const fleet = new Fleet(dir);
+    const tls = opts.tls ? await issueFiles(dir) : undefined;
     const samples = join(ROOT, "samples", name);
     const deployment = deploymentSchema.parse(
       readJson(join(samples, "deployment.json")),
     );
-    const topology = planTopology(deployment, opts);
-    const fleet = new Fleet(join(ROOT, ".run", name));
+    const topology = planTopology(deployment, { ...opts, tls });
     const running = new RunningDeployment({ name, fleet, topology, samples });
     fleet.startStandIns(topology);
     await waitReady(`${topology.tableUrl}/healthz`);
@@ -58,8 +77,8 @@
   async ready(): Promise<void> {
     const { agents, entries } = this.topology;
     await Promise.all(
-      [...agents, ...entries].map(({ control }) =>
-        waitReady(`http://${control.address}:${control.port}/readyz`)
+      [...agents, ...entries].map((cfg) =>
+        waitReady(`${infoOf(cfg).url}/readyz`, this.#dispatcher)
       ),
     );
   }
@@ -98,8 +117,8 @@
   async violations(): Promise<number> {
     const { agents, entries } = this.topology;
     const counts = await Promise.all(
-      [...agents, ...entries].map(({ control }) =>
-        violationsAt(`http://${control.address}:${control.port}/metrics`)
+      [...agents, ...entries].map((cfg) =>
+        violationsAt(`${infoOf(cfg).url}/metrics`, this.#dispatcher)
       ),
     );
     return counts.reduce((sum, count) => sum + count, 0);
@@ -131,6 +150,21 @@
   }
 }
 
+/** Writes a new certificate for the whole deployment. */
+async function issueFiles(dir: string): Promise<TlsFiles> {
+  const authority = await TestAuthority.create();
+  const { cert, key, ca } = await authority.issue();
+  const files = {
+    certFile: join(dir, "cert.pem"),
+    keyFile: join(dir, "key.pem"),
+    caFile: join(dir, "ca.pem"),
+  };
+  writeFileSync(files.certFile, cert);
+  writeFileSync(files.keyFile, key, { mode: 0o600 });
+  writeFileSync(files.caFile, ca);
+  return files;
+}
+
 function readJson(path: string): unknown {
   return JSON.parse(readFileSync(path, "utf8"));
 }
@@ -140,9 +174,12 @@
   return await res.body.json();
 }
 
-async function violationsAt(url: string): Promise<number> {
+async function violationsAt(
+  url: string,
+  dispatcher: Dispatcher,
+): Promise<number> {
   try {
-    const res = await request(url);
+    const res = await request(url, { dispatcher });
     const text = await res.body.text();
     const line = text.split("\n")
       .find((one) => one.startsWith(METRIC_VIOLATIONS));
--- a/src/launch/fleet.ts
+++ b/src/launch/fleet.ts
@@ -7,10 +7,10 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdirSync, openSync, writeFileSync } from "node:fs";
+import { mkdirSync, openSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { request } from "undici";
+import { type Dispatcher, request } from "undici";
 import { sleep } from "../kernel/mod.ts";
 import type { Topology } from "./topology.ts";
 
@@ -20,7 +20,7 @@
 );
 
 const READY_POLL_MS = 50;
-const READY_TIMEOUT_MS = 30_000;
+const READY_TIMEOUT_MS = 60_000;
 const LOG_FLAGS = "a";
 
 /** One started process. */
@@ -36,6 +36,7 @@
   readonly #dir: string;
 
   constructor(dir: string) {
+    rmSync(dir, { recursive: true, force: true });
     mkdirSync(dir, { recursive: true });
     this.#dir = dir;
     process.once("exit", () => this.#killAll());
@@ -133,18 +134,24 @@
 }
 
 /** Waits until `GET url` answers with status 200. */
-export async function waitReady(url: string): Promise<void> {
+export async function waitReady(
+  url: string,
+  dispatcher?: Dispatcher,
+): Promise<void> {
   const until = Date.now() + READY_TIMEOUT_MS;
   while (Date.now() < until) {
-    if (await answersOk(url)) return;
+    if (await answersOk(url, dispatcher)) return;
     await sleep(READY_POLL_MS);
   }
   throw new Error(`Not ready after ${READY_TIMEOUT_MS} ms: ${url}`);
 }
 
-async function answersOk(url: string): Promise<boolean> {
+async function answersOk(
+  url: string,
+  dispatcher?: Dispatcher,
+): Promise<boolean> {
   try {
-    const res = await request(url);
+    const res = await request(url, { dispatcher });
     await res.body.dump();
     return res.statusCode === 200;
   } catch {
--- a/src/launch/topology.ts
+++ b/src/launch/topology.ts
@@ -8,7 +8,9 @@
 import type { AgentSettings, EntrySettings } from "../config/mod.ts";
 import { OutageRule, TargetKind } from "../model/mod.ts";
 import { HostState } from "../platform/mod.ts";
-import type { StandInSettings } from "../standin/mod.ts";
+import { StandInKind, type StandInSettings } from "../standin/mod.ts";
+import { LogLevel, TraceExport } from "../telemetry/mod.ts";
+import type { TlsFiles } from "../tls/mod.ts";
 
 /** Schema of a deployment file. */
 export const deploymentSchema = z.strictObject({
@@ -44,68 +46,109 @@
 
 const ADDRESS = "127.0.0.1";
 const DRAIN_MS = 10_000;
+const HOST_LIST_LAG_MS = 2_000;
+const MAX_BODY_BYTES = 1_048_576;
+const COLD_LIMIT = 2;
+const MAX_LIMIT = 32;
+/** Distance between the seeds of two stand-in processes. */
+const SEED_STRIDE = 1_000;
 /** Processes of each domain that the settings name to the others. */
 const SEEDS_PER_DOMAIN = 2;
+const PLATFORM_KINDS = [
+  StandInKind.Table,
+  StandInKind.ObjectStore,
+  StandInKind.HostList,
+  StandInKind.WeightStore,
+] as const;
+
+/** Choices in the plan of a deployment. */
+export interface TopologyOptions {
+  readonly basePort: number;
+  readonly seed: number;
+  readonly logLevel?: "info" | "warn";
+  /** Certificate that all agents and entries share; plain HTTP without. */
+  readonly tls?: TlsFiles;
+}
 
 /** Plans a deployment on consecutive ports from `basePort`. */
 export function planTopology(
   deployment: Deployment,
-  opts: { basePort: number; seed: number; logLevel?: "info" | "warn" },
+  opts: TopologyOptions,
 ): Topology {
-  let port = opts.basePort;
-  const nextPort = () => port++;
-  const platformPorts = Array.from({ length: 4 }, nextPort);
-  const urls = platformPorts.map(urlOf);
-  const tablePorts = new Map(
-    deployment.domains.map((domain) => [domain, nextPort()]),
-  );
-  const platformOf = (domain: string) => ({
-    ...platformUrls,
-    tableUrl: urlOf(tablePorts.get(domain) as number),
-  });
-  const platformUrls = {
-    tableUrl: urls[0] as string,
-    objectStoreUrl: urls[1] as string,
-    hostListUrl: urls[2] as string,
-    weightStoreUrl: urls[3] as string,
-  };
-  const shared = {
-    platform: platformUrls,
-    telemetry: {
-      logLevel: opts.logLevel ?? "warn",
-      traceExport: "none",
-    } as const,
-    drainMs: DRAIN_MS,
-  };
-  const placed = deployment.pools.flatMap((pool) =>
-    Array.from({ length: pool.count }, (_, i) => ({
+  return new Planner(deployment, opts).plan();
+}
+
+/** A target with its place and ports. */
+interface Placed {
+  readonly pool: Deployment["pools"][number];
+  readonly id: string;
+  readonly domain: string;
+  readonly targetPort: number;
+  readonly agentPort: number;
+}
+
+class Planner {
+  readonly #deployment: Deployment;
+  readonly #opts: TopologyOptions;
+  readonly #platformPorts: readonly number[];
+  readonly #tablePorts: ReadonlyMap<string, number>;
+  readonly #placed: readonly Placed[];
+  #nextPort: number;
+
+  constructor(deployment: Deployment, opts: TopologyOptions) {
+    this.#deployment = deployment;
+    this.#opts = opts;
+    this.#nextPort = opts.basePort;
+    this.#platformPorts = PLATFORM_KINDS.map(() => this.#port());
+    this.#tablePorts = new Map(
+      deployment.domains.map((domain) => [domain, this.#port()]),
+    );
+    this.#placed = deployment.pools.flatMap((pool) => this.#place(pool));
+  }
+
+  plan(): Topology {
+    const agents = this.#placed.map((one) => this.#agent(one));
+    const entries = this.#deployment.domains.flatMap((domain) =>
+      this.#entries(domain)
+    );
+    return {
+      platform: this.#platform([...agents, ...entries]),
+      targets: this.#deployment.domains.map((domain, i) =>
+        this.#targets(domain, i)
+      ),
+      agents,
+      entries,
+      entryUrls: entries.map(({ listen }) => urlOf(listen.port)),
+      tableUrl: this.#platformUrls().tableUrl,
+      tableUrls: new Map(
+        [...this.#tablePorts].map(([domain, port]) => [domain, urlOf(port)]),
+      ),
+      filingUrls: agents
+        .filter(({ target }) => target.kind === TargetKind.Service)
+        .map(({ target }) => target.url),
+    };
+  }
+
+  #port(): number {
+    return this.#nextPort++;
+  }
+
+  #place(pool: Placed["pool"]): readonly Placed[] {
+    const { domains } = this.#deployment;
+    return Array.from({ length: pool.count }, (_, i) => ({
       pool,
       id: `${pool.name}-${i + 1}`,
-      domain: domainAt(deployment, i),
-      targetPort: nextPort(),
-      agentPort: nextPort(),
-    }))
-  );
-  const peers = deployment.domains.flatMap((domain) =>
-    placed.filter((one) => one.domain === domain).slice(0, SEEDS_PER_DOMAIN)
-      .map(({ id, agentPort }) => ({
-        name: `agent-${id}`,
-        domain,
-        url: urlOf(agentPort),
-      }))
-  );
-  const system = {
-    ...shared,
-    peers,
-    outageRule: OutageRule.EveryDomain,
-  };
-  const agents = placed.map(
-    ({ pool, id, domain, targetPort, agentPort }): AgentSettings => ({
-      ...system,
-      platform: platformOf(domain),
+      domain: domains[i % domains.length] as string,
+      targetPort: this.#port(),
+      agentPort: this.#port(),
+    }));
+  }
+
+  #agent({ pool, id, domain, targetPort, agentPort }: Placed): AgentSettings {
+    return {
+      ...this.#shared(domain),
       name: `agent-${id}`,
       host: `host-${id}`,
-      domain,
       control: { address: ADDRESS, port: agentPort },
       target: {
         id,
@@ -113,74 +156,101 @@
         kind: pool.kind,
         url: urlOf(targetPort),
         checksFencing: false,
-        coldLimit: 2,
-        maxLimit: 32,
+        coldLimit: COLD_LIMIT,
+        maxLimit: MAX_LIMIT,
       },
-    }),
-  );
-  const entries = deployment.domains.flatMap((domain) =>
-    Array.from({ length: deployment.entriesPerDomain }, (_, i) => ({
-      ...system,
-      platform: platformOf(domain),
+    };
+  }
+
+  #entries(domain: string): readonly EntrySettings[] {
+    const { entriesPerDomain } = this.#deployment;
+    return Array.from({ length: entriesPerDomain }, (_, i) => ({
+      ...this.#shared(domain),
       name: `entry-${domain}-${i + 1}`,
       host: `host-entry-${domain}-${i + 1}`,
-      domain,
-      listen: { address: ADDRESS, port: nextPort() },
-      control: { address: ADDRESS, port: nextPort() },
+      listen: { address: ADDRESS, port: this.#port() },
+      control: { address: ADDRESS, port: this.#port() },
       listenTls: false,
-      maxBodyBytes: 1_048_576,
-    }))
-  );
-  const hosts = [...agents, ...entries].map(({ host, domain }) => ({
-    host,
-    domain,
-    state: HostState.Live,
-  }));
-  return {
-    platform: {
+      maxBodyBytes: MAX_BODY_BYTES,
+    }));
+  }
+
+  /** Settings that the processes of a domain have in common. */
+  #shared(domain: string) {
+    const tablePort = this.#tablePorts.get(domain) as number;
+    return {
+      domain,
+      tls: this.#opts.tls,
+      platform: { ...this.#platformUrls(), tableUrl: urlOf(tablePort) },
+      peers: this.#seeds(),
+      outageRule: OutageRule.EveryDomain,
+      telemetry: {
+        logLevel: this.#opts.logLevel ?? LogLevel.Warn,
+        traceExport: TraceExport.None,
+      },
+      drainMs: DRAIN_MS,
+    };
+  }
+
+  #seeds() {
+    const scheme = this.#opts.tls ? "https" : "http";
+    return this.#deployment.domains.flatMap((domain) =>
+      this.#placed.filter((one) => one.domain === domain)
+        .slice(0, SEEDS_PER_DOMAIN)
+        .map(({ id, agentPort }) => ({
+          name: `agent-${id}`,
+          domain,
+          url: `${scheme}://${ADDRESS}:${agentPort}`,
+        }))
+    );
+  }
+
+  #platformUrls() {
+    const [tableUrl, objectStoreUrl, hostListUrl, weightStoreUrl] = this
+      .#platformPorts.map(urlOf) as [string, string, string, string];
+    return { tableUrl, objectStoreUrl, hostListUrl, weightStoreUrl };
+  }
+
+  #platform(
+    processes: readonly { host: string; domain: string }[],
+  ): StandInSettings {
+    const services = PLATFORM_KINDS.map((kind, i) => ({
+      kind,
+      port: this.#platformPorts[i] as number,
+      tune: {},
+    }));
+    const tables = [...this.#tablePorts.values()].map((port) => ({
+      kind: StandInKind.Table,
+      port,
+      tune: {},
+    }));
+    return {
       address: ADDRESS,
-      seed: opts.seed,
-      hostListLagMs: 2_000,
-      hosts,
-      standIns: [
-        { kind: "table", port: platformPorts[0] as number, tune: {} },
-        { kind: "object-store", port: platformPorts[1] as number, tune: {} },
-        { kind: "host-list", port: platformPorts[2] as number, tune: {} },
-        { kind: "weight-store", port: platformPorts[3] as number, tune: {} },
-        ...[...tablePorts.values()].map((port) => ({
-          kind: "table" as const,
-          port,
-          tune: {},
-        })),
-      ],
-    },
-    targets: deployment.domains.map((domain, i) => ({
+      seed: this.#opts.seed,
+      hostListLagMs: HOST_LIST_LAG_MS,
+      hosts: processes.map(({ host, domain }) => ({
+        host,
+        domain,
+        state: HostState.Live,
+      })),
+      standIns: [...services, ...tables],
+    };
+  }
+
+  #targets(domain: string, i: number): StandInSettings {
+    return {
       address: ADDRESS,
-      seed: opts.seed + (i + 1) * 1_000,
+      seed: this.#opts.seed + (i + 1) * SEED_STRIDE,
       hostListLagMs: 0,
       hosts: [],
-      standIns: placed.filter((one) => one.domain === domain)
+      standIns: this.#placed.filter((one) => one.domain === domain)
         .map(({ pool, targetPort }) => ({
           kind: pool.kind,
           port: targetPort,
           tune: pool.tune,
         })),
-    })),
-    agents,
-    entries,
-    entryUrls: entries.map(({ listen }) => urlOf(listen.port)),
-    tableUrl: platformUrls.tableUrl,
-    tableUrls: new Map(
-      [...tablePorts].map(([domain, port]) => [domain, urlOf(port)]),
-    ),
-    filingUrls: agents.filter(({ target }) => target.kind === "service")
-      .map(({ target }) => target.url),
-  };
-}
-
-function domainAt(deployment: Deployment, i: number): string {
-  const { domains } = deployment;
-  return domains[i % domains.length] as string;
+    };
+  }
 }
 
 function urlOf(port: number): string {
--- a/src/launch/up.ts
+++ b/src/launch/up.ts
@@ -16,17 +16,19 @@
   .option("--port <number>", "First port in use", {
     default: DEFAULT_BASE_PORT,
   })
+  .option("--tls", "Let the processes speak TLS to each other")
   .action(up);
 cli.help();
 cli.parse();
 
 async function up(
   name: string | undefined,
-  flags: { port: number },
+  flags: { port: number; tls?: boolean },
 ): Promise<void> {
   const deployment = await RunningDeployment.start(name ?? "lindqvist", {
     basePort: flags.port,
     seed: SEED,
+    tls: flags.tls,
   });
   const { topology, fleet } = deployment;
   console.log(`entries=${topology.entryUrls.join(",")}`);
--- a/src/process/control_test.ts
+++ b/src/process/control_test.ts
@@ -6,9 +6,12 @@
 import { Agent, request } from "undici";
 import { Metrics } from "../telemetry/mod.ts";
 import { KeyStore, type PemTexts, type TlsFiles } from "../tls/mod.ts";
-import { TestAuthority } from "../tls/testing.ts";
-import { createPeerRouter, TrpcPeerClient } from "../wire/mod.ts";
-import { createDispatcher } from "../wire/connector.ts";
+import { TestAuthority } from "../launch/test_authority.ts";
+import {
+  createDispatcher,
+  createPeerRouter,
+  TrpcPeerClient,
+} from "../wire/mod.ts";
 import { createControlApp } from "./control.ts";
 import { listen, type Listening } from "./server.ts";
 
--- a/src/tls/keys.ts
+++ b/src/tls/keys.ts
@@ -20,6 +20,8 @@
 
 /** Time between two looks at the files, in milliseconds. */
 const RELOAD_MS = 10_000;
+/** Time between two warnings of expiry, in milliseconds. */
+const WARNING_PERIOD_MS = 3_600_000;
 /** Time before expiry from which a warning is logged, in milliseconds. */
 const EXPIRY_WARNING_MS = 7 * 24 * 3_600_000;
 
@@ -28,6 +30,7 @@
   readonly #files: TlsFiles;
   readonly #listeners = new Set<(material: TlsMaterial) => void>();
   #current: TlsMaterial;
+  #warnAt = 0;
 
   private constructor(files: TlsFiles, current: TlsMaterial) {
     this.#files = files;
@@ -77,12 +80,17 @@
     } else if (reloaded.value) {
       log.info("tls_rotated", { fingerprint: this.#current.fingerprint });
     }
-    const leftMs = this.#current.expiresAt - Date.now();
-    if (leftMs < EXPIRY_WARNING_MS) {
-      log.warn("tls_expires_soon", { left_ms: leftMs });
-    }
+    this.#warnOfExpiry(log);
     return Promise.resolve();
   }
+
+  #warnOfExpiry(log: Logger): void {
+    const now = Date.now();
+    const leftMs = this.#current.expiresAt - now;
+    if (leftMs > EXPIRY_WARNING_MS || now < this.#warnAt) return;
+    this.#warnAt = now + WARNING_PERIOD_MS;
+    log.warn("tls_expires_soon", { left_ms: leftMs });
+  }
 }
 
 function load(files: TlsFiles): Checked<TlsMaterial> {
