Measure claims: single and grouped; bound the wait for a transaction; pace under a rate limit

Found by the experiment: a write could wait in the queue without bound (claim p95 92 s at 3,200/s single); it is now given up after 1 s, provably not sent.

--- a/src/agent/claim_service.ts
+++ b/src/agent/claim_service.ts
@@ -5,6 +5,7 @@
  */
 
 import { err, ok, type Result } from "neverthrow";
+import { setMaxListeners } from "node:events";
 import { sleep } from "../kernel/mod.ts";
 import {
   type Claim,
@@ -68,6 +69,8 @@
     this.#ledger = new Ledger(table, opts);
     this.#log = opts.log;
     this.#metrics = opts.metrics;
+    // Each record that waits for the platform listens to the signal.
+    setMaxListeners(0, this.#abort.signal);
     this.#metrics?.gauge("claims_unrecorded", () => this.#unrecorded.size);
   }
 
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -5,6 +5,7 @@
  */
 
 import { cac } from "cac";
+import { claims } from "./claims.ts";
 import { coldStart } from "./cold_start.ts";
 import { controlCost } from "./control_cost.ts";
 import { domainOut } from "./domain_out.ts";
@@ -14,6 +15,7 @@
 import { shares } from "./shares.ts";
 
 const EXPERIMENTS: readonly Experiment[] = [
+  claims,
   coldStart,
   controlCost,
   overload,
--- a/src/launch/chaos.ts
+++ b/src/launch/chaos.ts
@@ -92,6 +92,7 @@
   const filings = await deployment.filings() as readonly Filing[];
   const violations = await deployment.violations();
   const audit = auditChaos(callers.tellings, filings);
+  console.error(JSON.stringify(countReasons(callers)));
   await callers.close();
   await deployment.fleet.stopAll();
   const figures = { ...disturbed, ...audit, invariant_violations: violations };
@@ -104,6 +105,16 @@
   process.exit(broken === 0 ? 0 : 1);
 }
 
+/** Number of answers by what was told and why. */
+function countReasons({ tellings }: ChaosCallers): Record<string, number> {
+  const counts: Record<string, number> = {};
+  tellings.forEach(({ told, reason, arrival }) => {
+    const name = `${told} ${reason ?? ""} ${arrival.work.pipeline}`;
+    counts[name] = (counts[name] ?? 0) + 1;
+  });
+  return counts;
+}
+
 /** Disturbs the deployment until `until`; counts what it did. */
 async function disturb(
   deployment: RunningDeployment,
--- a/src/process/group_commit.ts
+++ b/src/process/group_commit.ts
@@ -51,9 +51,13 @@
 }
 
 const MAX_GROUP = 64;
-/** Time in which a write may be sent again, in milliseconds. */
+/** Time in which a write may wait and be sent again, in milliseconds. */
 const RESEND_MS = 1_000;
-const RATE_LIMIT_PAUSE_MS = 25;
+/** Bounds of the pause between transactions under a rate limit, in ms. */
+const SHORTEST_PACE_MS = 5;
+const LONGEST_PACE_MS = 100;
+/** Share of the pause that is left after each transaction that went through. */
+const PACE_DECAY = 0.9;
 
 /** Writer of one process. */
 export class GroupCommit {
@@ -61,6 +65,11 @@
   readonly #maxGroup: number;
   #waiting: readonly Pending[] = [];
   #flushing = false;
+  /**
+   * Pause between transactions. It grows while the rate limit turns them away,
+   * so that fewer and larger ones are sent and no process starves another.
+   */
+  #paceMs = 0;
 
   constructor(table: Table, opts: GroupCommitOptions = {}) {
     this.#table = table;
@@ -84,9 +93,12 @@
   async #flush(): Promise<void> {
     this.#flushing = true;
     while (this.#waiting.length > 0) {
+      this.#waiting = giveUpLate(this.#waiting, waitedTooLong());
       const group = this.#takeGroup();
+      if (group.length === 0) break;
       const left = await this.#commit(group);
       this.#waiting = [...left, ...this.#waiting];
+      if (this.#paceMs > 0) await sleep(this.#paceMs * (0.5 + Math.random()));
     }
     this.#flushing = false;
   }
@@ -111,9 +123,19 @@
       checks: group.map(({ write: { key, version } }) => ({ key, version })),
       puts: group.map(({ write: { key, value } }) => ({ key, value })),
     });
-    return result.isOk()
-      ? settleGroup(group, rowsOf(result.value))
-      : await this.#afterFailure(group, result.error);
+    if (result.isErr()) return await this.#afterFailure(group, result.error);
+    this.#speedUp();
+    return settleGroup(group, rowsOf(result.value));
+  }
+
+  #speedUp(): void {
+    const paceMs = this.#paceMs * PACE_DECAY;
+    this.#paceMs = paceMs < 1 ? 0 : paceMs;
+  }
+
+  #slowDown(): void {
+    const paceMs = Math.max(SHORTEST_PACE_MS, this.#paceMs * 2);
+    this.#paceMs = Math.min(LONGEST_PACE_MS, paceMs);
   }
 
   async #afterFailure(
@@ -121,7 +143,7 @@
     failure: PlatformError,
   ): Promise<readonly Pending[]> {
     if (failure.kind === PlatformErrorKind.RateLimited) {
-      await sleep(RATE_LIMIT_PAUSE_MS);
+      this.#slowDown();
       return giveUpLate(group, failure);
     }
     if (!failure.mayHaveApplied) return giveUp(group, failure);
@@ -175,3 +197,10 @@
 function unanswered(failure: PlatformError): PlatformError {
   return new PlatformError(PlatformErrorKind.Unanswered, failure.message);
 }
+
+function waitedTooLong(): PlatformError {
+  return new PlatformError(
+    PlatformErrorKind.RateLimited,
+    `Not sent within ${RESEND_MS} ms`,
+  );
+}
--- a/src/process/group_commit_test.ts
+++ b/src/process/group_commit_test.ts
@@ -123,6 +123,14 @@
   assert.deepEqual(await writeAll(table, [put("a")]), ["unavailable"]);
 });
 
+/* Seen to fail with an unbounded queue. */
+test("GroupCommit.write() gives up what waited too long", async () => {
+  const limited = Array.from({ length: 60 }, () => "rate-limited" as const);
+  const table = new ScriptedTable(...limited);
+  const written = await writeAll(table, [put("a"), put("b")]);
+  assert.deepEqual(written, ["rate-limited", "rate-limited"]);
+});
+
 /* Seen to fail with the doubtful mark left out. */
 test("GroupCommit.write() stays in doubt after a lost answer", async () => {
   const table = new ScriptedTable("not-applied", "unavailable");
--- a/src/standin/start.ts
+++ b/src/standin/start.ts
@@ -86,7 +86,7 @@
         opts,
       );
     case StandInKind.Table:
-      return createTableApp(new MemoryTable(), opts);
+      return createTableApp(new MemoryTable(standIn.tune), opts);
     case StandInKind.ObjectStore:
       return createObjectStoreApp(new MemoryObjectStore(), opts);
     case StandInKind.HostList:
