--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -13,6 +13,7 @@
 import { loadCommands } from "./load_commands.ts";
 import { outcomesCommands } from "./outcomes_commands.ts";
 import { statusCommands } from "./status_commands.ts";
+import { targetsCommands } from "./targets_commands.ts";
 
 const GROUPS: readonly RegisterCommands[] = [
   daemonCommands,
@@ -20,6 +21,7 @@
   loadCommands,
   outcomesCommands,
   statusCommands,
+  targetsCommands,
 ];
 
 const PACKAGE_URL = new URL("../../../package.json", import.meta.url);
--- a/src/process/group_commit.ts
+++ b/src/process/group_commit.ts
@@ -86,16 +86,20 @@
         doubtful: false,
         settle,
       }];
+      setTimeout(() => this.#expire(), RESEND_MS + 1).unref();
       if (!this.#flushing) void this.#flush();
     });
   }
 
+  /** Gives up what waited too long, while another transaction takes long. */
+  #expire(): void {
+    this.#waiting = giveUpLate(this.#waiting, waitedTooLong());
+  }
+
   async #flush(): Promise<void> {
     this.#flushing = true;
     while (this.#waiting.length > 0) {
-      this.#waiting = giveUpLate(this.#waiting, waitedTooLong());
       const group = this.#takeGroup();
-      if (group.length === 0) break;
       const left = await this.#commit(group);
       this.#waiting = [...left, ...this.#waiting];
       if (this.#paceMs > 0) await sleep(this.#paceMs * (0.5 + Math.random()));
