--- a/src/agent/engine_client.ts
+++ b/src/agent/engine_client.ts
@@ -37,6 +37,8 @@
     readonly text: string;
     readonly finish_reason: string | null;
   }[];
+  /** Length of the whole completion, on the last piece of engines that say. */
+  readonly usage?: { readonly completion_tokens: number };
 }
 
 /** Speaks to a model engine by `POST /v1/completions`. */
@@ -107,12 +109,15 @@
 ): Promise<TargetAnswer | { failure: TargetFailure }> {
   const pieces: string[] = [];
   let ended = false;
+  let length: number | undefined;
   for await (const data of readSse(body)) {
     if (data === END_MARK) {
       ended = true;
       break;
     }
-    const text = (JSON.parse(data) as CompletionChunk).choices[0]?.text ?? "";
+    const { choices, usage } = JSON.parse(data) as CompletionChunk;
+    length = usage?.completion_tokens ?? length;
+    const text = choices[0]?.text ?? "";
     if (text === "") continue;
     if (pieces.length === 0) opts.onSign?.({ cold: false });
     pieces.push(text);
@@ -121,5 +126,6 @@
   if (!ended) {
     return { failure: protocolFailure("The stream has no end mark") };
   }
-  return { output: { text: pieces.join("") }, tokens: pieces.length };
+  const output = { text: pieces.join("") };
+  return { output, tokens: length ?? pieces.length };
 }
--- /dev/null
+++ b/src/agent/engine_client_test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Hono } from "hono";
+import { listen } from "../process/mod.ts";
+import type { StageCall } from "../model/mod.ts";
+import { EngineClient } from "./engine_client.ts";
+
+const CALL = {
+  callId: "r/draft/1",
+  pipeline: "p",
+  stage: "draft",
+  priority: "batch",
+  input: {},
+} as StageCall;
+const piece = (text: string) => ({ choices: [{ text, finish_reason: null }] });
+const usage = (tokens: number) => ({
+  choices: [],
+  usage: { completion_tokens: tokens },
+});
+
+/** Tokens of a completion that the engine streams so, or why it failed. */
+const complete = async (...stream: (object | string)[]) => {
+  const text = stream.map((data) =>
+    `data: ${typeof data === "string" ? data : JSON.stringify(data)}\n\n`
+  ).join("");
+  const app = new Hono();
+  app.post("/v1/completions", (c) => c.body(text));
+  const server = await listen(app, { address: "127.0.0.1", port: 0 });
+  const client = new EngineClient(`http://127.0.0.1:${server.port}`);
+  const signal = new AbortController().signal;
+  const answer = await client.run(CALL, { signal, onText: () => {} });
+  await client.close();
+  await server.close();
+  return answer.match(
+    ({ tokens }): number | string => tokens,
+    ({ detail, mayHaveRun }) => `${detail}, ${mayHaveRun}`,
+  );
+};
+
+/* Seen to fail with the check of the end mark left out. */
+test("EngineClient.run() takes only a whole stream", async () => {
+  const [a, b, end] = [piece("a"), piece("b"), "[DONE]"];
+  assert.equal(await complete(a, b, end), 2);
+  assert.equal(await complete(a, b), "The stream has no end mark, true");
+});
+
+test("EngineClient.run() takes the engine's own count of tokens", async () => {
+  assert.equal(await complete(piece("a b"), usage(2), "[DONE]"), 2);
+});
--- a/src/standin/engine_app.ts
+++ b/src/standin/engine_app.ts
@@ -84,6 +84,8 @@
       await stream.writeSSE({ data: JSON.stringify({ choices }) });
     }
     if (produced === body.max_tokens - (body.resume_from ?? 0)) {
+      const usage = { completion_tokens: produced };
+      await stream.writeSSE({ data: JSON.stringify({ choices: [], usage }) });
       await stream.writeSSE({ data: "[DONE]" });
     }
   });
