--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -18,20 +18,24 @@
 cli.command("", "Run random histories")
   .option("--seed <number>", "First seed", { default: 1 })
   .option("--minutes <number>", "Length of the run", { default: 1 })
+  .option("--histories <number>", "Number of histories, in place of a length")
   .action(soak);
 cli.help();
 cli.parse();
 
 async function soak(
-  flags: { seed: number; minutes: number },
+  flags: { seed: number; minutes: number; histories?: number },
 ): Promise<void> {
-  const until = Date.now() + flags.minutes * MS_PER_MINUTE;
+  const until = flags.histories === undefined
+    ? Date.now() + flags.minutes * MS_PER_MINUTE
+    : Infinity;
+  const lastSeed = flags.seed + (flags.histories ?? Infinity);
   let seed = flags.seed;
   let total: SoakAudit | undefined;
   onViolation(({ name, detail }) =>
     console.error(`seed=${seed} invariant=${name} ${detail}`)
   );
-  for (; Date.now() < until; seed += 1) {
+  for (; Date.now() < until && seed < lastSeed; seed += 1) {
     const audit = await underPausedClock(() =>
       runHistory({ seed, keys: KEYS, lengthMs: LENGTH_MS })
     );
