--- a/src/standin/start.ts
+++ b/src/standin/start.ts
@@ -65,7 +65,9 @@
 export function startStandIns(
   cfg: StandInSettings,
 ): Promise<readonly Listening[]> {
-  const table = new MemoryTable();
+  const isTable = ({ kind }: { kind: StandInKind }) =>
+    kind === StandInKind.Table;
+  const table = new MemoryTable(cfg.standIns.find(isTable)?.tune);
   return Promise.all(cfg.standIns.map((standIn, i) => {
     const app = appOf(cfg, standIn, { seed: cfg.seed + i, table });
     return listen(app, { address: cfg.address, port: standIn.port });
