Account cost by customer, pipeline and stage

Entries account attempts, work, waste, service and queue time, tokens, retries and hedges in bounded rows; metrics carry pipeline and stage, tRPC carries all rows, and 'cassiapost costs' sums them over the entries. Seen to fail: no bound.

--- /dev/null
+++ b/src/cli/costs_commands.ts
@@ -0,0 +1,91 @@
+/**
+ * Command that shows what the stages cost.
+ *
+ * @module
+ */
+
+import type { CAC } from "cac";
+import { type CostKey, type CostRow, sumCosts } from "../model/mod.ts";
+import { type EntryRow, isTargetKey, readAllMembers } from "../process/mod.ts";
+import { fetchCosts } from "../wire/mod.ts";
+import { CommandError, ExitCode } from "./exit.ts";
+import { tableOf } from "./lists_commands.ts";
+
+interface CostsFlags {
+  table?: string;
+  by: string;
+  json?: boolean;
+}
+
+/** What rows can be summed by. */
+const GROUPINGS: Readonly<Record<string, (row: CostRow) => CostKey>> = {
+  stage: ({ pipeline, stage }) => ({ customer: "", pipeline, stage }),
+  pipeline: ({ pipeline }) => ({ customer: "", pipeline, stage: "" }),
+  customer: ({ customer }) => ({ customer, pipeline: "", stage: "" }),
+  all: (row) => row,
+};
+
+/** Adds `costs`. */
+export function costsCommands(cli: CAC): void {
+  cli.command("costs", "Show cost by stage, summed over the entries")
+    .option("--table <url>", "Base URL of the table service")
+    .option("--by <what>", "stage, pipeline, customer or all", {
+      default: "stage",
+    })
+    .option("--json", "Print JSON")
+    .action(runCosts);
+}
+
+async function runCosts(flags: CostsFlags): Promise<void> {
+  const grouping = GROUPINGS[flags.by];
+  if (!grouping) {
+    throw new CommandError(
+      ExitCode.Usage,
+      `--by takes ${Object.keys(GROUPINGS).join(", ")}`,
+    );
+  }
+  const members = await readAllMembers(tableOf(flags));
+  if (members.isErr()) {
+    throw new CommandError(
+      ExitCode.Refused,
+      "The table service does not answer, so the entries are not known",
+    );
+  }
+  const entries = members.value.filter(({ key }) => !isTargetKey(key))
+    .map(({ value }) => value as EntryRow);
+  const asked = await Promise.allSettled(
+    entries.map(({ url }) => fetchCosts(url)),
+  );
+  const unreachable = entries
+    .filter((_, i) => asked[i]?.status === "rejected")
+    .map(({ name }) => name);
+  const rows = asked.flatMap((one) =>
+    one.status === "fulfilled" ? one.value : []
+  );
+  const costs = sumCosts(rows, grouping);
+  if (flags.json) return console.log(JSON.stringify({ costs, unreachable }));
+  costs.map(lineOf).forEach((line) => console.log(line));
+  console.log(
+    `entries=${entries.length} unreachable=${unreachable.join(",") || "none"}`,
+  );
+}
+
+/** Row as key=value pairs; times are in milliseconds. */
+export function lineOf(row: CostRow): string {
+  const names = (["customer", "pipeline", "stage"] as const)
+    .filter((name) => row[name] !== "")
+    .map((name) => `${name}=${row[name]}`);
+  const wasted = row.workMs === 0 ? 0 : row.wastedMs / row.workMs;
+  return [
+    ...names,
+    `results=${row.results}`,
+    `attempts=${row.attempts}`,
+    `work_ms=${Math.round(row.workMs)}`,
+    `wasted_ratio=${wasted.toFixed(4)}`,
+    `service_ms=${Math.round(row.serviceMs)}`,
+    `queued_ms=${Math.round(row.queuedMs)}`,
+    `tokens=${row.tokens}`,
+    `retries=${row.retries}`,
+    `hedges=${row.hedges}`,
+  ].join(" ");
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,6 +8,7 @@
 import { readFileSync } from "node:fs";
 import { runApp } from "./app.ts";
 import type { RegisterCommands } from "./command.ts";
+import { costsCommands } from "./costs_commands.ts";
 import { daemonCommands } from "./daemon_commands.ts";
 import { listsCommands } from "./lists_commands.ts";
 import { loadCommands } from "./load_commands.ts";
@@ -16,6 +17,7 @@
 import { targetsCommands } from "./targets_commands.ts";
 
 const GROUPS: readonly RegisterCommands[] = [
+  costsCommands,
   daemonCommands,
   listsCommands,
   loadCommands,
--- /dev/null
+++ b/src/entry/cost_book_test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { type CostKey, sumCosts } from "../model/mod.ts";
+import { Metrics } from "../telemetry/mod.ts";
+import { CostBook, OTHER_CUSTOMERS } from "./cost_book.ts";
+
+const SEED = 61;
+const MAX_ROWS = 6;
+
+const key = (customer: string, stage = "s"): CostKey => ({
+  customer,
+  pipeline: "p",
+  stage,
+});
+
+const additions = fc.array(
+  fc.record({
+    customer: fc.integer({ min: 0, max: 20 }).map((n) => `c${n}`),
+    stage: fc.constantFrom("s", "t"),
+    workMs: fc.integer({ min: 1, max: 100 }),
+    tokens: fc.integer({ min: 0, max: 50 }),
+  }),
+  { maxLength: 60 },
+);
+
+// Seen to fail without the bound, and with rows beyond it dropped.
+test("CostBook bounds its rows and loses no cost", () => {
+  fc.assert(
+    fc.property(additions, (all) => {
+      const book = new CostBook({ metrics: new Metrics(), maxRows: MAX_ROWS });
+      all.forEach(({ customer, stage, ...cost }) =>
+        book.add(key(customer, stage), cost)
+      );
+      const total = (
+        read: (one: { workMs: number; tokens: number }) => number,
+      ) => book.rows.reduce((sum, row) => sum + read(row), 0);
+      assert.equal(
+        total(({ workMs }) => workMs),
+        all.reduce((sum, { workMs }) => sum + workMs, 0),
+      );
+      assert.equal(
+        total(({ tokens }) => tokens),
+        all.reduce((sum, { tokens }) => sum + tokens, 0),
+      );
+      const named = book.rows.filter(({ customer }) =>
+        customer !== OTHER_CUSTOMERS
+      );
+      assert.ok(named.length <= MAX_ROWS);
+      assert.ok(book.rows.length <= MAX_ROWS + 2);
+    }),
+    { seed: SEED, numRuns: 100 },
+  );
+});
+
+test("CostBook exposes costs by pipeline and stage, not by customer", () => {
+  const metrics = new Metrics();
+  const book = new CostBook({ metrics });
+  book.add(key("c1"), { workMs: 5, wastedMs: 2 });
+  book.add(key("c2"), { workMs: 7 });
+  assert.equal(metrics.total("cost_work_ms_total"), 12);
+  assert.equal(metrics.total("cost_wasted_ms_total"), 2);
+  assert.ok(!metrics.text().includes("c1"));
+});
+
+test("sumCosts() sums rows of one key, the costliest first", () => {
+  const book = new CostBook({ metrics: new Metrics() });
+  book.add(key("c1", "s"), { workMs: 5 });
+  book.add(key("c2", "t"), { workMs: 30 });
+  book.add(key("c2", "s"), { workMs: 7 });
+  const sums = sumCosts(book.rows, (row) => ({ ...row, customer: "" }));
+  assert.deepEqual(
+    sums.map(({ stage, workMs }) => [stage, workMs]),
+    [["t", 30], ["s", 12]],
+  );
+});
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -8,6 +8,7 @@
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import {
   callId,
+  type Cost,
   notRun,
   outcomeUnknown,
   type Refusal,
@@ -30,6 +31,7 @@
 import type { Metrics, Tracing } from "../telemetry/mod.ts";
 import type { AdmissionService } from "./admission_service.ts";
 import { Attempt, type AttemptOutcome, type TargetBook } from "./attempt.ts";
+import type { CostBook } from "./cost_book.ts";
 import {
   isClosedByOwn,
   type KeyRecord,
@@ -70,6 +72,7 @@
   readonly tracing: Tracing;
   /** Without it, calls whose answers were lost stay unknown. */
   readonly record?: KeyRecord;
+  readonly costs?: CostBook;
   /** Learns the load that rides on answers. */
   readonly admission?: AdmissionService;
 }
@@ -111,6 +114,7 @@
         return err(finalRefusal(stage.refusals));
       }
       this.#count("retries_total", stage);
+      this.#parts.costs?.add(stage.req, { retries: 1 });
       await sleep(RETRY_PAUSE_MS, stage.opts.signal);
     }
   }
@@ -182,6 +186,7 @@
         : await Promise.race([first.value.ended, sleep(waitMs, signal)]);
       if (!early && !stage.passedOn && this.#spend(stage)) {
         this.#count("hedges_total", stage);
+        this.#parts.costs?.add(stage.req, { hedges: 1 });
         this.#send(stage, signal).map((sent) => racers.push(sent));
       }
       return await firstSuccess(racers, stage);
@@ -269,10 +274,16 @@
   ): void {
     const { metrics } = this.#parts;
     const labels = { stage: stage.req.stage };
+    const isWasted = outcome.isErr() || stage.won;
     metrics.count("stage_work_ms_total", labels, ms);
-    if (outcome.isErr() || stage.won) {
-      metrics.count("stage_wasted_ms_total", labels, ms);
-    }
+    if (isWasted) metrics.count("stage_wasted_ms_total", labels, ms);
+    this.#parts.costs?.add(stage.req, {
+      attempts: 1,
+      workMs: ms,
+      ...(outcome.isErr() || stage.won
+        ? { wastedMs: ms }
+        : resultCost(outcome.value)),
+    });
     if (outcome.isErr()) return;
     stage.won = true;
     this.#latency(stage).record(ms);
@@ -292,6 +303,14 @@
   }
 }
 
+/** Cost that a result reports. */
+function resultCost(result: StageResult): Partial<Cost> {
+  const { serviceMs, queuedMs, tokens, replayed } = result;
+  return replayed
+    ? { results: 1 }
+    : { results: 1, serviceMs, queuedMs, tokens };
+}
+
 /** An attempt that was started. */
 interface Sent {
   readonly call: StageCall;
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -28,9 +28,10 @@
   Registrar,
   TRACING,
 } from "../process/mod.ts";
-import { createPeerRouter, type PeerApi } from "../wire/mod.ts";
+import { createEntryRouter, type PeerApi } from "../wire/mod.ts";
 import { Checkpoints } from "./checkpoints.ts";
 import { AdmissionService } from "./admission_service.ts";
+import { CostBook } from "./cost_book.ts";
 import { Directory } from "./directory.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { Front } from "./front.ts";
@@ -38,6 +39,7 @@
 import { Runner } from "./runner.ts";
 
 const DIRECTORY = serviceKey<Directory>("directory");
+const COSTS = serviceKey<CostBook>("costs");
 const FRONT = serviceKey<Front>("front");
 const CONTROL = serviceKey<Listening>("control");
 const REGISTRATION = serviceKey<Registrar>("registration");
@@ -48,6 +50,10 @@
   return Kernel.start([
     ...baseServices(cfg),
     directoryService(cfg),
+    service({
+      key: COSTS,
+      start: (ctx) => new CostBook({ metrics: ctx.get(METRICS) }),
+    }),
     frontService(cfg),
     controlService(cfg),
     registrationService(cfg),
@@ -89,6 +95,7 @@
         tracing,
         record,
         admission,
+        costs: ctx.get(COSTS),
       });
       const checkpoints = new Checkpoints({ objects, metrics });
       return new Front({
@@ -111,7 +118,10 @@
     start: (ctx) => {
       const front = ctx.get(FRONT);
       const app = createControlApp({
-        router: createPeerRouter(peerApi(ctx.get(LISTS), front)),
+        router: createEntryRouter({
+          ...peerApi(ctx.get(LISTS), front),
+          costs: () => ctx.get(COSTS).rows,
+        }),
         metrics: ctx.get(METRICS),
         isReady: () => front.isReady,
       });
--- /dev/null
+++ b/src/model/cost.ts
@@ -0,0 +1,79 @@
+/**
+ * Cost of the stages of pipelines.
+ *
+ * @module
+ */
+
+import type { CustomerId, PipelineName, StageName } from "./ids.ts";
+
+/** What a cost is accounted to. */
+export interface CostKey {
+  readonly customer: CustomerId;
+  readonly pipeline: PipelineName;
+  readonly stage: StageName;
+}
+
+/** Accumulated cost; times are in milliseconds. */
+export interface Cost {
+  /** Attempts that ended. */
+  readonly attempts: number;
+  /** Attempts whose result went on to the next stage or the caller. */
+  readonly results: number;
+  /** Time from sending to the end, over all attempts. */
+  readonly workMs: number;
+  /** Part of `workMs` whose result nobody got. */
+  readonly wastedMs: number;
+  /** Time at the targets, over the results. */
+  readonly serviceMs: number;
+  /** Time in the gates' queues, over the results. */
+  readonly queuedMs: number;
+  /** Tokens generated, over the results. */
+  readonly tokens: number;
+  readonly retries: number;
+  readonly hedges: number;
+}
+
+/** Cost of one key. */
+export type CostRow = CostKey & Cost;
+
+/** Cost of nothing. */
+export const NO_COST: Cost = {
+  attempts: 0,
+  results: 0,
+  workMs: 0,
+  wastedMs: 0,
+  serviceMs: 0,
+  queuedMs: 0,
+  tokens: 0,
+  retries: 0,
+  hedges: 0,
+};
+
+/** Sum of two costs. */
+export function addCost(a: Cost, b: Partial<Cost>): Cost {
+  return {
+    attempts: a.attempts + (b.attempts ?? 0),
+    results: a.results + (b.results ?? 0),
+    workMs: a.workMs + (b.workMs ?? 0),
+    wastedMs: a.wastedMs + (b.wastedMs ?? 0),
+    serviceMs: a.serviceMs + (b.serviceMs ?? 0),
+    queuedMs: a.queuedMs + (b.queuedMs ?? 0),
+    tokens: a.tokens + (b.tokens ?? 0),
+    retries: a.retries + (b.retries ?? 0),
+    hedges: a.hedges + (b.hedges ?? 0),
+  };
+}
+
+/** Sums rows that have the same key after `keyOf`, the costliest first. */
+export function sumCosts(
+  rows: readonly CostRow[],
+  keyOf: (row: CostRow) => CostKey,
+): readonly CostRow[] {
+  const sums = new Map<string, CostRow>();
+  rows.forEach((row) => {
+    const key = keyOf(row);
+    const id = JSON.stringify([key.customer, key.pipeline, key.stage]);
+    sums.set(id, { ...key, ...addCost(sums.get(id) ?? NO_COST, row) });
+  });
+  return [...sums.values()].sort((a, b) => b.workMs - a.workMs);
+}
--- a/src/model/mod.ts
+++ b/src/model/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./call.ts";
+export * from "./cost.ts";
 export * from "./digest.ts";
 export * from "./ids.ts";
 export * from "./lists.ts";
--- a/src/wire/api.ts
+++ b/src/wire/api.ts
@@ -8,6 +8,7 @@
 import type { ListsUpdate } from "../lists/mod.ts";
 import type {
   CallEvent,
+  CostRow,
   DomainName,
   StageCall,
   Target,
@@ -65,6 +66,12 @@
   readonly ready: boolean;
 }
 
+/** Asked of an entry. */
+export interface EntryApi extends PeerApi {
+  /** Costs since the entry started. */
+  costs(): readonly CostRow[];
+}
+
 /** Asked of an agent. */
 export interface AgentApi extends PeerApi {
   /** Runs one stage call and streams its events. */
--- a/src/wire/client.ts
+++ b/src/wire/client.ts
@@ -8,7 +8,7 @@
 import { type Agent, fetch as undiciFetch } from "undici";
 import { timeoutSignal } from "../kernel/mod.ts";
 import type { ListsUpdate } from "../lists/mod.ts";
-import type { CallEvent, StageCall } from "../model/mod.ts";
+import type { CallEvent, CostRow, StageCall } from "../model/mod.ts";
 import type { KeyStore } from "../tls/mod.ts";
 import type {
   GossipAnswer,
@@ -18,7 +18,12 @@
   TargetState,
 } from "./api.ts";
 import { createDispatcher } from "./connector.ts";
-import { type AgentRouter, type PeerRouter, TRPC_PATH } from "./router.ts";
+import {
+  type AgentRouter,
+  type EntryRouter,
+  type PeerRouter,
+  TRPC_PATH,
+} from "./router.ts";
 import { streamingFetch } from "./streaming_fetch.ts";
 
 const ANSWER_TIMEOUT_MS = 2_000;
@@ -162,6 +167,21 @@
   }
 }
 
+/** Costs that the entry at a control address has accounted. */
+export async function fetchCosts(url: string): Promise<readonly CostRow[]> {
+  const dispatcher = createDispatcher();
+  const link = httpLink({
+    url: url + TRPC_PATH,
+    fetch: fetchBy(() => dispatcher),
+  });
+  try {
+    const client = createTRPCClient<EntryRouter>({ links: [link] });
+    return await client.costs.query(undefined, withTimeout());
+  } finally {
+    await dispatcher.destroy();
+  }
+}
+
 /** Makes clients of peers that share one set of connections. */
 export function connectPeers(keys?: KeyStore): (info: PeerInfo) => PeerClient {
   const dispatcher = createDispatcher(keys);
--- a/src/wire/router.ts
+++ b/src/wire/router.ts
@@ -6,7 +6,7 @@
 
 import { initTRPC } from "@trpc/server";
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
-import type { AgentApi, PeerApi } from "./api.ts";
+import type { AgentApi, EntryApi, PeerApi } from "./api.ts";
 import { gossipSchema, listsSinceSchema, stageCallSchema } from "./schema.ts";
 
 const trpc = initTRPC.create();
@@ -27,6 +27,12 @@
   });
 }
 
+/** Router of an entry. */
+export function createEntryRouter(api: EntryApi) {
+  const own = trpc.router({ costs: trpc.procedure.query(() => api.costs()) });
+  return trpc.mergeRouters(createPeerRouter(api), own);
+}
+
 /** Router of an agent. */
 export function createAgentRouter(api: AgentApi) {
   const own = trpc.router({
@@ -42,6 +48,8 @@
 
 /** Type of the peer router, for its client. */
 export type PeerRouter = ReturnType<typeof createPeerRouter>;
+/** Type of the entry router, for its client. */
+export type EntryRouter = ReturnType<typeof createEntryRouter>;
 /** Type of the agent router, for its client. */
 export type AgentRouter = ReturnType<typeof createAgentRouter>;
 
