--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -11,7 +11,10 @@
 import type { Experiment } from "./experiment.ts";
 import { overhead } from "./overhead.ts";
 import { overload } from "./overload.ts";
+import { prefix } from "./prefix.ts";
 import { shares } from "./shares.ts";
+import { silentConnections } from "./silent_connections.ts";
+import { storeOutage } from "./store_outage.ts";
 
 const EXPERIMENTS: readonly Experiment[] = [
   coldStart,
@@ -20,6 +23,9 @@
   shares,
   domainOut,
   overhead,
+  prefix,
+  silentConnections,
+  storeOutage,
 ];
 
 const DEFAULT_SEED = 1;
--- /dev/null
+++ b/src/bench/prefix.ts
@@ -0,0 +1,78 @@
+/**
+ * Experiment: requests share documents as prompt prefixes, more of them than
+ * the engines' caches hold together in each engine.
+ *
+ * @module
+ */
+
+import type { Experiment, ExperimentReport } from "./experiment.ts";
+import { loadCustomers, runSides, type SideRun } from "./harness.ts";
+import { ASK, POOLS, SMALL_WORLD } from "./workload.ts";
+import type { WorldPlan } from "./world.ts";
+
+const RATE_PER_S = 20;
+const DURATION_S = 20;
+const WARM_UP_S = 8;
+const DOCUMENTS = { count: 60, chars: 2_048 };
+/** Blocks of 64 characters; an engine holds a quarter of the documents. */
+const CACHE_BLOCKS = 512;
+/** Slow enough that a prompt without cached prefix takes noticeably longer. */
+const PREFILL_TOKENS_PER_MS = 10;
+
+const PLAN: WorldPlan = {
+  ...SMALL_WORLD,
+  pools: POOLS.map((pool) =>
+    pool.name === "models"
+      ? {
+        ...pool,
+        engine: {
+          cacheBlocks: CACHE_BLOCKS,
+          prefillTokensPerMs: PREFILL_TOKENS_PER_MS,
+        },
+      }
+      : pool
+  ),
+};
+
+const LOAD = {
+  customers: loadCustomers(PLAN),
+  mix: [{ pipeline: ASK.name, weight: 1, deadlineMs: 4_000, files: false }],
+  ratePerS: RATE_PER_S,
+  durationS: DURATION_S,
+  documents: DOCUMENTS,
+};
+
+/** Compares the share of prompt tokens found in the engines' caches. */
+export const prefix: Experiment = {
+  name: "prefix",
+  summary: "share of prompt tokens found in the engines' caches",
+  async run({ seed }): Promise<ExperimentReport> {
+    const sides = await runSides({
+      plan: PLAN,
+      load: LOAD,
+      warmUp: { ...LOAD, durationS: WARM_UP_S },
+    }, { seed });
+    return {
+      experiment: "prefix",
+      seed,
+      policy: sides.policy.side,
+      baseline: sides.baseline.side,
+      policy_cache: figuresOf(sides.policy),
+      baseline_cache: figuresOf(sides.baseline),
+    };
+  },
+};
+
+function figuresOf({ running }: SideRun) {
+  const engines = running.world.targets.flatMap(({ engine }) => engine ?? []);
+  const sum = (read: (engine: typeof engines[number]) => number) =>
+    engines.reduce((total, engine) => total + read(engine), 0);
+  const completions = engines.map(({ counts }) => counts.completions);
+  return {
+    cache_hit_share: sum(({ counts }) => counts.cachedTokens) /
+      Math.max(1, sum(({ counts }) => counts.promptTokens)),
+    /** Most completions at one engine as a multiple of the mean. */
+    imbalance: Math.max(...completions) * engines.length /
+      Math.max(1, sum(({ counts }) => counts.completions)),
+  };
+}
