--- a/src/process/lists_sync.ts
+++ b/src/process/lists_sync.ts
@@ -35,7 +35,8 @@
 import { Gossip, type GossipSide } from "./gossip.ts";
 import { type NewerLists, readNewerLists } from "./lists_store.ts";
 import { applyAsked, isAskDue, NO_PACING, type Pacing } from "./pacing.ts";
-import { PeerBook, readPeers } from "./peers.ts";
+import { Members } from "./members.ts";
+import { PeerBook, peersOf } from "./peers.ts";
 
 /** Time between two looks at what is due, in milliseconds. */
 const TICK_MS = 200;
@@ -67,6 +68,7 @@
   readonly info: PeerInfo;
   readonly #opts: ListsSyncOptions;
   readonly #random: () => number;
+  readonly #members: Members;
   readonly #book: PeerBook;
   readonly #gossip: Gossip;
   #signal: AbortSignal = new AbortController().signal;
@@ -81,6 +83,7 @@
     this.#opts = opts;
     this.info = opts.info;
     this.#random = opts.random ?? Math.random;
+    this.#members = new Members(opts.table);
     this.#book = new PeerBook({ self: opts.info.url, random: this.#random });
     opts.seeds?.forEach((seed) => this.#book.add(seed));
     this.#learn({ kind: "domains-read", domains: this.#book.domains() });
@@ -151,22 +154,21 @@
 
   /**
    * Takes notice of the version on which a peer acts. A process that is behind
-   * asks at once.
+   * asks at once: that peer, or any when it cannot be asked.
    */
-  notice(version: number): void {
-    if (version <= this.version || version <= this.#noticed) return;
-    this.#noticed = version;
-    this.#book.sample(1, monotonicMs())
-      .forEach((peer) => void this.#gossip.ask(peer, this.#signal));
+  notice(version: number, peer?: PeerInfo): void {
+    if (version <= this.version) return;
+    if (version <= this.#noticed && !peer) return;
+    this.#noticed = Math.max(version, this.#noticed);
+    const asked = peer ? [peer] : this.#book.sample(1, monotonicMs());
+    asked.forEach((one) => void this.#gossip.ask(one, this.#signal));
   }
 
   /** Answers a peer's question. */
   answer(question: GossipQuestion, ready: boolean): GossipAnswer {
     if (question.from) this.#book.add(question.from);
     if (question.offer) this.apply(question.offer);
-    if (question.version > this.version && question.from) {
-      void this.#gossip.ask(question.from, this.#signal);
-    }
+    this.notice(question.version, question.from);
     return {
       state: this.peerState(ready),
       update: this.since(question.version),
@@ -256,8 +258,9 @@
   }
 
   async #readPeers(signal: AbortSignal): Promise<void> {
-    const read = await readPeers(this.#opts.table, signal);
-    read.map((infos) => {
+    const read = await this.#members.refresh(signal);
+    read.map(() => {
+      const infos = peersOf(this.#members);
       const { seeds = [] } = this.#opts;
       this.#book.replace([...infos, ...seeds]);
       const domains = infos.map(({ domain }) => domain);
