--- a/src/bench/overload.ts
+++ b/src/bench/overload.ts
@@ -9,6 +9,7 @@
 import type { Experiment, ExperimentReport, Side } from "./experiment.ts";
 import { Lab, type LabPlan } from "./lab.ts";
 import {
+  attainmentOf,
   driveLab,
   type LabLoad,
   type LabOutcome,
@@ -17,11 +18,14 @@
   serveByEntries,
   serveByRoundRobin,
 } from "./lab_load.ts";
-import { DRAFT, LAB_PLAN } from "./lab_plan.ts";
+import { DOSSIER, DRAFT, LAB_PLAN } from "./lab_plan.ts";
 import { underPausedClock } from "./paused_clock.ts";
 
 const FACTORS = [1, 2, 4] as const;
 const DURATION_S = 30;
+/** Load of short work and of dossiers, as shares of the capacity. */
+const DRAFTS_LOAD = 0.6;
+const DOSSIERS_LOAD = 0.8;
 const MS_PER_S = 1000;
 /** Start of the measured part; before it, limits and estimates settle. */
 const SETTLED_AT_MS = 8_000;
@@ -65,6 +69,7 @@
       rows.push(await runFactor(factor, { capacity, seed }));
     }
     const last = rows.at(-1) as OverloadRow;
+    const dossiers = await runDossiers({ capacity, seed });
     return {
       experiment: "overload",
       seed,
@@ -72,6 +77,7 @@
       policy: last.policy,
       baseline: last.baseline,
       loads: rows,
+      dossiers,
     };
   },
 };
@@ -100,6 +106,37 @@
   };
 }
 
+/** Short work at part of the capacity beside more dossiers than fit. */
+async function runDossiers(
+  { capacity, seed }: { capacity: number; seed: number },
+) {
+  // A dossier costs four times the tokens of a draft.
+  const load: LabLoad = {
+    ratePerS: capacity * (DRAFTS_LOAD + DOSSIERS_LOAD / 4),
+    durationS: DURATION_S,
+    customers: CUSTOMERS,
+    mix: [
+      { pipeline: DRAFT.name, weight: DRAFTS_LOAD },
+      { pipeline: DOSSIER.name, weight: DOSSIERS_LOAD / 4 },
+    ],
+  };
+  const figures = async (policy: boolean) => {
+    const { outcomes } = await runLabSide({ plan: PLAN, load, seed, policy });
+    const of = (name: string) =>
+      outcomes.filter(({ arrival }) => arrival.work.pipeline === name);
+    return {
+      drafts_attainment: attainmentOf(of(DRAFT.name)),
+      dossiers_attainment: attainmentOf(of(DOSSIER.name)),
+    };
+  };
+  return {
+    drafts_load: DRAFTS_LOAD,
+    dossiers_load: DOSSIERS_LOAD,
+    policy: await figures(true),
+    baseline: await figures(false),
+  };
+}
+
 /** What a side of a lab gave. */
 export interface LabRun {
   readonly side: Side;
