Group customers by row once, and measure list changes by size

Cause: a change of all 4,500 customers hashed every name once for each of 64 rows: the accept took 6.2 s on a busy machine.

Change: names are hashed once. bench lists-scale reports bytes and times of one changed customer at 5, 500 and 4,500 customers beside a list in one row.

--- /dev/null
+++ b/src/bench/lists_scale.ts
@@ -0,0 +1,132 @@
+/**
+ * Experiment: what one changed customer costs by the size of the customer list,
+ * beside a list kept in one row that every reader reads whole.
+ *
+ * @module
+ */
+
+import { monotonicMs } from "../kernel/mod.ts";
+import { applyUpdate, EMPTY_HISTORY, type History } from "../lists/mod.ts";
+import { type Customer, EMPTY_LISTS, type Lists } from "../model/mod.ts";
+import type { Table } from "../platform/mod.ts";
+import {
+  acceptLists,
+  type NewerLists,
+  readNewerLists,
+} from "../process/mod.ts";
+import { MemoryTable } from "../standin/mod.ts";
+import { Durations } from "../telemetry/mod.ts";
+import type { Experiment } from "./experiment.ts";
+
+const SIZES = [5, 500, 4_500] as const;
+const CHANGES = 50;
+const ID_DIGITS = 5;
+const KEY_DIGITS = 64;
+
+/** The experiment `lists-scale`. */
+export const listsScale: Experiment = {
+  name: "lists-scale",
+  summary: "Bytes and time of one changed customer by the number of customers",
+  run: async ({ seed }) => {
+    const points = [];
+    for (const customers of SIZES) points.push(await measure(customers));
+    return { experiment: "lists-scale", seed, changes: CHANGES, points };
+  },
+};
+
+async function measure(count: number) {
+  const table = new MemoryTable();
+  const sizes: number[] = [];
+  const measured = measuring(table, sizes);
+  const startedAt = monotonicMs();
+  let lists = await accept(measured, EMPTY_LISTS, customersOf(count));
+  const fullAcceptMs = monotonicMs() - startedAt;
+  let history = applyUpdate(EMPTY_HISTORY, { kind: "lists", lists });
+  const accepts = new Durations();
+  const applies = new Durations();
+  const read: number[] = [];
+  sizes.length = 0;
+  for (let i = 0; i < CHANGES; i += 1) {
+    const { customers } = lists.customers;
+    const one = customers[i % count] as Customer;
+    const changed = customers.with(i % count, { ...one, plan: `plan-${i}` });
+    lists = await timed(accepts, () => accept(measured, lists, changed));
+    history = await timed(
+      applies,
+      async () => follow(history, await newer(table, history, read)),
+    );
+  }
+  return {
+    customers: count,
+    full_accept_ms: round(fullAcceptMs),
+    accept_p50_ms: round(accepts.quantile(0.5)),
+    apply_p50_ms: round(applies.quantile(0.5)),
+    write_bytes: mean(sizes),
+    read_bytes: mean(read),
+    one_row_write_bytes: JSON.stringify(lists.customers).length,
+    one_row_read_bytes: JSON.stringify(lists).length,
+  };
+}
+
+async function accept(
+  table: Table,
+  standing: Lists,
+  customers: readonly Customer[],
+): Promise<Lists> {
+  const change = { customers: { customers } };
+  const outcome = await acceptLists(table, standing, change);
+  if (outcome.kind === "accepted") return outcome.lists;
+  throw new Error(`The change was ${outcome.kind}`);
+}
+
+async function newer(
+  table: Table,
+  { lists }: History,
+  sizes: number[],
+): Promise<NewerLists> {
+  const found = (await readNewerLists(table, lists.version))._unsafeUnwrap();
+  sizes.push(JSON.stringify(found).length);
+  return found;
+}
+
+function follow(history: History, { update }: NewerLists): History {
+  return update ? applyUpdate(history, update) : history;
+}
+
+/** Table that notes the size of every transaction, in bytes of JSON. */
+function measuring(table: Table, sizes: number[]): Table {
+  return {
+    read: (keys) => table.read(keys),
+    scan: (prefix, opts) => table.scan(prefix, opts),
+    commit: (tx) => {
+      sizes.push(JSON.stringify(tx).length);
+      return table.commit(tx);
+    },
+  };
+}
+
+async function timed<T>(
+  durations: Durations,
+  step: () => Promise<T>,
+): Promise<T> {
+  const startedAt = monotonicMs();
+  const value = await step();
+  durations.record(monotonicMs() - startedAt);
+  return value;
+}
+
+function customersOf(count: number): readonly Customer[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `customer-${String(i).padStart(ID_DIGITS, "0")}`,
+    plan: "plan",
+    keySha256: String(i).padStart(KEY_DIGITS, "0"),
+  }));
+}
+
+function mean(values: readonly number[]): number {
+  return Math.round(values.reduce((a, b) => a + b, 0) / values.length);
+}
+
+function round(ms: number): number {
+  return Math.round(ms * 100) / 100;
+}
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -9,6 +9,7 @@
 import { controlCost } from "./control_cost.ts";
 import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
+import { listsScale } from "./lists_scale.ts";
 import { overhead } from "./overhead.ts";
 import { overload } from "./overload.ts";
 import { shares } from "./shares.ts";
@@ -16,6 +17,7 @@
 const EXPERIMENTS: readonly Experiment[] = [
   coldStart,
   controlCost,
+  listsScale,
   overload,
   shares,
   domainOut,
--- a/src/launch/ops.ts
+++ b/src/launch/ops.ts
@@ -26,7 +26,7 @@
 const SEED = 1;
 const DEFAULT_BASE_PORT = 21_000;
 const RATE_PER_S = 10;
-const DURATION_S = 150;
+const DURATION_S = 180;
 /** Time in which an order has to end new work, in milliseconds. */
 const ORDER_BOUND_MS = 5_000;
 /** Time in which a change has to be in force, in milliseconds. */
@@ -35,6 +35,7 @@
 const PAUSE_MS = 6_000;
 const OUTAGE_MS = 12_000;
 const FLAP_MS = 700;
+const SLOW_MS = 1_500;
 
 const basePort = Number(process.env.CASSIAPOST_BASE_PORT ?? DEFAULT_BASE_PORT);
 const deployment = await RunningDeployment.start("abay", {
@@ -67,6 +68,7 @@
 await pauseRound();
 await cutRound();
 await outageRound();
+await slowRound();
 await flapRound();
 await lostAnswerRound();
 await raceRound();
@@ -163,6 +165,18 @@
   await orderRound("outage", { out: false });
 }
 
+/** Orders while the table service answers too slowly for the processes. */
+async function slowRound(): Promise<void> {
+  await setFaults(deployment, { slowMs: SLOW_MS });
+  await sleep(2 * SETTLE_MS);
+  const seen = await sightAll(deployment);
+  const working = seen.filter((one) => one.takesWork).length;
+  expect(working === seen.length, `slow: ${working} of ${seen.length} work`);
+  await orderRound("slow", { out: true });
+  await setFaults(deployment, { slowMs: 0 });
+  await orderRound("slow", { out: false });
+}
+
 /** Orders while the table service comes and goes. */
 async function flapRound(): Promise<void> {
   await setFaults(deployment, { flapMs: FLAP_MS });
--- a/src/process/lists_rows.ts
+++ b/src/process/lists_rows.ts
@@ -82,13 +82,10 @@
   change: ListsChange,
   delta: ListsDelta,
 ): RowPut[] {
-  const touched = new Set(
-    [...delta.set.map(({ id }) => id), ...delta.removed].map(shardOf),
+  const shards = shardPuts(
+    after,
+    [...delta.set.map(({ id }) => id), ...delta.removed],
   );
-  const shards = [...touched].map((shard) => ({
-    key: shardKey(shard),
-    value: after.customers.customers.filter(({ id }) => shardOf(id) === shard),
-  }));
   return [
     ...shards,
     ...(change.use ? [{ key: USE_KEY, value: change.use }] : []),
@@ -98,6 +95,18 @@
   ];
 }
 
+/** Rows of the shards in which some customers differ. */
+function shardPuts(after: Lists, touched: readonly CustomerId[]): RowPut[] {
+  const shards = new Map<number, Customer[]>(
+    touched.map((id) => [shardOf(id), []]),
+  );
+  if (shards.size === 0) return [];
+  after.customers.customers.forEach((customer) =>
+    shards.get(shardOf(customer.id))?.push(customer)
+  );
+  return [...shards].map(([shard, value]) => ({ key: shardKey(shard), value }));
+}
+
 function shardKey(shard: number): string {
   return CUSTOMERS_PREFIX + String(shard).padStart(2, "0");
 }
