--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -10,6 +10,7 @@
 import { controlCost } from "./control_cost.ts";
 import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
+import { listsScale } from "./lists_scale.ts";
 import { overhead } from "./overhead.ts";
 import { overload } from "./overload.ts";
 import { prefix } from "./prefix.ts";
@@ -21,6 +22,7 @@
   claims,
   coldStart,
   controlCost,
+  listsScale,
   overload,
   shares,
   domainOut,
