--- a/src/bench/control_rig.ts
+++ b/src/bench/control_rig.ts
@@ -27,10 +27,14 @@
 import {
   changeLists,
   createControlApp,
+  type EntryInfo,
+  entryKey,
   listen,
   type Listening,
   ListsSync,
+  readMember,
   registerTarget,
+  writeMember,
 } from "../process/mod.ts";
 import {
   createHostListApp,
@@ -57,6 +61,8 @@
 const PIPELINES = 36;
 const STAGES = 4;
 const POOLS = 12;
+/** 360 entries stand before 600 targets. */
+const ENTRIES_PER_TARGETS = { entries: 3, targets: 5 } as const;
 /** Ports: platform, then the measured process, then the other agents. */
 const PLATFORM_PORTS = 4;
 const OWN_PORTS = 2;
@@ -184,9 +190,24 @@
       const target = targetOf(i, port);
       this.#servers.push(await startAgentStandIn(target, { port, lists }));
       await registerTarget(this.#table, target);
+      if (i % ENTRIES_PER_TARGETS.targets < ENTRIES_PER_TARGETS.entries) {
+        await this.#registerEntry(i, target);
+      }
     }
   }
 
+  /** Registers an entry that is served by a stand-in of an agent. */
+  async #registerEntry(i: number, { domain, agentUrl }: Target): Promise<void> {
+    const info: EntryInfo = {
+      name: `entry-${i}`,
+      host: `host-entry-${i}`,
+      domain,
+      url: agentUrl,
+    };
+    const member = await readMember(this.#table, entryKey(info.name));
+    await writeMember(this.#table, member._unsafeUnwrap(), { value: info });
+  }
+
   /** Lists of all the other agents, which know no peer but the process. */
   #peerLists(): ListsSync {
     const table: Table = {
--- a/src/launch/rolling.ts
+++ b/src/launch/rolling.ts
@@ -18,7 +18,7 @@
 const SEED = 1;
 const PLAIN_PER_S = 15;
 const STREAMS_PER_S = 5;
-const DURATION_S = 85;
+const DURATION_S = 110;
 const WARM_UP_MS = 4_000;
 /** Time in which entries see the restarted members, in milliseconds. */
 const SETTLE_MS = 2_500;
@@ -55,6 +55,8 @@
 const report = summarise(outcomes);
 console.error(JSON.stringify(report.reasons));
 const cut = report.unanswered + report.outcomeUnknown;
+stops.filter(({ code }) => code !== EXIT_DONE)
+  .forEach(({ name, code }) => console.error(`stopped=${name} code=${code}`));
 const badStops = stops.filter(({ code }) => code !== EXIT_DONE).length;
 const slowestStopMs = Math.max(...stops.map(({ ms }) => ms));
 console.log(
--- a/src/launch/topology.ts
+++ b/src/launch/topology.ts
@@ -41,7 +41,8 @@
 }
 
 const ADDRESS = "127.0.0.1";
-const DRAIN_MS = 10_000;
+/** Linger, the longest deadline, idle connections and a slow platform. */
+const DRAIN_MS = 30_000;
 /** Processes of each domain that the settings name to the others. */
 const SEEDS_PER_DOMAIN = 2;
 
