--- a/src/launch/topology.ts
+++ b/src/launch/topology.ts
@@ -45,7 +45,8 @@
 }
 
 const ADDRESS = "127.0.0.1";
-const DRAIN_MS = 10_000;
+/** Linger, the longest deadline, idle connections and a slow platform. */
+const DRAIN_MS = 30_000;
 const HOST_LIST_LAG_MS = 2_000;
 const MAX_BODY_BYTES = 1_048_576;
 const COLD_LIMIT = 2;
