--- a/src/agent/engine_client.ts
+++ b/src/agent/engine_client.ts
@@ -5,7 +5,6 @@
  */
 
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
-import { Agent, request } from "undici";
 import { Priority, promptOf, type StageCall } from "../model/mod.ts";
 import {
   COLD_HEADER,
@@ -20,8 +19,8 @@
   TargetClient,
   TargetFailure,
 } from "./target_client.ts";
+import { TargetHttp } from "./target_http.ts";
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const HTTP_OK = 200;
 const DEFAULT_MAX_TOKENS = 256;
 const END_MARK = "[DONE]";
@@ -43,15 +42,10 @@
 
 /** Speaks to a model engine by `POST /v1/completions`. */
 export class EngineClient implements TargetClient {
-  readonly #url: string;
-  readonly #dispatcher = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  readonly #http: TargetHttp;
 
   constructor(url: string) {
-    this.#url = url;
+    this.#http = new TargetHttp(url);
   }
 
   run(
@@ -65,23 +59,16 @@
   }
 
   close(): Promise<void> {
-    return this.#dispatcher.destroy();
+    return this.#http.close();
   }
 
   async #send(
     call: StageCall,
     opts: RunOptions,
   ): Promise<TargetAnswer | { failure: TargetFailure }> {
-    const res = await request(`${this.#url}/v1/completions`, {
-      method: "POST",
-      headers: {
-        "content-type": "application/json",
-        "x-call-id": call.callId,
-        ...(opts.traceparent ? { traceparent: opts.traceparent } : {}),
-      },
-      body: JSON.stringify(completionBody(call)),
-      dispatcher: this.#dispatcher,
-      signal: opts.signal,
+    const res = await this.#http.post("/v1/completions", call, {
+      ...opts,
+      body: completionBody(call),
     });
     if (res.statusCode !== HTTP_OK) {
       await res.body.dump();
--- a/src/agent/service_client.ts
+++ b/src/agent/service_client.ts
@@ -5,7 +5,6 @@
  */
 
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
-import { Agent, request } from "undici";
 import type { StageCall } from "../model/mod.ts";
 import {
   connectionFailure,
@@ -18,21 +17,16 @@
   TargetClient,
   TargetFailure,
 } from "./target_client.ts";
+import { TargetHttp } from "./target_http.ts";
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const HTTP_OK = 200;
 
 /** Speaks to a plain service by `POST /ops/KIND`. */
 export class ServiceClient implements TargetClient {
-  readonly #url: string;
-  readonly #dispatcher = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  readonly #http: TargetHttp;
 
   constructor(url: string) {
-    this.#url = url;
+    this.#http = new TargetHttp(url);
   }
 
   run(
@@ -53,23 +47,13 @@
   }
 
   close(): Promise<void> {
-    return this.#dispatcher.destroy();
+    return this.#http.close();
   }
 
-  async #send(call: StageCall, { signal, traceparent }: RunOptions) {
-    const res = await request(`${this.#url}/ops/${call.kind}`, {
-      method: "POST",
-      headers: {
-        "content-type": "application/json",
-        "x-call-id": call.callId,
-        ...(traceparent ? { traceparent } : {}),
-        ...(call.idempotencyKey
-          ? { "idempotency-key": call.idempotencyKey }
-          : {}),
-      },
-      body: JSON.stringify({ input: call.input }),
-      dispatcher: this.#dispatcher,
-      signal,
+  async #send(call: StageCall, opts: RunOptions) {
+    const res = await this.#http.post(`/ops/${call.kind}`, call, {
+      ...opts,
+      body: { input: call.input },
     });
     const text = await res.body.text();
     const json: unknown = res.statusCode === HTTP_OK
--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -9,22 +9,22 @@
 import {
   Kernel,
   service,
+  type ServiceContext,
   serviceKey,
   type ServiceSpec,
 } from "../kernel/mod.ts";
 import { type Target, TargetKind } from "../model/mod.ts";
 import {
   baseServices,
+  CONTROL,
+  controlService,
   controlUrl,
-  createControlApp,
-  KEYS,
-  listen,
-  type Listening,
   LISTS,
   LOG,
   METRICS,
   PLATFORM,
-  Registrar,
+  type Registered,
+  registrationService,
   targetKey,
   TRACING,
 } from "../process/mod.ts";
@@ -43,9 +43,8 @@
 import type { TargetClient } from "./target_client.ts";
 
 const AGENT = serviceKey<Agent>("agent");
-const CONTROL = serviceKey<Listening>("control");
 const ORDERS = serviceKey<Orders>("orders");
-const REGISTRATION = serviceKey<Registrar>("registration");
+const SWEEPER = serviceKey<ClaimSweeper>("sweeper");
 
 /** Most calls that wait at the gate. */
 const MAX_QUEUED = 64;
@@ -64,8 +63,12 @@
   return Kernel.start([
     ...baseServices(cfg),
     agentService(cfg),
-    controlService(cfg),
-    registrationService(cfg),
+    controlService(cfg, (ctx) => ({
+      router: createAgentRouter(ctx.get(AGENT)),
+      isReady: () => ctx.get(AGENT).isReady,
+    })),
+    registrationService((ctx) => registered(cfg, ctx)),
+    sweeperService(cfg),
     ...(cfg.target.kind === TargetKind.Engine ? [ordersService(cfg)] : []),
   ]);
 }
@@ -112,50 +115,32 @@
   });
 }
 
-function controlService(cfg: AgentSettings): ServiceSpec {
+/** Sweeps old claims; each agent takes its part of them. */
+function sweeperService(cfg: AgentSettings): ServiceSpec {
   return service({
-    key: CONTROL,
+    key: SWEEPER,
     start: (ctx) => {
-      const agent = ctx.get(AGENT);
-      const app = createControlApp({
-        router: createAgentRouter(agent),
+      const sweeper = new ClaimSweeper({
+        table: ctx.get(PLATFORM).table,
+        log: ctx.get(LOG),
         metrics: ctx.get(METRICS),
-        isReady: () => agent.isReady,
+        holder: cfg.name,
       });
-      return listen(app, { ...cfg.control, keys: ctx.get(KEYS) });
+      sweeper.run(ctx.signal);
+      return sweeper;
     },
-    leave: (server) => server.leave(),
-    drain: (server) => server.close(),
   });
 }
 
-function registrationService(cfg: AgentSettings): ServiceSpec {
-  return service({
-    key: REGISTRATION,
-    start: (ctx) => {
-      const log = ctx.get(LOG);
-      const target = targetOf(cfg, ctx.get(CONTROL).port);
-      const { table } = ctx.get(PLATFORM);
-      const registrar = new Registrar({
-        table,
-        key: targetKey(target.id),
-        value: target,
-        log,
-      });
-      ctx.get(AGENT).follow(registrar);
-      registrar.run(ctx.signal);
-      new ClaimSweeper({
-        table,
-        log,
-        metrics: ctx.get(METRICS),
-        holder: cfg.name,
-      }).run(ctx.signal);
-      log.info("agent_started", { target: target.id, url: target.agentUrl });
-      return registrar;
-    },
-    leave: (registrar) => registrar.leave(),
-    end: (registrar) => registrar.withdraw(),
-  });
+function registered(cfg: AgentSettings, ctx: ServiceContext): Registered {
+  const target = targetOf(cfg, ctx.get(CONTROL).port);
+  const { id, agentUrl } = target;
+  ctx.get(LOG).info("agent_started", { target: id, url: agentUrl });
+  return {
+    key: targetKey(id),
+    value: target,
+    onStart: (registrar) => ctx.get(AGENT).follow(registrar),
+  };
 }
 
 function ordersService(cfg: AgentSettings): ServiceSpec {
--- /dev/null
+++ b/src/agent/target_http.ts
@@ -0,0 +1,59 @@
+/**
+ * HTTP exchanges with the target beside an agent.
+ *
+ * @module
+ */
+
+import { Agent, type Dispatcher, request } from "undici";
+import type { StageCall } from "../model/mod.ts";
+import type { RunOptions } from "./target_client.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Connections to one target. Deadlines are the callers' signals. */
+export class TargetHttp {
+  readonly #url: string;
+  readonly #dispatcher = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  /** `url` is the base URL of the target. */
+  constructor(url: string) {
+    this.#url = url;
+  }
+
+  /** Posts a JSON body on behalf of a call. */
+  post(
+    path: string,
+    call: StageCall,
+    opts: Pick<RunOptions, "signal" | "traceparent"> & { body: unknown },
+  ): Promise<Dispatcher.ResponseData> {
+    return request(this.#url + path, {
+      method: "POST",
+      headers: headersOf(call, opts.traceparent),
+      body: JSON.stringify(opts.body),
+      dispatcher: this.#dispatcher,
+      signal: opts.signal,
+    });
+  }
+
+  /** Abandons every connection. */
+  close(): Promise<void> {
+    return this.#dispatcher.destroy();
+  }
+}
+
+function headersOf(
+  call: StageCall,
+  traceparent: string | undefined,
+): Record<string, string> {
+  const { callId, idempotencyKey } = call;
+  return {
+    "content-type": "application/json",
+    "x-call-id": callId,
+    ...(traceparent ? { traceparent } : {}),
+    ...(idempotencyKey ? { "idempotency-key": idempotencyKey } : {}),
+  };
+}
--- a/src/cli/costs_commands.ts
+++ b/src/cli/costs_commands.ts
@@ -8,6 +8,7 @@
 import { type CostKey, type CostRow, sumCosts } from "../model/mod.ts";
 import { type EntryRow, isTargetKey, readAllMembers } from "../process/mod.ts";
 import { fetchCosts } from "../wire/mod.ts";
+import { fleetKeys } from "./command.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 import { tableOf } from "./lists_commands.ts";
 
@@ -53,8 +54,9 @@
   }
   const entries = members.value.filter(({ key }) => !isTargetKey(key))
     .map(({ value }) => value as EntryRow);
+  const keys = fleetKeys();
   const asked = await Promise.allSettled(
-    entries.map(({ url }) => fetchCosts(url)),
+    entries.map(({ url }) => fetchCosts(url, keys)),
   );
   const unreachable = entries
     .filter((_, i) => asked[i]?.status === "rejected")
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -8,12 +8,13 @@
 import {
   Kernel,
   service,
+  type ServiceContext,
   serviceKey,
   type ServiceSpec,
 } from "../kernel/mod.ts";
 import {
   baseServices,
-  createControlApp,
+  controlService,
   type EntryInfo,
   entryKey,
   infoOf,
@@ -26,7 +27,8 @@
   LOG,
   METRICS,
   PLATFORM,
-  Registrar,
+  type Registered,
+  registrationService,
   TRACING,
 } from "../process/mod.ts";
 import {
@@ -46,8 +48,6 @@
 const DIRECTORY = serviceKey<Directory>("directory");
 const COSTS = serviceKey<CostBook>("costs");
 const FRONT = serviceKey<Front>("front");
-const CONTROL = serviceKey<Listening>("control");
-const REGISTRATION = serviceKey<Registrar>("registration");
 const LISTEN = serviceKey<Listening>("listen");
 
 /** Starts an entry. */
@@ -60,8 +60,8 @@
       start: (ctx) => new CostBook({ metrics: ctx.get(METRICS) }),
     }),
     frontService(cfg),
-    controlService(cfg),
-    registrationService(cfg),
+    controlService(cfg, served),
+    registrationService(() => registered(cfg)),
     listenService(cfg),
   ]);
 }
@@ -118,23 +118,15 @@
   });
 }
 
-function controlService(cfg: EntrySettings): ServiceSpec {
-  return service({
-    key: CONTROL,
-    start: (ctx) => {
-      const front = ctx.get(FRONT);
-      const app = createControlApp({
-        router: createEntryRouter({
-          ...peerApi(ctx.get(LISTS), front),
-          costs: () => ctx.get(COSTS).rows,
-        }),
-        metrics: ctx.get(METRICS),
-        isReady: () => front.isReady,
-      });
-      return listen(app, { ...cfg.control, keys: ctx.get(KEYS) });
-    },
-    drain: (server) => server.close(),
-  });
+function served(ctx: ServiceContext) {
+  const front = ctx.get(FRONT);
+  return {
+    router: createEntryRouter({
+      ...peerApi(ctx.get(LISTS), front),
+      costs: () => ctx.get(COSTS).rows,
+    }),
+    isReady: () => front.isReady,
+  };
 }
 
 function listenService(cfg: EntrySettings): ServiceSpec {
@@ -153,24 +145,10 @@
   });
 }
 
-/** Registers the entry so that operators' commands and peers find it. */
-function registrationService(cfg: EntrySettings): ServiceSpec {
-  return service({
-    key: REGISTRATION,
-    start: (ctx) => {
-      const info: EntryInfo = { ...infoOf(cfg), host: cfg.host };
-      const registrar = new Registrar({
-        table: ctx.get(PLATFORM).table,
-        key: entryKey(cfg.name),
-        value: info,
-        log: ctx.get(LOG),
-      });
-      registrar.run(ctx.signal);
-      return registrar;
-    },
-    leave: (registrar) => registrar.leave(),
-    end: (registrar) => registrar.withdraw(),
-  });
+/** The row by which operators' commands and peers find the entry. */
+function registered(cfg: EntrySettings): Registered {
+  const info: EntryInfo = { ...infoOf(cfg), host: cfg.host };
+  return { key: entryKey(cfg.name), value: info };
 }
 
 function peerApi(
--- a/src/process/control_test.ts
+++ b/src/process/control_test.ts
@@ -7,11 +7,7 @@
 import { Metrics } from "../telemetry/mod.ts";
 import { KeyStore, type PemTexts, type TlsFiles } from "../tls/mod.ts";
 import { TestAuthority } from "../launch/test_authority.ts";
-import {
-  createDispatcher,
-  createPeerRouter,
-  TrpcPeerClient,
-} from "../wire/mod.ts";
+import { Connections, createPeerRouter, TrpcPeerClient } from "../wire/mod.ts";
 import { createControlApp } from "./control.ts";
 import { listen, type Listening } from "./server.ts";
 
@@ -63,7 +59,7 @@
 const clientOf = (server: Listening, keys: KeyStore) =>
   new TrpcPeerClient(
     `https://127.0.0.1:${server.port}`,
-    createDispatcher(keys),
+    new Connections(keys),
   );
 
 const statusOf = async (server: Listening, path: string, ca: string) => {
--- a/src/process/mod.ts
+++ b/src/process/mod.ts
@@ -20,4 +20,5 @@
 export * from "./registrar.ts";
 export * from "./registry.ts";
 export * from "./server.ts";
+export * from "./shared_services.ts";
 export * from "./traffic.ts";
--- /dev/null
+++ b/src/process/shared_services.ts
@@ -0,0 +1,72 @@
+/**
+ * Services that entries and agents compose in the same way.
+ *
+ * @module
+ */
+
+import type { ProcessSettings } from "../config/mod.ts";
+import {
+  service,
+  type ServiceContext,
+  serviceKey,
+  type ServiceSpec,
+} from "../kernel/mod.ts";
+import { type ControlOptions, createControlApp } from "./control.ts";
+import { KEYS, LOG, METRICS, PLATFORM } from "./keys.ts";
+import { Registrar } from "./registrar.ts";
+import { listen, type Listening } from "./server.ts";
+
+/** Server of the control address. */
+export const CONTROL = serviceKey<Listening>("control");
+/** Registration of the process. */
+export const REGISTRATION = serviceKey<Registrar>("registration");
+
+/** Serves the control address. */
+export function controlService(
+  cfg: ProcessSettings,
+  served: (ctx: ServiceContext) => Omit<ControlOptions, "metrics">,
+): ServiceSpec {
+  return service({
+    key: CONTROL,
+    start: (ctx) => {
+      const app = createControlApp({
+        ...served(ctx),
+        metrics: ctx.get(METRICS),
+      });
+      return listen(app, { ...cfg.control, keys: ctx.get(KEYS) });
+    },
+    leave: (server) => server.leave(),
+    drain: (server) => server.close(),
+  });
+}
+
+/** What a process registers: the key of its row and the row's value. */
+export interface Registered {
+  readonly key: string;
+  readonly value: object;
+  /** Called with the registrar before it starts. */
+  readonly onStart?: (registrar: Registrar) => void;
+}
+
+/** Keeps the registration of the process up while it runs. */
+export function registrationService(
+  registered: (ctx: ServiceContext) => Registered,
+): ServiceSpec {
+  return service({
+    key: REGISTRATION,
+    start: (ctx) => {
+      const { key, value, onStart } = registered(ctx);
+      const registrar = new Registrar({
+        table: ctx.get(PLATFORM).table,
+        key,
+        value,
+        log: ctx.get(LOG),
+      });
+      onStart?.(registrar);
+      registrar.run(ctx.signal);
+      return registrar;
+    },
+    leave: (registrar) => registrar.leave(),
+    end: (registrar) => registrar.withdraw(),
+  });
+}
--- a/src/wire/client.ts
+++ b/src/wire/client.ts
@@ -17,7 +17,7 @@
   PeerState,
   TargetState,
 } from "./api.ts";
-import { createDispatcher } from "./connector.ts";
+import { Connections } from "./connector.ts";
 import {
   type AgentRouter,
   type EntryRouter,
@@ -55,45 +55,22 @@
   close(): Promise<void>;
 }
 
-/** Client of an agent over tRPC. */
-export class TrpcAgentClient implements AgentClient {
-  #dispatcher: Agent;
-  readonly #keys: KeyStore | undefined;
+/** Client of any process over tRPC. */
+export class TrpcPeerClient implements PeerClient {
+  readonly #connections: Connections;
   readonly #unary;
-  readonly #streaming;
 
-  /** `url` is the base URL of the agent's control address. */
-  constructor(url: string, keys?: KeyStore) {
-    this.#keys = keys;
-    this.#dispatcher = createDispatcher(keys);
-    const link = {
-      url: url + TRPC_PATH,
-      fetch: fetchBy(() => this.#dispatcher),
-    };
-    this.#unary = createTRPCClient<AgentRouter>({ links: [httpLink(link)] });
-    this.#streaming = createTRPCClient<AgentRouter>({
-      links: [
-        httpBatchStreamLink({
-          ...link,
-          fetch: streamingFetch(() => this.#dispatcher),
-          maxItems: 1,
-        }),
-      ],
+  /**
+   * `url` is the base URL of the process's control address. Clients that speak
+   * to many processes now and then share their `connections`.
+   */
+  constructor(url: string, connections = new Connections()) {
+    this.#connections = connections;
+    this.#unary = createTRPCClient<PeerRouter>({
+      links: [unaryLink(url, connections)],
     });
   }
 
-  async call(
-    call: StageCall,
-    signal: AbortSignal,
-  ): Promise<AsyncIterable<CallEvent>> {
-    const events = await this.#streaming.runStage.mutate(call, { signal });
-    return events as AsyncIterable<CallEvent>;
-  }
-
-  targetState(signal?: AbortSignal): Promise<TargetState> {
-    return this.#unary.targetState.query(undefined, withTimeout(signal));
-  }
-
   peerState(signal?: AbortSignal): Promise<PeerState> {
     return this.#unary.peerState.query(undefined, withTimeout(signal));
   }
@@ -105,12 +82,6 @@
     return this.#unary.listsSince.query({ version }, withTimeout(signal));
   }
 
-  renew(): void {
-    const old = this.#dispatcher;
-    this.#dispatcher = createDispatcher(this.#keys);
-    void old.close();
-  }
-
   exchange(
     question: GossipQuestion,
     signal?: AbortSignal,
@@ -119,73 +90,79 @@
   }
 
   close(): Promise<void> {
-    return this.#dispatcher.destroy();
+    return this.#connections.close();
   }
 }
 
-/** Client of any process over tRPC. */
-export class TrpcPeerClient implements PeerClient {
-  readonly #dispatcher: Agent;
+/** Client of an agent over tRPC. */
+export class TrpcAgentClient extends TrpcPeerClient implements AgentClient {
+  readonly #connections: Connections;
   readonly #unary;
+  readonly #streaming;
 
-  /**
-   * `url` is the base URL of the process's control address. Clients that speak
-   * to many processes now and then share their connections by a `dispatcher`.
-   */
-  constructor(url: string, dispatcher = createDispatcher()) {
-    this.#dispatcher = dispatcher;
-    this.#unary = createTRPCClient<PeerRouter>({
+  /** `url` is the base URL of the agent's control address. */
+  constructor(url: string, keys?: KeyStore) {
+    const connections = new Connections(keys);
+    super(url, connections);
+    this.#connections = connections;
+    this.#unary = createTRPCClient<AgentRouter>({
+      links: [unaryLink(url, connections)],
+    });
+    this.#streaming = createTRPCClient<AgentRouter>({
       links: [
-        httpLink({
+        httpBatchStreamLink({
           url: url + TRPC_PATH,
-          fetch: fetchBy(() => this.#dispatcher),
+          fetch: streamingFetch(() => connections.dispatcher),
+          maxItems: 1,
         }),
       ],
     });
   }
 
-  peerState(signal?: AbortSignal): Promise<PeerState> {
-    return this.#unary.peerState.query(undefined, withTimeout(signal));
-  }
-
-  listsSince(
-    version: number,
-    signal?: AbortSignal,
-  ): Promise<ListsUpdate | null> {
-    return this.#unary.listsSince.query({ version }, withTimeout(signal));
+  async call(
+    call: StageCall,
+    signal: AbortSignal,
+  ): Promise<AsyncIterable<CallEvent>> {
+    const events = await this.#streaming.runStage.mutate(call, { signal });
+    return events as AsyncIterable<CallEvent>;
   }
 
-  exchange(
-    question: GossipQuestion,
-    signal?: AbortSignal,
-  ): Promise<GossipAnswer> {
-    return this.#unary.exchange.mutate(question, withTimeout(signal));
+  targetState(signal?: AbortSignal): Promise<TargetState> {
+    return this.#unary.targetState.query(undefined, withTimeout(signal));
   }
 
-  close(): Promise<void> {
-    return this.#dispatcher.destroy();
+  renew(): void {
+    this.#connections.renew();
   }
 }
 
 /** Costs that the entry at a control address has accounted. */
-export async function fetchCosts(url: string): Promise<readonly CostRow[]> {
-  const dispatcher = createDispatcher();
-  const link = httpLink({
-    url: url + TRPC_PATH,
-    fetch: fetchBy(() => dispatcher),
-  });
+export async function fetchCosts(
+  url: string,
+  keys?: KeyStore,
+): Promise<readonly CostRow[]> {
+  const connections = new Connections(keys);
   try {
-    const client = createTRPCClient<EntryRouter>({ links: [link] });
+    const client = createTRPCClient<EntryRouter>({
+      links: [unaryLink(url, connections)],
+    });
     return await client.costs.query(undefined, withTimeout());
   } finally {
-    await dispatcher.destroy();
+    await connections.close();
   }
 }
 
 /** Makes clients of peers that share one set of connections. */
 export function connectPeers(keys?: KeyStore): (info: PeerInfo) => PeerClient {
-  const dispatcher = createDispatcher(keys);
-  return ({ url }) => new TrpcPeerClient(url, dispatcher);
+  const connections = new Connections(keys);
+  return ({ url }) => new TrpcPeerClient(url, connections);
+}
+
+function unaryLink(url: string, connections: Connections) {
+  return httpLink({
+    url: url + TRPC_PATH,
+    fetch: fetchBy(() => connections.dispatcher),
+  });
 }
 
 function fetchBy(current: () => Agent): typeof fetch {
--- a/src/wire/connector.ts
+++ b/src/wire/connector.ts
@@ -12,6 +12,37 @@
 /** Connections to one process; streams share none with each other. */
 const MAX_CONNECTIONS = 256;
 
+/** The connections to one process, which can be replaced as a whole. */
+export class Connections {
+  readonly #keys: KeyStore | undefined;
+  #dispatcher: Agent;
+
+  constructor(keys?: KeyStore) {
+    this.#keys = keys;
+    this.#dispatcher = createDispatcher(keys);
+  }
+
+  /** Dispatcher for the next request. */
+  get dispatcher(): Agent {
+    return this.#dispatcher;
+  }
+
+  /**
+   * Uses new connections from now on. Requests in hand go on; idle
+   * connections, which may have gone silent, are closed.
+   */
+  renew(): void {
+    const old = this.#dispatcher;
+    this.#dispatcher = createDispatcher(this.#keys);
+    void old.close();
+  }
+
+  /** Abandons every connection. */
+  close(): Promise<void> {
+    return this.#dispatcher.destroy();
+  }
+}
+
 /**
  * Dispatcher for one process. With keys, each new connection presents the
  * certificate in use at that moment, so that a rotation needs no restart.
