--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -27,7 +27,7 @@
 import { type EntryPlace, hashOf, prefixKey } from "../routing/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import { type AgentClient, TrpcAgentClient } from "../wire/mod.ts";
-import type { StageRequest } from "./dispatcher.ts";
+import type { StageRequest } from "./stage_dispatch.ts";
 import { KnownTargets } from "./known_targets.ts";
 import { type CallVerdict, PoolRouter } from "./pool_router.ts";
 import { probeSilent } from "./probe.ts";
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -9,14 +9,10 @@
 import {
   callId,
   type Cost,
-  notRun,
-  outcomeUnknown,
   type Refusal,
-  RefusalReason,
   type StageCall,
   type StageResult,
   type Target,
-  type TargetId,
 } from "../model/mod.ts";
 import {
   type BudgetBook,
@@ -39,31 +35,19 @@
   type Settled,
 } from "./key_record.ts";
 import { type CallVerdict, verdictOf } from "./pool_router.ts";
+import { firstSuccess, type Sent } from "./race.ts";
+import {
+  customerBudget,
+  type DispatchOptions,
+  StageDispatch,
+  type StageRequest,
+  targetBudget,
+} from "./stage_dispatch.ts";
+import { callerGone, noTarget, superseded, tooLate } from "./unsent.ts";
 
 const RETRY_RATIO = 0.1;
 const MAX_SAVED_RETRIES = 20;
 const RETRY_PAUSE_MS = 20;
-const RETRY_AFTER_MS = 1_000;
-
-/** A stage call before its target and attempt are chosen. */
-export type StageRequest = Omit<
-  StageCall,
-  "callId" | "target" | "remainingMs" | "traceparent"
->;
-
-/** Options of a dispatch. */
-export interface DispatchOptions {
-  readonly pool: string;
-  /** Monotonic time at which the answer is due, in milliseconds. */
-  readonly deadlineAt: number;
-  readonly signal: AbortSignal;
-  readonly traceparent?: string;
-  /**
-   * Receives generated text. Once text was passed on the call is neither
-   * retried nor hedged.
-   */
-  readonly onText?: (text: string) => void;
-}
 
 /** What a dispatcher is made of. */
 export interface DispatcherParts {
@@ -94,12 +78,12 @@
     req: StageRequest,
     opts: DispatchOptions,
   ): Promise<Result<StageResult, Refusal>> {
-    const stage = new Dispatch(req, opts);
+    const stage = new StageDispatch(req, opts);
     return this.#attemptUntilFinal(stage);
   }
 
   async #attemptUntilFinal(
-    stage: Dispatch,
+    stage: StageDispatch,
   ): Promise<Result<StageResult, Refusal>> {
     while (true) {
       const { attempts } = stage;
@@ -120,7 +104,7 @@
   }
 
   /** Pays for a retry; false when the call must not be sent again. */
-  #takeRetry(stage: Dispatch, refusal: Refusal): boolean {
+  #takeRetry(stage: StageDispatch, refusal: Refusal): boolean {
     const { req, opts, attempts: attempt } = stage;
     if (stage.passedOn || opts.signal.aborted || stage.isLate) return false;
     if (!mayRetry(refusal, { idempotent: req.idempotent, attempt })) {
@@ -129,7 +113,7 @@
     return this.#spend(stage);
   }
 
-  #spend(stage: Dispatch): boolean {
+  #spend(stage: StageDispatch): boolean {
     const left = spendFor(this.#budgets, stage.budgetNames);
     if (!left) {
       this.#count("retries_denied_total", stage);
@@ -140,7 +124,7 @@
   }
 
   /** One attempt at a non-idempotent call, settled by the record if cut off. */
-  async #single(stage: Dispatch): Promise<Result<StageResult, Refusal>> {
+  async #single(stage: StageDispatch): Promise<Result<StageResult, Refusal>> {
     const ready = await this.#refreshVersion(stage);
     if (ready.isErr()) return err(ready.error);
     const sent = this.#send(stage, stage.opts.signal);
@@ -155,7 +139,7 @@
   }
 
   /** Before a retry, takes over the version that an agent's answer left. */
-  async #refreshVersion(stage: Dispatch): Promise<Result<void, Refusal>> {
+  async #refreshVersion(stage: StageDispatch): Promise<Result<void, Refusal>> {
     const { record } = this.#parts;
     const { customer, idempotencyKey: key, requestId } = stage.req;
     if (!record || !key || stage.attempts === 0 || stage.hasFreshVersion) {
@@ -173,7 +157,7 @@
   }
 
   /** An attempt at an idempotent call, and a second one if it is slow. */
-  async #hedged(stage: Dispatch): Promise<Result<StageResult, Refusal>> {
+  async #hedged(stage: StageDispatch): Promise<Result<StageResult, Refusal>> {
     const abort = new AbortController();
     const signal = AbortSignal.any([abort.signal, stage.opts.signal]);
     const first = this.#send(stage, signal);
@@ -197,12 +181,12 @@
   }
 
   /** Hedges while calls wait would take the places of other calls. */
-  #isCrowded({ req, opts }: Dispatch): boolean {
+  #isCrowded({ req, opts }: StageDispatch): boolean {
     const call = { ...req, pool: opts.pool };
     return this.#parts.admission?.isCrowded(call) ?? false;
   }
 
-  #hedgeWait(stage: Dispatch): number | undefined {
+  #hedgeWait(stage: StageDispatch): number | undefined {
     const latency = this.#latency(stage);
     const remainingMs = stage.opts.deadlineAt - monotonicMs();
     return hedgeAfterMs({ idempotent: stage.req.idempotent, remainingMs }, {
@@ -212,7 +196,7 @@
   }
 
   /** Starts the next attempt. */
-  #send(stage: Dispatch, signal: AbortSignal): Result<Sent, Refusal> {
+  #send(stage: StageDispatch, signal: AbortSignal): Result<Sent, Refusal> {
     const { req, opts } = stage;
     if (stage.isLate) return err(tooLate());
     if (opts.signal.aborted) return err(callerGone());
@@ -245,7 +229,7 @@
 
   async #follow(
     { stage, call, target, signal }: {
-      stage: Dispatch;
+      stage: StageDispatch;
       call: StageCall;
       target: Target;
       signal: AbortSignal;
@@ -272,7 +256,7 @@
 
   /** Counts the work of an attempt, and as wasted what no caller gets. */
   #account(
-    stage: Dispatch,
+    stage: StageDispatch,
     { ms, target, outcome }: {
       ms: number;
       target: Target;
@@ -300,12 +284,12 @@
     ]);
   }
 
-  #latency({ req }: Dispatch) {
+  #latency({ req }: StageDispatch) {
     const { pipeline, stage } = req;
     return this.#parts.metrics.durations("stage", { pipeline, stage });
   }
 
-  #count(name: string, { req: { stage } }: Dispatch): void {
+  #count(name: string, { req: { stage } }: StageDispatch): void {
     this.#parts.metrics.count(name, { stage });
   }
 }
@@ -318,121 +302,9 @@
     : { results: 1, serviceMs, queuedMs, tokens };
 }
 
-/** An attempt that was started. */
-interface Sent {
-  readonly call: StageCall;
-  readonly ended: Promise<AttemptOutcome>;
-}
-
-/** Progress of one stage call over its attempts. */
-class Dispatch {
-  readonly req: StageRequest;
-  readonly opts: DispatchOptions;
-  readonly tried = new Set<TargetId>();
-  /** Refusals of the attempts that were sent, or why none was. */
-  readonly refusals: Refusal[] = [];
-  attempts = 0;
-  /** True once an attempt succeeded. */
-  won = false;
-  /** Call whose text was passed on. */
-  #streaming: string | undefined;
-  #claimVersion: number;
-  #fresh = true;
-  #lastTarget: TargetId = "";
-
-  constructor(req: StageRequest, opts: DispatchOptions) {
-    this.req = req;
-    this.opts = opts;
-    this.#claimVersion = req.claimVersion ?? 0;
-  }
-
-  /** Version of the claim row for the next attempt. */
-  get claimVersion(): number {
-    return this.#claimVersion;
-  }
-
-  set claimVersion(version: number) {
-    this.#claimVersion = version;
-    this.#fresh = true;
-  }
-
-  /** True when the version was set after the last attempt. */
-  get hasFreshVersion(): boolean {
-    return this.#fresh;
-  }
-
-  get isLate(): boolean {
-    return monotonicMs() >= this.opts.deadlineAt;
-  }
-
-  /** True once text was passed on to the caller. */
-  get passedOn(): boolean {
-    return this.#streaming !== undefined;
-  }
-
-  /** Budgets that pay for the next retry. */
-  get budgetNames(): readonly string[] {
-    return [customerBudget(this.req), targetBudget(this.#lastTarget)];
-  }
-
-  /** Notes a new attempt; gives its number. */
-  begin(target: Target): number {
-    this.tried.add(target.id);
-    this.#lastTarget = target.id;
-    this.#fresh = false;
-    this.attempts += 1;
-    return this.attempts;
-  }
-
-  /** False when the caller was given the text of another attempt. */
-  mayWin({ callId }: StageCall): boolean {
-    return this.#streaming === undefined || this.#streaming === callId;
-  }
-
-  /** Passes on the text of the attempt that streams first, and of no other. */
-  textSink(callId: string): ((text: string) => void) | undefined {
-    const { onText } = this.opts;
-    if (!onText) return undefined;
-    return (text) => {
-      this.#streaming ??= callId;
-      if (this.#streaming === callId) onText(text);
-    };
-  }
-}
-
-/** First result of the attempts that may win; a refusal when all fail. */
-async function firstSuccess(
-  racers: readonly Sent[],
-  stage: Dispatch,
-): Promise<Result<StageResult, Refusal>> {
-  const results = racers.map(async ({ call, ended }) => {
-    const { outcome } = await ended;
-    if (outcome.isErr()) throw new AttemptError(outcome.error);
-    if (!stage.mayWin(call)) throw new AttemptError(overtaken());
-    return outcome.value;
-  });
-  try {
-    return ok(await Promise.any(results));
-  } catch (failure) {
-    const errors = (failure as AggregateError).errors as AttemptError[];
-    return err(finalRefusal(errors.map(({ refusal }) => refusal)));
-  }
-}
-
-/** Carries the refusal of a failed attempt. */
-class AttemptError extends Error {
-  override readonly name = "AttemptError";
-  readonly refusal: Refusal;
-
-  constructor(refusal: Refusal) {
-    super(refusal.detail);
-    this.refusal = refusal;
-  }
-}
-
 /** What an outcome says about the target's health. */
 function verdictAbout(
-  { req }: Dispatch,
+  { req }: StageDispatch,
   outcome: Result<StageResult, Refusal>,
 ): CallVerdict {
   return outcome.match<CallVerdict>(
@@ -446,7 +318,7 @@
 
 function outcomeOf(
   settled: Settled,
-  stage: Dispatch,
+  stage: StageDispatch,
 ): Result<StageResult, Refusal> {
   switch (settled.kind) {
     case "done":
@@ -458,50 +330,3 @@
       return err(neverRuns("The answer was lost before the call could run"));
   }
 }
-
-function customerBudget({ customer }: StageRequest): string {
-  return `customer/${customer}`;
-}
-
-function targetBudget(target: TargetId): string {
-  return `target/${target}`;
-}
-
-function overtaken(): Refusal {
-  return outcomeUnknown(
-    RefusalReason.Cancelled,
-    "The text of another attempt was passed on",
-    RETRY_AFTER_MS,
-  );
-}
-
-function superseded(): Refusal {
-  return notRun(
-    RefusalReason.Superseded,
-    "Another request with the key took over",
-    RETRY_AFTER_MS,
-  );
-}
-
-function tooLate(): Refusal {
-  return notRun(
-    RefusalReason.DeadlineExceeded,
-    "The deadline passed before the stage was sent",
-    RETRY_AFTER_MS,
-  );
-}
-
-function callerGone(): Refusal {
-  return notRun(
-    RefusalReason.Cancelled,
-    "The caller gave the request up before the stage was sent",
-  );
-}
-
-function noTarget(pool: string): Refusal {
-  return notRun(
-    RefusalReason.NoTarget,
-    `No target of pool ${pool} takes work`,
-    RETRY_AFTER_MS,
-  );
-}
--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -15,3 +15,4 @@
 export { Directory } from "./directory.ts";
 export { Dispatcher } from "./dispatcher.ts";
 export { type PipelineRequest, Runner } from "./runner.ts";
+export * from "./stage_dispatch.ts";
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -29,7 +29,8 @@
 } from "../pipeline/mod.ts";
 import type { CheckpointedRequest, Checkpoints } from "./checkpoints.ts";
 import type { AdmissionService } from "./admission_service.ts";
-import type { Dispatcher, StageRequest } from "./dispatcher.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import type { StageRequest } from "./stage_dispatch.ts";
 import { decideFor, type KeyRecord, unsentCall } from "./key_record.ts";
 
 /** What of a request its stage calls carry. */
