--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -23,7 +23,10 @@
 /** Runs until SIGTERM or SIGINT, then drains and ends the process. */
 export function runDaemon(kernel: Kernel, opts: { drainMs: number }): void {
   const stop = () => {
-    setTimeout(() => process.exit(1), opts.drainMs + GRACE_MS).unref();
+    setTimeout(() => {
+      console.error(`event=stop_timed_out service=${kernel.draining}`);
+      process.exit(1);
+    }, opts.drainMs + GRACE_MS).unref();
     kernel.stop().then(
       () => process.exit(0),
       (err: unknown) => {
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -60,6 +60,7 @@
 export class Kernel {
   readonly #running = new Map<string, Running>();
   #stopping: Promise<void> | undefined;
+  #draining: string | undefined;
 
   /** Starts the services in the order given. */
   static async start(specs: readonly ServiceSpec[]): Promise<Kernel> {
@@ -80,6 +81,11 @@
     return found.instance as T;
   }
 
+  /** Service that a stop waits for; undefined when there is none. */
+  get draining(): string | undefined {
+    return this.#draining;
+  }
+
   /**
    * Stops by plan: every service announces the stop, then all drain one after
    * the other and end, the newest first. A service that fails to stop does
@@ -113,8 +119,12 @@
     );
     const drained = await inTurn(
       newestFirst,
-      async ({ spec, instance }) => await spec.drain?.(instance),
+      async ({ spec, instance }) => {
+        this.#draining = spec.key.name;
+        await spec.drain?.(instance);
+      },
     );
+    this.#draining = undefined;
     const ended = await inTurn(
       newestFirst,
       async ({ spec, instance }) => await spec.end?.(instance),
--- a/src/kernel/kernel_test.ts
+++ b/src/kernel/kernel_test.ts
@@ -76,3 +76,21 @@
   await assert.rejects(kernel.stop(), AggregateError);
   assert.deepEqual(drained, ["a"]);
 });
+
+test("Kernel.draining names the service that a stop waits for", async () => {
+  let finish = () => {};
+  const kernel = await Kernel.start([
+    service({
+      key: A,
+      start: () => "a",
+      drain: () => new Promise<void>((resolve) => finish = resolve),
+    }),
+    service({ key: B, start: () => "b" }),
+  ]);
+  const stopped = kernel.stop();
+  await new Promise(setImmediate);
+  assert.equal(kernel.draining, "a");
+  finish();
+  await stopped;
+  assert.equal(kernel.draining, undefined);
+});
