--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -76,8 +76,12 @@
   #leaving = false;
   #registration: { readonly isSuperseded: boolean } | undefined;
 
+  /** Wall-clock time at which the last call started, in milliseconds. */
+  #lastStartAt = 0;
+
   constructor(parts: AgentParts) {
     this.#parts = parts;
+    parts.metrics.gauge("last_call_started_at_ms", () => this.#lastStartAt);
   }
 
   peerState(): PeerState {
@@ -259,6 +263,7 @@
     // The wait at the gate or for the claim may have outlived the lists.
     const refusal = this.#refusalByLists();
     if (refusal) return err(refusal);
+    this.#lastStartAt = Date.now();
     const startedAt = monotonicMs();
     const span = this.#parts.tracing.start("agent.target", {
       parent: session.traceparent,
@@ -270,8 +275,7 @@
       signal: this.#runSignal(session, watch),
       onText: (text) => {
         watch.heard();
-        const seq = stream.chunks++;
-        stream.events.push({ kind: "chunk", callId: call.callId, seq, text });
+        pushText(stream, call, text);
       },
       onSign: (sign) => permit.sign(sign),
     });
@@ -406,3 +410,14 @@
     ? outcomeUnknown(reason, detail, RETRY_AFTER_MS)
     : notRun(reason, detail, RETRY_AFTER_MS);
 }
+
+/** Queues text; a reader that lags gets it in fewer and longer chunks. */
+function pushText(stream: Stream, { callId }: StageCall, text: string): void {
+  const seq = stream.chunks;
+  const isJoined = stream.events.merge(
+    { kind: "chunk", callId, seq, text },
+    (last) =>
+      last.kind === "chunk" ? { ...last, text: last.text + text } : undefined,
+  );
+  if (!isJoined) stream.chunks += 1;
+}
--- a/src/bench/harness.ts
+++ b/src/bench/harness.ts
@@ -128,6 +128,21 @@
   }));
 }
 
+/** Share of the requests planned in a span that were done in time. */
+export function attainmentBetween(
+  outcomes: readonly Outcome[],
+  { fromMs, toMs }: { fromMs: number; toMs: number },
+): number {
+  const planned = outcomes.filter(({ arrival }) =>
+    arrival.atMs >= fromMs && arrival.atMs < toMs
+  );
+  return round(planned.filter(isInTime).length / Math.max(1, planned.length));
+}
+
+function isInTime({ told, latencyMs, arrival }: Outcome): boolean {
+  return told === Told.Done && latencyMs <= arrival.work.deadlineMs;
+}
+
 function sideOf(report: LoadReport, wasted: number): Side {
   const costs = Object.entries(report.costByStage)
     .map(([stage, { meanServiceMs }]) => [stage, round(meanServiceMs)]);
@@ -161,9 +176,7 @@
   const callMs = world.targets
     .find(({ plain }) => plain)?.plain?.config.callMs ?? 0;
   return outcomes
-    .filter(({ told, latencyMs, arrival }) =>
-      told === Told.Done && latencyMs <= arrival.work.deadlineMs
-    )
+    .filter(isInTime)
     .flatMap(({ stages }) => stages)
     .reduce(
       (sum, { tokens }) => sum + (tokens > 0 ? tokens * engineMs : callMs),
--- a/src/bench/workload.ts
+++ b/src/bench/workload.ts
@@ -79,6 +79,15 @@
   deadlineMs: DEADLINE_MS,
 };
 
+/** Generates a short answer about a long input. */
+export const ASK: PipelineSpec = {
+  name: "ask",
+  stages: [{ ...draft, name: "ask", maxTokens: 8 }],
+  durable: false,
+  priority: Priority.Interactive,
+  deadlineMs: DEADLINE_MS,
+};
+
 /** Two plans; a customer on `large` has three times the share. */
 export const USE: UseList = {
   plans: [
@@ -86,16 +95,16 @@
       name: "large",
       weight: 3,
       maxConcurrent: MAX_CONCURRENT,
-      pipelines: [DRAFT.name, FILING.name],
+      pipelines: [DRAFT.name, FILING.name, ASK.name],
     },
     {
       name: "standard",
       weight: 1,
       maxConcurrent: MAX_CONCURRENT,
-      pipelines: [DRAFT.name, FILING.name],
+      pipelines: [DRAFT.name, FILING.name, ASK.name],
     },
   ],
-  pipelines: [DRAFT, FILING],
+  pipelines: [DRAFT, FILING, ASK],
 };
 
 /** Pools of the usual experiment: six engines, six services. */
@@ -105,6 +114,12 @@
   { name: "registry", kind: TargetKind.Service, count: 3 },
 ];
 
+/** Draft and filing requests in equal shares, for the load tool. */
+export const MIX = [
+  { pipeline: DRAFT.name, weight: 1, deadlineMs: DEADLINE_MS, files: false },
+  { pipeline: FILING.name, weight: 1, deadlineMs: DEADLINE_MS, files: true },
+];
+
 /** Three domains with one entry each, six engines and three customers. */
 export const SMALL_WORLD: WorldPlan = {
   domains: ["d1", "d2", "d3"],
--- a/src/bench/world.ts
+++ b/src/bench/world.ts
@@ -33,6 +33,7 @@
   PlainService,
   type ServiceConfig,
 } from "../standin/mod.ts";
+import { Relay } from "./relay.ts";
 import { customerOf, type CustomerPlan } from "./workload.ts";
 
 const ADDRESS = "127.0.0.1";
@@ -56,6 +57,8 @@
   readonly pools: readonly PoolPlan[];
   readonly use: UseList;
   readonly customers: readonly CustomerPlan[];
+  /** True to put a relay before every target. */
+  readonly relayed?: boolean;
   /** Concurrent calls that the agents assume a cold target to bear. */
   readonly coldLimit?: number;
   /** Most concurrent calls that the agents allow. */
@@ -69,6 +72,8 @@
   readonly url: string;
   readonly pool: PoolPlan;
   readonly faults: Faults;
+  /** Present in a relayed world. */
+  readonly relay?: Relay;
   /** Present when the target is a model engine. */
   readonly engine?: Engine;
   /** Present when the target is a plain service. */
@@ -134,6 +139,7 @@
   /** Stops the stand-ins; resolves at once when connections linger. */
   stop(): void {
     this.#servers.forEach((server) => void server.close());
+    this.#targets.forEach(({ relay }) => relay?.close());
   }
 
   async #startPlatform(): Promise<void> {
@@ -171,12 +177,22 @@
     const shared = { target: targetAt(this.plan, pool, i), pool };
     if (pool.kind === TargetKind.Engine) {
       const engine = new Engine({ ...DEFAULT_ENGINE, ...pool.engine });
-      const url = await this.#serve(createEngineApp(engine, opts));
-      return { ...shared, url, faults: opts.faults, engine };
+      const at = await this.#expose(createEngineApp(engine, opts));
+      return { ...shared, ...at, faults: opts.faults, engine };
     }
     const plain = new PlainService({ ...DEFAULT_SERVICE, ...pool.service });
-    const url = await this.#serve(createServiceApp(plain, opts));
-    return { ...shared, url, faults: opts.faults, plain };
+    const at = await this.#expose(createServiceApp(plain, opts));
+    return { ...shared, ...at, faults: opts.faults, plain };
+  }
+
+  /** Serves a target, behind a relay if the plan says so. */
+  async #expose(
+    app: Parameters<typeof listen>[0],
+  ): Promise<{ url: string; relay?: Relay }> {
+    const url = await this.#serve(app);
+    if (!this.plan.relayed) return { url };
+    const relay = await Relay.start(Number(new URL(url).port));
+    return { url: relay.url, relay };
   }
 
   async #serve(app: Parameters<typeof listen>[0]): Promise<string> {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,16 +8,20 @@
 import { readFileSync } from "node:fs";
 import { runApp } from "./app.ts";
 import type { RegisterCommands } from "./command.ts";
+import { costsCommands } from "./costs_commands.ts";
 import { daemonCommands } from "./daemon_commands.ts";
 import { listsCommands } from "./lists_commands.ts";
 import { loadCommands } from "./load_commands.ts";
+import { outcomesCommands } from "./outcomes_commands.ts";
 import { statusCommands } from "./status_commands.ts";
 import { targetsCommands } from "./targets_commands.ts";
 
 const GROUPS: readonly RegisterCommands[] = [
+  costsCommands,
   daemonCommands,
   listsCommands,
   loadCommands,
+  outcomesCommands,
   statusCommands,
   targetsCommands,
 ];
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -17,6 +17,7 @@
   type EntryInfo,
   entryKey,
   infoOf,
+  KEYS,
   Ledger,
   listen,
   type Listening,
@@ -28,9 +29,14 @@
   Registrar,
   TRACING,
 } from "../process/mod.ts";
-import { createPeerRouter, type PeerApi } from "../wire/mod.ts";
+import {
+  createEntryRouter,
+  type PeerApi,
+  TrpcAgentClient,
+} from "../wire/mod.ts";
 import { Checkpoints } from "./checkpoints.ts";
 import { AdmissionService } from "./admission_service.ts";
+import { CostBook } from "./cost_book.ts";
 import { Directory } from "./directory.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { Front } from "./front.ts";
@@ -38,6 +44,7 @@
 import { Runner } from "./runner.ts";
 
 const DIRECTORY = serviceKey<Directory>("directory");
+const COSTS = serviceKey<CostBook>("costs");
 const FRONT = serviceKey<Front>("front");
 const CONTROL = serviceKey<Listening>("control");
 const REGISTRATION = serviceKey<Registrar>("registration");
@@ -48,6 +55,10 @@
   return Kernel.start([
     ...baseServices(cfg),
     directoryService(cfg),
+    service({
+      key: COSTS,
+      start: (ctx) => new CostBook({ metrics: ctx.get(METRICS) }),
+    }),
     frontService(cfg),
     controlService(cfg),
     registrationService(cfg),
@@ -65,6 +76,7 @@
         log: ctx.get(LOG),
         name: cfg.name,
         homeDomain: cfg.domain,
+        connect: ({ agentUrl }) => new TrpcAgentClient(agentUrl, ctx.get(KEYS)),
         seed: cfg.seed,
       });
       directory.run(ctx.signal);
@@ -89,6 +101,7 @@
         tracing,
         record,
         admission,
+        costs: ctx.get(COSTS),
       });
       const checkpoints = new Checkpoints({ objects, metrics });
       return new Front({
@@ -111,11 +124,14 @@
     start: (ctx) => {
       const front = ctx.get(FRONT);
       const app = createControlApp({
-        router: createPeerRouter(peerApi(ctx.get(LISTS), front)),
+        router: createEntryRouter({
+          ...peerApi(ctx.get(LISTS), front),
+          costs: () => ctx.get(COSTS).rows,
+        }),
         metrics: ctx.get(METRICS),
         isReady: () => front.isReady,
       });
-      return listen(app, cfg.control);
+      return listen(app, { ...cfg.control, keys: ctx.get(KEYS) });
     },
     drain: (server) => server.close(),
   });
@@ -125,7 +141,10 @@
   return service({
     key: LISTEN,
     start: async (ctx) => {
-      const server = await listen(ctx.get(FRONT).app(), cfg.listen);
+      const server = await listen(ctx.get(FRONT).app(), {
+        ...cfg.listen,
+        keys: cfg.listenTls ? ctx.get(KEYS) : undefined,
+      });
       ctx.get(LOG).info("entry_started", { port: server.port });
       return server;
     },
