--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -7,29 +7,23 @@
 import { type Context, Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
 import { streamSSE } from "hono/streaming";
-import { err, ok, type Result } from "neverthrow";
-import { randomUUID } from "node:crypto";
+import { err, type Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
 import {
-  type Customer,
   notRun,
   outcomeUnknown,
-  type PipelineSpec,
-  type Plan,
   type Refusal,
   RefusalReason,
-  sha256,
   type StageResult,
 } from "../model/mod.ts";
 import type { ListsSync } from "../process/mod.ts";
 import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
+import { Intake } from "./intake.ts";
 import { problemHeaders, problemOf } from "./problem.ts";
 import type { PipelineRequest, Runner } from "./runner.ts";
 import { TextSink } from "./text_sink.ts";
 
-const MAX_DEADLINE_MS = 600_000;
-const MAX_KEY_LENGTH = 200;
-const RETRY_AFTER_MS = 1_000;
+const LEAVING_RETRY_MS = 1;
 
 /** What the front is made of. */
 export interface FrontParts {
@@ -44,12 +38,14 @@
 /** Serves the callers of an entry. */
 export class Front {
   readonly #parts: FrontParts;
+  readonly #intake: Intake;
   readonly #inHand = new Set<Promise<unknown>>();
   #ready = true;
   #leaving = false;
 
   constructor(parts: FrontParts) {
     this.#parts = parts;
+    this.#intake = new Intake(parts.lists);
   }
 
   /** True while the entry takes new requests. */
@@ -102,7 +98,7 @@
   }
 
   async #serve(c: Context): Promise<Response> {
-    const checked = await this.#check(c);
+    const checked = await this.#admit(c);
     if (checked.isErr()) {
       return refuse(await this.#confirm(c, checked.error));
     }
@@ -114,6 +110,12 @@
       : await this.#answer(c, req);
   }
 
+  async #admit(c: Context): Promise<Result<PipelineRequest, Refusal>> {
+    return this.#leaving
+      ? err(notRun(RefusalReason.Leaving, "The entry leaves", LEAVING_RETRY_MS))
+      : await this.#intake.check(c);
+  }
+
   async #answer(c: Context, req: PipelineRequest): Promise<Response> {
     const outcome = await this.#run(req);
     return outcome.match(
@@ -177,130 +179,13 @@
     return outcome;
   }
 
-  async #check(c: Context): Promise<Result<PipelineRequest, Refusal>> {
-    if (this.#leaving) {
-      return err(notRun(RefusalReason.Leaving, "The entry leaves", 1));
-    }
-    const { lists } = this.#parts;
-    if (!lists.isConfirmed) {
-      return err(notRun(
-        RefusalReason.NotConfirmed,
-        "The entry's configuration is not confirmed",
-        RETRY_AFTER_MS,
-      ));
-    }
-    const caller = this.#authenticate(c);
-    if (caller.isErr()) return err(caller.error);
-    const spec = this.#pipeline(c, caller.value.plan);
-    if (spec.isErr()) return err(spec.error);
-    const deadlineMs = deadlineOf(c, spec.value);
-    if (deadlineMs.isErr()) return err(deadlineMs.error);
-    const key = keyOf(c);
-    if (key.isErr()) return err(key.error);
-    const input = await inputOf(c);
-    if (input.isErr()) return err(input.error);
-    return ok({
-      requestId: randomUUID(),
-      ...caller.value,
-      spec: spec.value,
-      key: key.value,
-      keyGiven: isKeyGiven(c),
-      input: input.value,
-      deadlineAt: monotonicMs() + deadlineMs.value,
-      listsVersion: lists.current.version,
-      signal: c.req.raw.signal,
-      traceparent: c.req.header("traceparent"),
-    });
-  }
-
   /** Makes sure that a "not run" of a request that is not let in is true. */
   async #confirm(c: Context, refusal: Refusal): Promise<Refusal> {
-    const { runner, lists } = this.#parts;
-    const caller = this.#authenticate(c);
-    const key = keyOf(c);
-    if (caller.isErr() || key.isErr() || !runner.confirm) return refusal;
-    const spec = this.#pipeline(c, caller.value.plan);
-    if (spec.isErr()) return refusal;
-    return await runner.confirm({
-      requestId: randomUUID(),
-      ...caller.value,
-      spec: spec.value,
-      key: key.value,
-      keyGiven: isKeyGiven(c),
-      input: null,
-      listsVersion: lists.current.version,
-    }, refusal);
-  }
-
-  #authenticate(
-    c: Context,
-  ): Result<{ customer: Customer; plan: Plan }, Refusal> {
-    const { customers, use } = this.#parts.lists.current;
-    const header = c.req.header("authorization") ?? "";
-    const hash = sha256(header.replace(/^Bearer /, ""));
-    const customer = customers.customers.find((one) => one.keySha256 === hash);
-    const plan = use.plans.find((one) => one.name === customer?.plan);
-    return customer && plan ? ok({ customer, plan }) : err(notRun(
-      RefusalReason.Unauthenticated,
-      "The authorization header holds no known customer key",
-    ));
-  }
-
-  #pipeline(c: Context, plan: Plan): Result<PipelineSpec, Refusal> {
-    const name = c.req.param("name") ?? "";
-    const { pipelines } = this.#parts.lists.current.use;
-    const spec = pipelines.find((one) => one.name === name);
-    if (!spec) {
-      return err(notRun(
-        RefusalReason.UnknownPipeline,
-        `No pipeline is called ${name}`,
-      ));
-    }
-    return plan.pipelines.includes(name) ? ok(spec) : err(notRun(
-      RefusalReason.NotPermitted,
-      `The plan ${plan.name} does not include ${name}`,
-    ));
-  }
-}
-
-function deadlineOf(c: Context, spec: PipelineSpec): Result<number, Refusal> {
-  const header = c.req.header("deadline-ms");
-  if (header === undefined) return ok(spec.deadlineMs);
-  const ms = Number(header);
-  return Number.isFinite(ms) && ms > 0 && ms <= MAX_DEADLINE_MS
-    ? ok(ms)
-    : err(notRun(
-      RefusalReason.BadRequest,
-      `Deadline-Ms must be above 0 and at most ${MAX_DEADLINE_MS}`,
-    ));
-}
-
-function keyOf(c: Context): Result<string, Refusal> {
-  const key = c.req.header("idempotency-key") ?? randomUUID();
-  return key.length > 0 && key.length <= MAX_KEY_LENGTH ? ok(key) : err(notRun(
-    RefusalReason.BadRequest,
-    `Idempotency-Key must have 1 to ${MAX_KEY_LENGTH} characters`,
-  ));
-}
-
-/** True when the caller sent a key of its own. */
-function isKeyGiven(c: Context): boolean {
-  return c.req.header("idempotency-key") !== undefined;
-}
-
-async function inputOf(c: Context): Promise<Result<unknown, Refusal>> {
-  try {
-    const body: unknown = await c.req.json();
-    if (typeof body === "object" && body !== null && "input" in body) {
-      return ok(body.input);
-    }
-  } catch {
-    // Reported below together with bodies of another form.
+    const { runner } = this.#parts;
+    const started = this.#intake.confirmable(c);
+    if (!started || !runner.confirm) return refusal;
+    return await runner.confirm(started, refusal);
   }
-  return err(notRun(
-    RefusalReason.BadRequest,
-    "The body must be a JSON object with the member input",
-  ));
 }
 
 function answerOf(req: PipelineRequest, results: readonly StageResult[]) {
