--- a/src/launch/demo.ts
+++ b/src/launch/demo.ts
@@ -51,8 +51,8 @@
 const falselyNotRun = total((r) => r.audit.falselyNotRun);
 console.log(
   `requests=${requests} attainment=${(attained / requests).toFixed(4)} ` +
-    `false_not_run=${falselyNotRun} doubled=${doubled} lost=${lost} ` +
-    `misdelivered=${misdelivered} invariant_violations=${violations}`,
+    `doubled=${doubled} lost=${lost} misdelivered=${misdelivered} ` +
+    `invariant_violations=${violations} false_not_run=${falselyNotRun}`,
 );
 const broken = doubled + lost + misdelivered + violations + falselyNotRun;
 process.exitCode = broken === 0 ? 0 : 1;
