--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -18,7 +18,6 @@
   type CallEvent,
   digest,
   notRun,
-  outcomeUnknown,
   type Refusal,
   RefusalReason,
   type StageCall,
@@ -36,11 +35,13 @@
 } from "../wire/mod.ts";
 import type { ClaimService } from "./claim_service.ts";
 import type { GateService, Permit } from "./gate_service.ts";
-import type {
-  TargetAnswer,
-  TargetClient,
-  TargetFailure,
-} from "./target_client.ts";
+import {
+  claimedLate,
+  deadlinePassed,
+  refusalOf,
+  targetSilent,
+} from "./run_refusals.ts";
+import type { TargetAnswer, TargetClient } from "./target_client.ts";
 
 /** Time between two heartbeats on an answer stream, in milliseconds. */
 export const HEARTBEAT_MS = 500;
@@ -380,37 +381,6 @@
     LATE_OUTCOME_MS;
 }
 
-function targetSilent(): Refusal {
-  return outcomeUnknown(
-    RefusalReason.Silent,
-    "The target made no progress",
-    RETRY_AFTER_MS,
-  );
-}
-
-function deadlinePassed(): Refusal {
-  return outcomeUnknown(
-    RefusalReason.DeadlineExceeded,
-    "The deadline passed while the call was at the target",
-    RETRY_AFTER_MS,
-  );
-}
-
-function claimedLate(): Refusal {
-  return notRun(
-    RefusalReason.DeadlineExceeded,
-    "The claim came after the deadline, so the call was not sent",
-    RETRY_AFTER_MS,
-  );
-}
-
-function refusalOf(failure: TargetFailure): Refusal {
-  const { reason, detail } = failure;
-  return failure.mayHaveRun
-    ? outcomeUnknown(reason, detail, RETRY_AFTER_MS)
-    : notRun(reason, detail, RETRY_AFTER_MS);
-}
-
 /** Queues text; a reader that lags gets it in fewer and longer chunks. */
 function pushText(stream: Stream, { callId }: StageCall, text: string): void {
   const seq = stream.chunks;
