--- a/src/agent/engine_client.ts
+++ b/src/agent/engine_client.ts
@@ -5,7 +5,6 @@
  */
 
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
-import { Agent, request } from "undici";
 import { Priority, promptOf, type StageCall } from "../model/mod.ts";
 import {
   COLD_HEADER,
@@ -20,8 +19,8 @@
   TargetClient,
   TargetFailure,
 } from "./target_client.ts";
+import { TargetHttp } from "./target_http.ts";
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const HTTP_OK = 200;
 const DEFAULT_MAX_TOKENS = 256;
 const END_MARK = "[DONE]";
@@ -37,19 +36,16 @@
     readonly text: string;
     readonly finish_reason: string | null;
   }[];
+  /** Length of the whole completion, on the last piece of engines that say. */
+  readonly usage?: { readonly completion_tokens: number };
 }
 
 /** Speaks to a model engine by `POST /v1/completions`. */
 export class EngineClient implements TargetClient {
-  readonly #url: string;
-  readonly #dispatcher = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  readonly #http: TargetHttp;
 
   constructor(url: string) {
-    this.#url = url;
+    this.#http = new TargetHttp(url);
   }
 
   run(
@@ -63,23 +59,16 @@
   }
 
   close(): Promise<void> {
-    return this.#dispatcher.destroy();
+    return this.#http.close();
   }
 
   async #send(
     call: StageCall,
     opts: RunOptions,
   ): Promise<TargetAnswer | { failure: TargetFailure }> {
-    const res = await request(`${this.#url}/v1/completions`, {
-      method: "POST",
-      headers: {
-        "content-type": "application/json",
-        "x-call-id": call.callId,
-        ...(opts.traceparent ? { traceparent: opts.traceparent } : {}),
-      },
-      body: JSON.stringify(completionBody(call)),
-      dispatcher: this.#dispatcher,
-      signal: opts.signal,
+    const res = await this.#http.post("/v1/completions", call, {
+      ...opts,
+      body: completionBody(call),
     });
     if (res.statusCode !== HTTP_OK) {
       await res.body.dump();
@@ -107,12 +96,15 @@
 ): Promise<TargetAnswer | { failure: TargetFailure }> {
   const pieces: string[] = [];
   let ended = false;
+  let length: number | undefined;
   for await (const data of readSse(body)) {
     if (data === END_MARK) {
       ended = true;
       break;
     }
-    const text = (JSON.parse(data) as CompletionChunk).choices[0]?.text ?? "";
+    const { choices, usage } = JSON.parse(data) as CompletionChunk;
+    length = usage?.completion_tokens ?? length;
+    const text = choices[0]?.text ?? "";
     if (text === "") continue;
     if (pieces.length === 0) opts.onSign?.({ cold: false });
     pieces.push(text);
@@ -121,5 +113,6 @@
   if (!ended) {
     return { failure: protocolFailure("The stream has no end mark") };
   }
-  return { output: { text: pieces.join("") }, tokens: pieces.length };
+  const output = { text: pieces.join("") };
+  return { output, tokens: length ?? pieces.length };
 }
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -5,21 +5,31 @@
  */
 
 import { cac } from "cac";
+import { claims } from "./claims.ts";
 import { coldStart } from "./cold_start.ts";
 import { controlCost } from "./control_cost.ts";
 import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
+import { listsScale } from "./lists_scale.ts";
 import { overhead } from "./overhead.ts";
 import { overload } from "./overload.ts";
+import { prefix } from "./prefix.ts";
 import { shares } from "./shares.ts";
+import { silentConnections } from "./silent_connections.ts";
+import { storeOutage } from "./store_outage.ts";
 
 const EXPERIMENTS: readonly Experiment[] = [
+  claims,
   coldStart,
   controlCost,
+  listsScale,
   overload,
   shares,
   domainOut,
   overhead,
+  prefix,
+  silentConnections,
+  storeOutage,
 ];
 
 const DEFAULT_SEED = 1;
--- a/src/bench/overhead.ts
+++ b/src/bench/overhead.ts
@@ -46,6 +46,8 @@
 const WARM_UP_S = 6;
 /** Pairs of a direct call and one through the system. */
 const PAIRS = 40;
+/** Pairs that run at the same time. */
+const LANES = 8;
 const ENGINE_DOMAINS = 4;
 const CUSTOMER = { id: "c1", plan: "p" };
 
@@ -169,11 +171,14 @@
   const dispatcher = new Agent();
   const direct: StreamTimes[] = [];
   const through: StreamTimes[] = [];
-  for (let i = 0; i < PAIRS; i += 1) {
-    const input = { marker: `m0-${i}`, text: "Text" };
-    direct.push(await streamDirect(topology, input, dispatcher));
-    through.push(await streamThrough(topology, input, dispatcher));
-  }
+  const runLane = async (lane: number) => {
+    for (let i = lane; i < PAIRS; i += LANES) {
+      const input = { marker: `m0-${i}`, text: "Text" };
+      direct.push(await streamDirect(topology, input, dispatcher));
+      through.push(await streamThrough(topology, input, dispatcher));
+    }
+  };
+  await Promise.all(Array.from({ length: LANES }, (_, lane) => runLane(lane)));
   await dispatcher.destroy();
   const first = (all: readonly StreamTimes[]) =>
     summaryOf(all.map(({ firstMs }) => firstMs));
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -8,12 +8,13 @@
 import {
   Kernel,
   service,
+  type ServiceContext,
   serviceKey,
   type ServiceSpec,
 } from "../kernel/mod.ts";
 import {
   baseServices,
-  createControlApp,
+  controlService,
   type EntryInfo,
   entryKey,
   infoOf,
@@ -26,16 +27,18 @@
   LOG,
   METRICS,
   PLATFORM,
-  Registrar,
+  type Registered,
+  registrationService,
   TRACING,
 } from "../process/mod.ts";
 import {
-  createPeerRouter,
+  createEntryRouter,
   type PeerApi,
   TrpcAgentClient,
 } from "../wire/mod.ts";
 import { Checkpoints } from "./checkpoints.ts";
 import { AdmissionService } from "./admission_service.ts";
+import { CostBook } from "./cost_book.ts";
 import { Directory } from "./directory.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { Front } from "./front.ts";
@@ -43,9 +46,8 @@
 import { Runner } from "./runner.ts";
 
 const DIRECTORY = serviceKey<Directory>("directory");
+const COSTS = serviceKey<CostBook>("costs");
 const FRONT = serviceKey<Front>("front");
-const CONTROL = serviceKey<Listening>("control");
-const REGISTRATION = serviceKey<Registrar>("registration");
 const LISTEN = serviceKey<Listening>("listen");
 
 /** Starts an entry. */
@@ -53,9 +55,13 @@
   return Kernel.start([
     ...baseServices(cfg),
     directoryService(cfg),
+    service({
+      key: COSTS,
+      start: (ctx) => new CostBook({ metrics: ctx.get(METRICS) }),
+    }),
     frontService(cfg),
-    controlService(cfg),
-    registrationService(cfg),
+    controlService(cfg, served),
+    registrationService(() => registered(cfg)),
     listenService(cfg),
   ]);
 }
@@ -95,6 +101,7 @@
         tracing,
         record,
         admission,
+        costs: ctx.get(COSTS),
       });
       const checkpoints = new Checkpoints({ objects, metrics });
       return new Front({
@@ -111,20 +118,15 @@
   });
 }
 
-function controlService(cfg: EntrySettings): ServiceSpec {
-  return service({
-    key: CONTROL,
-    start: (ctx) => {
-      const front = ctx.get(FRONT);
-      const app = createControlApp({
-        router: createPeerRouter(peerApi(ctx.get(LISTS), front)),
-        metrics: ctx.get(METRICS),
-        isReady: () => front.isReady,
-      });
-      return listen(app, { ...cfg.control, keys: ctx.get(KEYS) });
-    },
-    drain: (server) => server.close(),
-  });
+function served(ctx: ServiceContext) {
+  const front = ctx.get(FRONT);
+  return {
+    router: createEntryRouter({
+      ...peerApi(ctx.get(LISTS), front),
+      costs: () => ctx.get(COSTS).rows,
+    }),
+    isReady: () => front.isReady,
+  };
 }
 
 function listenService(cfg: EntrySettings): ServiceSpec {
@@ -143,24 +145,10 @@
   });
 }
 
-/** Registers the entry so that operators' commands and peers find it. */
-function registrationService(cfg: EntrySettings): ServiceSpec {
-  return service({
-    key: REGISTRATION,
-    start: (ctx) => {
-      const info: EntryInfo = { ...infoOf(cfg), host: cfg.host };
-      const registrar = new Registrar({
-        table: ctx.get(PLATFORM).table,
-        key: entryKey(cfg.name),
-        value: info,
-        log: ctx.get(LOG),
-      });
-      registrar.run(ctx.signal);
-      return registrar;
-    },
-    leave: (registrar) => registrar.leave(),
-    end: (registrar) => registrar.withdraw(),
-  });
+/** The row by which operators' commands and peers find the entry. */
+function registered(cfg: EntrySettings): Registered {
+  const info: EntryInfo = { ...infoOf(cfg), host: cfg.host };
+  return { key: entryKey(cfg.name), value: info };
 }
 
 function peerApi(
--- a/src/model/prompt.ts
+++ b/src/model/prompt.ts
@@ -10,7 +10,20 @@
 /** What a prompt is made from. */
 export type PromptParts = Pick<StageCall, "pipeline" | "stage" | "input">;
 
-/** Prompt of a generate stage: the shared instructions first, so that engines can cache them. */
+/**
+ * Prompt of a generate stage. What calls share comes first, so that engines
+ * can cache it: the instructions, then the caller's input, and last what the
+ * stage before made of it.
+ */
 export function promptOf({ pipeline, stage, input }: PromptParts): string {
-  return `Pipeline ${pipeline}, stage ${stage}.\n${canonicalJson(input)}`;
+  const { request, previous } = input as StageInput;
+  const parts = request === undefined ? [input] : [request, previous ?? null];
+  return `Pipeline ${pipeline}, stage ${stage}.\n` +
+    parts.map(canonicalJson).join("\n");
+}
+
+/** Input of a stage; see `stageInput` in `pipeline/run.ts`. */
+interface StageInput {
+  readonly request?: unknown;
+  readonly previous?: unknown;
 }
--- a/src/process/control_test.ts
+++ b/src/process/control_test.ts
@@ -6,9 +6,8 @@
 import { Agent, request } from "undici";
 import { Metrics } from "../telemetry/mod.ts";
 import { KeyStore, type PemTexts, type TlsFiles } from "../tls/mod.ts";
-import { TestAuthority } from "../tls/testing.ts";
-import { createPeerRouter, TrpcPeerClient } from "../wire/mod.ts";
-import { createDispatcher } from "../wire/connector.ts";
+import { TestAuthority } from "../launch/test_authority.ts";
+import { Connections, createPeerRouter, TrpcPeerClient } from "../wire/mod.ts";
 import { createControlApp } from "./control.ts";
 import { listen, type Listening } from "./server.ts";
 
@@ -60,7 +59,7 @@
 const clientOf = (server: Listening, keys: KeyStore) =>
   new TrpcPeerClient(
     `https://127.0.0.1:${server.port}`,
-    createDispatcher(keys),
+    new Connections(keys),
   );
 
 const statusOf = async (server: Listening, path: string, ca: string) => {
--- a/src/process/group_commit_test.ts
+++ b/src/process/group_commit_test.ts
@@ -10,6 +10,7 @@
   type Table,
   type Transaction,
 } from "../platform/mod.ts";
+import { sleep } from "../kernel/mod.ts";
 import { GroupCommit } from "./group_commit.ts";
 
 type Fault = "lost" | "not-applied" | PlatformErrorKind | "";
@@ -123,6 +124,27 @@
   assert.deepEqual(await writeAll(table, [put("a")]), ["unavailable"]);
 });
 
+/* Seen to fail without the timer of each write. */
+test("GroupCommit.write() gives up what waits behind a slow write", async () => {
+  const clock = install({ toFake: ["setTimeout", "performance"] });
+  const table = new ScriptedTable();
+  const commits = new GroupCommit({
+    read: (keys) => table.read(keys),
+    scan: () => table.scan(),
+    commit: (tx) =>
+      ResultAsync.fromSafePromise(sleep(5_000)).andThen(() => table.commit(tx)),
+  });
+  const slow = commits.write(put("a"));
+  const waiting = commits.write(put("b"));
+  await clock.tickAsync(1_100);
+  const refused = await waiting;
+  await clock.tickAsync(10_000);
+  clock.uninstall();
+  assert.equal(refused.isErr() && refused.error.mayHaveApplied, false);
+  assert.ok((await slow).isOk());
+  assert.equal(table.rows.has("b"), false);
+});
+
 /* Seen to fail with the doubtful mark left out. */
 test("GroupCommit.write() stays in doubt after a lost answer", async () => {
   const table = new ScriptedTable("not-applied", "unavailable");
