Bound what an entry remembers for its admission

Change: the 512 flows that changed last are kept. Seen to fail: dropping the oldest, moving a changed flow to the end.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -76,9 +76,8 @@
 } as const;
 /** Calls sent below which acceptance says nothing. */
 const MIN_SENT = 8;
-const MAX_FLOWS = 4_096;
-/** Age at which a flow is forgotten when there are too many, in ms. */
-const FLOW_AGE_MS = 10_000;
+/** Flows that are remembered; the one without calls for longest is dropped. */
+export const MAX_FLOWS = 512;
 const RETRY_MS = 1_000;
 /** Mean wait at the gates above which a pool counts as crowded, in ms. */
 const CROWDED_WAIT_MS = 20;
@@ -159,7 +158,7 @@
     accepted: decayed(flow?.accepted, flow, now) + (ran ? 1 : 0),
     at: now,
   };
-  const flows = pruned(new Map(state.flows).set(key, next), now);
+  const flows = withFlow(state.flows, key, next);
   if (!ran) return { ...state, flows };
   const workClass = classOf(report.spec, report.stage);
   const service = new Map(state.service).set(
@@ -236,7 +235,16 @@
   return count * 0.5 ** ((now - flow.at) / HALF_LIFE_MS);
 }
 
-function pruned(flows: Map<string, Flow>, now: number): Map<string, Flow> {
-  if (flows.size <= MAX_FLOWS) return flows;
-  return new Map([...flows].filter(([, { at }]) => now - at < FLOW_AGE_MS));
+/** Flows with `flow` as the one that changed last. */
+function withFlow(
+  flows: ReadonlyMap<string, Flow>,
+  name: string,
+  flow: Flow,
+): ReadonlyMap<string, Flow> {
+  const next = new Map(flows);
+  next.delete(name);
+  next.set(name, flow);
+  const [oldest] = next.keys();
+  if (next.size > MAX_FLOWS && oldest !== undefined) next.delete(oldest);
+  return next;
 }
--- a/src/admission/admission_test.ts
+++ b/src/admission/admission_test.ts
@@ -16,6 +16,7 @@
   EMPTY_ADMISSION,
   isCrowded,
   laterMs,
+  MAX_FLOWS,
   type StageReport,
 } from "./admission.ts";
 
@@ -114,6 +115,16 @@
   assert.equal(isCrowded(state, { ...call, customer: "c" }, 20_000), false);
 });
 
+test("applyReport() remembers the flows that changed last", () => {
+  // Fails when withFlow() does not drop or does not move the flow to the end.
+  const others = Array.from({ length: MAX_FLOWS }, (_, i) => crowded(`o${i}`));
+  const greedy = times(50, crowded("greedy"));
+  const kept = play([...greedy, ...others.slice(1), ...greedy, ...others]);
+  assert.equal(kept.flows.size, MAX_FLOWS);
+  const again = play([...greedy, ...others.slice(1), ...greedy, crowded("x")]);
+  assert.ok(ask(again, { customer: "greedy" }));
+});
+
 test("laterMs() sums the stages after a stage", () => {
   const state = play([ran(0, 100), ran(1, 400)]);
   assert.equal(laterMs(state, SPEC, SPEC.stages[0] as StageSpec), 400);
