Follow cache events and keep prefixes together across domains

Cache events now reach the choice: a prefix key is the engine's own name of the block at its end, the agent reads the events and puts changes of whole prefixes of its calls on final answers, the entry corrects its beliefs.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -34,6 +34,7 @@
   PeerState,
   TargetState,
 } from "../wire/mod.ts";
+import type { CacheJournal } from "./cache_follower.ts";
 import type { ClaimService } from "./claim_service.ts";
 import type { GateService, Permit } from "./gate_service.ts";
 import type {
@@ -61,6 +62,8 @@
   readonly name: string;
   readonly target: Target;
   readonly gate: GateService;
+  /** Present beside a model engine. */
+  readonly cache?: CacheJournal;
   readonly claims: ClaimService;
   readonly client: TargetClient;
   readonly lists: ListsSync;
@@ -269,6 +272,7 @@
       parent: session.traceparent,
       attributes: { call: call.callId, target: call.target },
     });
+    this.#parts.cache?.noteCall(call);
     const watch = new Watchdog(silenceMs(call));
     const answer = await this.#parts.client.run(call, {
       traceparent: span.traceparent,
@@ -340,7 +344,10 @@
     outcome: Result<StageResult, Refusal>,
   ): CallEvent {
     const report = {
-      load: this.#parts.gate.loadFor(call.customer),
+      load: {
+        ...this.#parts.gate.loadFor(call.customer),
+        cache: this.#parts.cache?.changes,
+      },
       listsVersion: this.#parts.lists.current.version,
     };
     return outcome.match<CallEvent>(
--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -37,6 +37,7 @@
 import { HttpEngineControl, ORDER_MS } from "./engine_control.ts";
 import { GateService } from "./gate_service.ts";
 import { LeaseHolder } from "./lease_holder.ts";
+import { CacheJournal, followCache } from "./cache_follower.ts";
 import { followLoad } from "./load_poll.ts";
 import { Orders } from "./orders.ts";
 import { ServiceClient } from "./service_client.ts";
@@ -82,6 +83,7 @@
         provenAfter: PROVEN_AFTER,
         showsProgress: cfg.target.kind === TargetKind.Engine,
       }, ctx.signal);
+      const cache = cacheOf(cfg, ctx.signal);
       followLoad(cfg.target.url, {
         onReport: (report) => gate.report(report),
         signal: ctx.signal,
@@ -96,6 +98,7 @@
         name: cfg.name,
         target,
         gate,
+        cache,
         claims: new ClaimService(ctx.get(PLATFORM).table, {
           log: ctx.get(LOG),
           metrics: ctx.get(METRICS),
@@ -203,3 +206,14 @@
     ? new EngineClient(cfg.target.url)
     : new ServiceClient(cfg.target.url);
 }
+
+/** Journal of the engine's prefix cache; none beside a plain service. */
+function cacheOf(
+  cfg: AgentSettings,
+  signal: AbortSignal,
+): CacheJournal | undefined {
+  if (cfg.target.kind !== TargetKind.Engine) return undefined;
+  const journal = new CacheJournal();
+  followCache(cfg.target.url, { journal, signal });
+  return journal;
+}
--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -7,6 +7,7 @@
 import { every, monotonicMs, seededRandom } from "../kernel/mod.ts";
 import { serviceable } from "../membership/mod.ts";
 import {
+  type CacheChange,
   type DomainName,
   type HostId,
   type Lists,
@@ -24,7 +25,12 @@
   Members,
   type Platform,
 } from "../process/mod.ts";
-import { type EntryPlace, hashOf, prefixKey } from "../routing/mod.ts";
+import {
+  type CacheEvent,
+  type EntryPlace,
+  hashOf,
+  prefixKey,
+} from "../routing/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import { type AgentClient, TrpcAgentClient } from "../wire/mod.ts";
 import type { StageRequest } from "./dispatcher.ts";
@@ -155,6 +161,9 @@
       this.#routers.get(target.pool)
         ?.cacheEvent({ kind: "cleared", target: target.id });
     }
+    load.cache?.forEach((change) =>
+      this.#routers.get(target.pool)?.cacheEvent(reportedBy(target, change))
+    );
   }
 
   /** Takes notice of the lists version on which an agent acts. */
@@ -243,3 +252,15 @@
 function isSameSet<T>(a: ReadonlySet<T>, b: ReadonlySet<T>): boolean {
   return a.size === b.size && [...a].every((item) => b.has(item));
 }
+
+/** Cache event for one change that a target's agent reported. */
+function reportedBy({ id }: Target, change: CacheChange): CacheEvent {
+  const { seq, key, held } = change;
+  return {
+    kind: "reported",
+    target: id,
+    seq,
+    added: held ? [key] : [],
+    removed: held ? [] : [key],
+  };
+}
--- a/src/model/target.ts
+++ b/src/model/target.ts
@@ -38,6 +38,17 @@
   readonly cold: boolean;
   /** True when the target or its host is leaving. */
   readonly leaving: boolean;
+  /** Newest changes of the engine's prefix cache; on final events only. */
+  readonly cache?: readonly CacheChange[];
   /** Calls of the answered customer at the gate; on answers to calls only. */
   readonly customerInHand?: number;
 }
+
+/** A prompt prefix that an engine began or ceased to hold. */
+export interface CacheChange {
+  /** Position in the agent's journal, from zero. */
+  readonly seq: number;
+  /** Key of the prefix; see `prefixKey` in `routing/prefix.ts`. */
+  readonly key: string;
+  readonly held: boolean;
+}
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -2,7 +2,7 @@
  * Choice of a target for a call.
  *
  * Calls that share a prompt prefix keep to the same target while its load
- * allows. Other calls take the better of two targets drawn at random, first
+ * allows, in whatever failure domain it is. Other calls take the better of two targets drawn at random, first
  * in the entry's own failure domain, and elsewhere once that one has no
  * headroom left.
  *
@@ -100,25 +100,26 @@
   return (running + queued) / Math.max(1, limit);
 }
 
-/** First target in the prefix's order that its load allows. */
+/**
+ * First target in the prefix's order that its load allows. The order ignores
+ * failure domains: a prefix computed again costs more than the way to another
+ * domain, and a copy in each domain wastes the engines' memory.
+ */
 function byPrefix(
   weighed: readonly Weighed[],
-  { prefix, homeDomain }: ChoiceOptions,
+  { prefix }: ChoiceOptions,
 ): Weighed | undefined {
   if (prefix === undefined) return undefined;
   const bound = Math.max(
     AFFINITY_PRESSURE,
     AFFINITY_RATIO * average(weighed.map(({ pressure }) => pressure)),
   );
-  const isHome = ({ candidate }: Weighed) =>
-    candidate.target.domain === homeDomain;
   const ordered = rendezvousOrder(
     weighed.filter(({ candidate }) => candidate.weight === 1),
     { key: prefix, idOf: ({ candidate }) => candidate.target.id },
   );
   const ranked = [
     ...ordered.filter(({ candidate }) => candidate.holdsPrefix),
-    ...ordered.filter(isHome),
     ...ordered,
   ];
   return ranked.find(({ pressure }) => pressure < bound);
--- a/src/routing/prefix.ts
+++ b/src/routing/prefix.ts
@@ -4,34 +4,24 @@
  * @module
  */
 
-import { hashOf } from "./hash.ts";
+import { BLOCK_TOKENS, blocksOf, CHARS_PER_TOKEN } from "../model/mod.ts";
 
-/** Characters of one block; engines cache prompts in blocks. */
-export const PREFIX_BLOCK_CHARS = 256;
+const BLOCK_CHARS = BLOCK_TOKENS * CHARS_PER_TOKEN;
+/** Shortest prefix that is worth keeping calls together, in characters. */
+export const MIN_PREFIX_CHARS = 4 * BLOCK_CHARS;
 /**
- * Blocks that the key of a call covers at most. A longer key would part calls
- * that share a document and differ in the question about it; a shorter one
- * would join all calls that share only a pipeline's instructions.
+ * Longest prefix that a key covers, in characters. A longer key would part
+ * calls that share a document and differ in the question about it; a shorter
+ * one would join all calls that share only a pipeline's instructions.
  */
-export const PREFIX_KEY_BLOCKS = 4;
+export const MAX_PREFIX_CHARS = 16 * BLOCK_CHARS;
 
 /**
- * Keys of the leading blocks of a prompt. A key covers all text up to the end
- * of its block, so that equal keys mean equal prefixes. A last block that is
- * not full has no key.
+ * Key by which a call keeps to a target; undefined for short prompts. It is
+ * the engine's name of the block at the end of the prefix, so that the
+ * engine's cache events can be read against it.
  */
-export function prefixBlocks(prompt: string): readonly string[] {
-  const count = Math.floor(prompt.length / PREFIX_BLOCK_CHARS);
-  let seed = 0;
-  return Array.from({ length: count }, (_, i) => {
-    const from = i * PREFIX_BLOCK_CHARS;
-    seed = hashOf(prompt.slice(from, from + PREFIX_BLOCK_CHARS), seed);
-    return `${i}-${seed.toString(36)}`;
-  });
-}
-
-/** Key by which a call keeps to a target; undefined for short prompts. */
 export function prefixKey(prompt: string): string | undefined {
-  const covered = prompt.slice(0, PREFIX_BLOCK_CHARS * PREFIX_KEY_BLOCKS);
-  return prefixBlocks(covered).at(-1);
+  if (prompt.length < MIN_PREFIX_CHARS) return undefined;
+  return blocksOf(prompt.slice(0, MAX_PREFIX_CHARS)).at(-1);
 }
--- a/src/standin/engine_app.ts
+++ b/src/standin/engine_app.ts
@@ -7,6 +7,7 @@
 import { type Context, Hono } from "hono";
 import { streamSSE } from "hono/streaming";
 import { ColdStart, type Engine } from "./engine.ts";
+import type { CacheEvent } from "./engine_cache.ts";
 import type { EngineOrder } from "./engine_orders.ts";
 import { type Faults, withFaults } from "./faults.ts";
 
@@ -34,7 +35,12 @@
     "/load",
     (c) => engine.load ? c.json(engine.load) : c.text("no report yet\n", 503),
   );
-  app.get("/cache-events", (c) => c.json(engine.events.published()));
+  app.get("/cache-events", (c) => {
+    const after = Number(c.req.query("after") ?? -1);
+    const events = engine.events.published()
+      .filter((event) => (event as CacheEvent).seq > after);
+    return c.json(events);
+  });
   app.post("/kv/export", async (c) => {
     const { prompt } = await c.req.json<{ prompt: string }>();
     return c.json({ blocks: engine.cache.held(prompt) });
--- a/src/standin/engine_cache.ts
+++ b/src/standin/engine_cache.ts
@@ -5,10 +5,7 @@
  * @module
  */
 
-import { sha256 } from "../model/mod.ts";
-
-/** Characters that count as one prompt token. */
-const CHARS_PER_TOKEN = 4;
+import { blocksOf, CHARS_PER_TOKEN } from "../model/mod.ts";
 
 /** Change of the cache, as it is published. */
 export interface CacheEvent {
@@ -74,15 +71,3 @@
     this.#publish({ seq: this.#seq++, kind, block });
   }
 }
-
-/** Hashes of the full blocks of a prompt; each covers the text before it. */
-export function blocksOf(prompt: string, blockTokens: number): string[] {
-  const size = blockTokens * CHARS_PER_TOKEN;
-  const count = Math.floor(prompt.length / size);
-  const blocks: string[] = [];
-  for (let i = 0; i < count; i += 1) {
-    const text = prompt.slice(i * size, (i + 1) * size);
-    blocks.push(sha256((blocks[i - 1] ?? "") + text).slice(0, 16));
-  }
-  return blocks;
-}
