Forget removed domains, tell older files the race, offer changes at once

Cause: a domain that the store no longer lists came back from peers for good, and no outage would have been assumed without it.

Change: once the store has listed the processes, peers add no domains but their own; the availability of a file from an older version is no finding; the command reads the registrations before the acceptance. The operations run has a round with a slow store and is split in two.

Seen to fail: peers' domains always added.

--- a/src/cli/lists_commands.ts
+++ b/src/cli/lists_commands.ts
@@ -9,6 +9,8 @@
 import type { AvailabilityOrder } from "../lists/mod.ts";
 import type { Lists } from "../model/mod.ts";
 import { HttpTable, type Table } from "../platform/mod.ts";
+import { readPeers } from "../process/mod.ts";
+import type { PeerInfo } from "../wire/mod.ts";
 import { tableUrlOf } from "./command.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 import {
@@ -25,6 +27,9 @@
 const DEFAULT_WAIT_S = 20;
 const MS_PER_S = 1_000;
 
+/** Registered processes, when they could be read. */
+type KnownPeers = readonly PeerInfo[] | undefined;
+
 interface ListsFlags {
   table?: string;
   wait?: number | string;
@@ -82,8 +87,9 @@
   const standing = await fetchLists(table);
   const checked = readListsFile(file, standing);
   if (action === "check") return;
+  const peers = await knownPeers(table);
   const accepted = await applyFile(table, { file: checked, standing });
-  await reportRollout(table, { accepted, waitMs, flags });
+  await reportRollout(table, { accepted, peers, waitMs, flags });
 }
 
 async function runOrder(
@@ -96,6 +102,7 @@
   }
   const table = tableOf(flags);
   const waitMs = waitOf(flags);
+  const peers = await knownPeers(table);
   const wanted: AvailabilityOrder = { what, name, out: action === "out" };
   const accepted = await giveOrder(
     table,
@@ -103,13 +110,23 @@
     (difference) =>
       console.error(`Another change was accepted first:\n${difference}`),
   );
-  await reportRollout(table, { accepted, waitMs, flags });
+  await reportRollout(table, { accepted, peers, waitMs, flags });
+}
+
+/** Read before the acceptance, so that the change is offered at once. */
+async function knownPeers(table: Table): Promise<KnownPeers> {
+  return (await readPeers(table)).unwrapOr(undefined);
 }
 
 /** Waits for a change, prints how far it has come and sets the exit code. */
 async function reportRollout(
   table: Table,
-  opts: { accepted: Accepted | Lists; waitMs: number; flags: ListsFlags },
+  opts: {
+    accepted: Accepted | Lists;
+    peers: KnownPeers;
+    waitMs: number;
+    flags: ListsFlags;
+  },
 ): Promise<void> {
   const { accepted, flags } = opts;
   const isNew = "update" in accepted;
@@ -117,6 +134,7 @@
   const rollout = await watchRollout(lists.version, {
     table,
     update: isNew ? accepted.update : undefined,
+    peers: opts.peers,
     waitMs: opts.waitMs,
     acceptedAt: monotonicMs(),
   });
--- a/src/cli/lists_test.ts
+++ b/src/cli/lists_test.ts
@@ -121,6 +121,20 @@
   );
 });
 
+test("applyFile() refuses an older file whose availability has changed since", async () => {
+  // Fails when the availability of a file from an older version is a finding.
+  const table = new MemoryTable();
+  const { version, availability } = await standing(table);
+  await giveOrder(table, order("north", true), quiet);
+  const now = await standing(table);
+  const checked = checkListsFile(
+    { version, availability, customers, plans },
+    now,
+  );
+  const file = checked.unwrap();
+  await assert.rejects(applyFile(table, { file, standing: now }), { code: 1 });
+});
+
 test("applyFile() reports an accept truthfully when its answer was lost", async () => {
   // Fails when a conflict after a lost answer is reported as a lost race.
   const table = new MemoryTable();
--- a/src/cli/rollout.ts
+++ b/src/cli/rollout.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { okAsync } from "neverthrow";
 import { MAX_CONFIRMED_AGE_MS } from "../freshness/mod.ts";
 import { monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
 import type { ListsUpdate } from "../lists/mod.ts";
@@ -49,6 +50,8 @@
   readonly table: Table;
   /** The accepted change, offered to every process. */
   readonly update?: ListsUpdate;
+  /** Processes to watch; those that are registered unless given. */
+  readonly peers?: readonly PeerInfo[];
   readonly waitMs: number;
   /** Monotonic time of the acceptance, in milliseconds. */
   readonly acceptedAt: number;
@@ -66,8 +69,9 @@
 ): Promise<Rollout> {
   const connect = opts.connect ?? connectPeers(fleetKeys());
   const until = opts.acceptedAt + opts.waitMs;
-  const read = await readPeers(opts.table);
-  const peers = read.unwrapOr([]);
+  const read = opts.peers ? okAsync(opts.peers) : readPeers(opts.table);
+  const known = await read;
+  const peers = known.unwrapOr([]);
   const has = new Map<string, number>();
   let asked: readonly Asked[] = [];
   while (true) {
@@ -82,9 +86,9 @@
     const age = monotonicMs() - opts.acceptedAt;
     const isSettled = rollout.unreachable.length === 0 ||
       age > MAX_CONFIRMED_AGE_MS;
-    if (rollout.done && isSettled && read.isOk()) return rollout;
+    if (rollout.done && isSettled && known.isOk()) return rollout;
     if (monotonicMs() >= until) {
-      return { ...rollout, done: rollout.done && isSettled && read.isOk() };
+      return { ...rollout, done: rollout.done && isSettled && known.isOk() };
     }
     await sleep(ROUND_MS);
   }
--- a/src/config/lists.ts
+++ b/src/config/lists.ts
@@ -124,12 +124,16 @@
   return findings.length === 0 ? Ok(true) : Err(findings);
 }
 
-/** A file may repeat the availability that stands; orders alone change it. */
+/**
+ * A file may repeat the availability that stands; orders alone change it. A file
+ * from an older version is refused for its version.
+ */
 function changedAvailability(
-  { availability }: { availability?: Availability },
+  { version, availability }: { version?: number; availability?: Availability },
   standing: Lists,
 ): Finding[] {
-  return availability === undefined ||
+  const isOlder = version !== undefined && version !== standing.version;
+  return isOlder || availability === undefined ||
       canonicalJson(availability) === canonicalJson(standing.availability)
     ? []
     : [{
--- a/src/freshness/freshness.ts
+++ b/src/freshness/freshness.ts
@@ -46,6 +46,8 @@
   readonly heard: ReadonlyMap<DomainName, Heard>;
   /** Failure domains known to have processes. */
   readonly domains: ReadonlySet<DomainName>;
+  /** True once the store has listed the processes. */
+  readonly domainsRead: boolean;
 }
 
 /** Knowledge of a process that has just started. */
@@ -54,6 +56,7 @@
   storeFailed: false,
   heard: new Map(),
   domains: new Set(),
+  domainsRead: false,
 };
 
 /** What changes the knowledge. */
@@ -73,6 +76,8 @@
     readonly askedAt: number;
     readonly domains: readonly DomainName[];
   }
+  /** The settings name processes of these domains. */
+  | { readonly kind: "domains-set"; readonly domains: readonly DomainName[] }
   /** The store has listed the processes; it alone can remove a domain. */
   | { readonly kind: "domains-read"; readonly domains: readonly DomainName[] };
 
@@ -95,8 +100,10 @@
       return { ...state, storeFailed: true };
     case "peer-answered":
       return applyPeer(state, event);
-    case "domains-read":
+    case "domains-set":
       return { ...state, domains: new Set(event.domains) };
+    case "domains-read":
+      return { ...state, domains: new Set(event.domains), domainsRead: true };
   }
 }
 
@@ -166,7 +173,8 @@
   const heard = before && before.askedAt > askedAt
     ? state.heard
     : new Map(state.heard).set(domain, { askedAt, version });
-  const known = [domain, ...event.domains];
+  // What peers know would bring back a domain that the store has removed.
+  const known = state.domainsRead ? [domain] : [domain, ...event.domains];
   const domains = known.every((name) => state.domains.has(name))
     ? state.domains
     : new Set([...state.domains, ...known]);
--- a/src/freshness/freshness_test.ts
+++ b/src/freshness/freshness_test.ts
@@ -67,6 +67,31 @@
   assert.equal(at(10_000, older), Standing.CutOff);
 });
 
+test("applyFreshness() forgets a domain that the store has removed", () => {
+  // Fails when the domains that peers know are always added.
+  const state = after(
+    { kind: "domains-set", domains: DOMAINS },
+    applied(3),
+    storeFailed,
+    { kind: "domains-read", domains: ["north", "south"] },
+    peer("south", 9_000),
+  );
+  assert.deepEqual([...state.domains], ["north", "south"]);
+  assert.equal(at(10_000, state), Standing.Outage);
+});
+
+test("applyFreshness() learns the domains from peers while the store is out", () => {
+  const state = after(applied(3), storeFailed, peer("south", 9_000));
+  assert.equal(at(10_000, state), Standing.CutOff);
+  const all = after(
+    applied(3),
+    storeFailed,
+    peer("south", 9_000),
+    peer("west", 9_000),
+  );
+  assert.equal(at(10_000, all), Standing.Outage);
+});
+
 test("standingOf() does not serve before any lists are known", () => {
   const state = after(storeFailed, peer("south", 9_000), peer("west", 9_000));
   assert.equal(at(10_000, state), Standing.Unknown);
--- a/src/launch/ops.ts
+++ b/src/launch/ops.ts
@@ -11,10 +11,9 @@
 import { join } from "node:path";
 import { sleep } from "../kernel/mod.ts";
 import { audit, type Outcome, runLoad, summarise } from "../load/mod.ts";
-import { HttpTable } from "../platform/mod.ts";
-import { readLists } from "../process/mod.ts";
-import { Durations } from "../telemetry/mod.ts";
+import type { Durations } from "../telemetry/mod.ts";
 import { RunningDeployment } from "./deployment.ts";
+import { OrderProbe, SETTLE_MS } from "./ops_probe.ts";
 import {
   type CommandEnd,
   runCommand,
@@ -31,7 +30,6 @@
 const ORDER_BOUND_MS = 5_000;
 /** Time in which a change has to be in force, in milliseconds. */
 const CHANGE_BOUND_MS = 20_000;
-const SETTLE_MS = ORDER_BOUND_MS + 500;
 const PAUSE_MS = 6_000;
 const OUTAGE_MS = 12_000;
 const FLAP_MS = 700;
@@ -45,13 +43,7 @@
 const { fleet, topology } = deployment;
 const dir = mkdtempSync(join(tmpdir(), "ops-"));
 const domain = topology.entries[0]?.domain ?? "";
-const inForce = new Durations();
-const lastNewWork = new Durations();
-const faults: string[] = [];
-const expect = (holds: boolean, what: string) => {
-  if (!holds) faults.push(what);
-  console.error(`${holds ? "ok" : "FAILED"}: ${what}`);
-};
+const probe = new OrderProbe(deployment, domain);
 
 const outcomes: Outcome[] = [];
 const cfg = deployment.load({
@@ -75,7 +67,7 @@
 
 const after = await sightAll(deployment);
 const seconds = (Date.now() - countedFrom) / 1_000;
-const changes = (await standing()).version - 1;
+const changes = (await probe.standing()).version - 1;
 await load;
 const checked = audit(outcomes, await deployment.filings());
 const report = summarise(outcomes);
@@ -84,28 +76,36 @@
 rmSync(dir, { recursive: true });
 const rate = (read: (one: Sighting) => number) =>
   (total(after, read) - total(before, read)) / seconds;
-expect(lastNewWork.quantile(1) <= ORDER_BOUND_MS, "last new work in time");
-expect(inForce.quantile(1) <= CHANGE_BOUND_MS, "changes in force in time");
+probe.expect(
+  probe.lastNewWork.quantile(1) <= ORDER_BOUND_MS,
+  "last new work in time",
+);
+probe.expect(
+  probe.inForce.quantile(1) <= CHANGE_BOUND_MS,
+  "changes in force in time",
+);
 const broken = checked.doubled + checked.lost + checked.misdelivered +
-  checked.falselyNotRun + violations + faults.length;
+  checked.falselyNotRun + violations + probe.failed.length;
 console.log(
   `processes=${after.length} changes=${changes} ` +
-    `${quantiles("in_force", inForce)} bound_ms=${CHANGE_BOUND_MS} ` +
-    `${quantiles("last_new_work", lastNewWork)} bound_ms=${ORDER_BOUND_MS} ` +
+    `${quantiles("in_force", probe.inForce)} bound_ms=${CHANGE_BOUND_MS} ` +
+    `${
+      quantiles("last_new_work", probe.lastNewWork)
+    } bound_ms=${ORDER_BOUND_MS} ` +
     `reads_per_s=${rate(({ reads }) => reads).toFixed(1)} ` +
     `writes_per_s=${rate(({ writes }) => writes).toFixed(1)} ` +
     `requests=${outcomes.length} attainment=${report.attainment.toFixed(4)} ` +
     `false_not_run=${checked.falselyNotRun} doubled=${checked.doubled} ` +
     `lost=${checked.lost} misdelivered=${checked.misdelivered} ` +
-    `invariant_violations=${violations} failed_checks=${faults.length}`,
+    `invariant_violations=${violations} failed_checks=${probe.failed.length}`,
 );
 process.exitCode = broken === 0 ? 0 : 1;
 
 /** Orders on a fleet without faults. */
 async function plainRounds(): Promise<void> {
   for (let i = 0; i < 4; i += 1) {
-    await orderRound("plain", { out: true });
-    await orderRound("plain", { out: false });
+    await probe.order("plain", { out: true });
+    await probe.order("plain", { out: false });
   }
 }
 
@@ -114,13 +114,13 @@
   const killed = [fleet.names("agent-")[0], fleet.names("entry-")[0]]
     .filter((name) => name !== undefined);
   killed.forEach((name) => fleet.signal(name, "SIGKILL"));
-  const end = await orderRound("kill", { out: true });
+  const end = await probe.order("kill", { out: true });
   killed.forEach((name) =>
-    expect(end.stdout.includes(name), `kill: the command names ${name}`)
+    probe.expect(end.stdout.includes(name), `kill: the command names ${name}`)
   );
   killed.forEach((name) => fleet.restart(name));
   await deployment.ready();
-  await orderRound("kill", { out: false });
+  await probe.order("kill", { out: false });
 }
 
 /** An order while an agent of the ordered domain is paused. */
@@ -129,40 +129,40 @@
     "";
   fleet.signal(paused, "SIGSTOP");
   const resume = sleep(PAUSE_MS).then(() => fleet.signal(paused, "SIGCONT"));
-  await orderRound("pause", { out: true });
+  await probe.order("pause", { out: true });
   await resume;
-  await orderRound("pause", { out: false });
+  await probe.order("pause", { out: false });
 }
 
 /** Orders on a domain whose processes do not reach the table service. */
 async function cutRound(): Promise<void> {
   await setFaults(deployment, { outage: true }, domain);
   await sleep(SETTLE_MS);
-  await orderRound("cut", { out: true });
+  await probe.order("cut", { out: true });
   await setFaults(deployment, { outage: false }, domain);
-  await orderRound("cut", { out: false });
+  await probe.order("cut", { out: false });
 }
 
 /** Work goes on in an outage; a restarted process learns from its peers. */
 async function outageRound(): Promise<void> {
-  const { version } = await standing();
+  const { version } = await probe.standing();
   await setFaults(deployment, { outage: true });
   await sleep(OUTAGE_MS / 2);
   const restarted = fleet.names("entry-")[1] ?? "";
   fleet.signal(restarted, "SIGKILL");
   fleet.restart(restarted);
   const refused = await runCommand(deployment, ["domain", "out", domain]);
-  expect(refused.code === 1, "outage: an order is refused with code 1");
+  probe.expect(refused.code === 1, "outage: an order is refused with code 1");
   await sleep(OUTAGE_MS);
   const seen = await sightAll(deployment);
-  expect(
+  probe.expect(
     seen.every((one) => one.takesWork && one.version === version),
     `outage: ${seen.filter((one) => one.takesWork).length} of ` +
       `${seen.length} take work`,
   );
   await setFaults(deployment, { outage: false });
-  await orderRound("outage", { out: true });
-  await orderRound("outage", { out: false });
+  await probe.order("outage", { out: true });
+  await probe.order("outage", { out: false });
 }
 
 /** Orders while the table service answers too slowly for the processes. */
@@ -171,20 +171,22 @@
   await sleep(2 * SETTLE_MS);
   const seen = await sightAll(deployment);
   const working = seen.filter((one) => one.takesWork).length;
-  expect(working === seen.length, `slow: ${working} of ${seen.length} work`);
-  await orderRound("slow", { out: true });
+  probe.expect(
+    working === seen.length,
+    `slow: ${working} of ${seen.length} work`,
+  );
+  await probe.order("slow", { out: true });
   await setFaults(deployment, { slowMs: 0 });
-  await orderRound("slow", { out: false });
+  await probe.order("slow", { out: false });
 }
 
 /** Orders while the table service comes and goes. */
 async function flapRound(): Promise<void> {
   await setFaults(deployment, { flapMs: FLAP_MS });
-  for (const action of ["out", "in"]) {
-    const end = await until(() =>
-      runCommand(deployment, ["domain", action, domain])
-    );
-    expect(end.code === 0, `flap: domain ${action} is in force`);
+  for (const out of [true, false]) {
+    const end = await probe.orderUntilDone(out);
+    const action = out ? "out" : "in";
+    probe.expect(end.code === 0, `flap: domain ${action} is in force`);
   }
   await setFaults(deployment, { flapMs: 0 });
 }
@@ -194,11 +196,9 @@
   await setFaults(deployment, { loseAnswers: 0.5 });
   for (const out of [true, false, true, false]) {
     const action = out ? "out" : "in";
-    const end = await until(() =>
-      runCommand(deployment, ["domain", action, domain])
-    );
-    const { domainsOut } = (await until(readStanding)).lists.availability;
-    expect(
+    const end = await probe.orderUntilDone(out);
+    const { domainsOut } = (await probe.standing()).availability;
+    probe.expect(
       end.code !== 0 || domainsOut.includes(domain) === out,
       `lost answers: domain ${action} is told truthfully`,
     );
@@ -225,17 +225,20 @@
   ]);
   const applied = ends.slice(0, files.length);
   const winners = applied.filter(({ code }) => code === 0);
-  expect(winners.length <= 1, `race: ${winners.length} files were accepted`);
+  probe.expect(
+    winners.length <= 1,
+    `race: ${winners.length} files were accepted`,
+  );
   const losers = applied.filter(({ code }) => code !== 0);
-  expect(
+  probe.expect(
     losers.every(isTold),
     `race: the losers are told what changed:\n${
       losers.map(({ stderr }) => stderr).join("")
     }`,
   );
-  const { customers } = (await standing()).customers;
+  const { customers } = (await probe.standing()).customers;
   const raced = customers.filter(({ id }) => id.startsWith("raced-"));
-  expect(
+  probe.expect(
     raced.length === winners.length,
     `race: ${raced.length} of the files stand`,
   );
@@ -244,7 +247,7 @@
   writeFileSync(bad, JSON.stringify(faulty));
   const refused = await runCommand(deployment, ["lists", "apply", bad]);
   const found = refused.stderr.split("\n").filter((l) => l.startsWith("$."));
-  expect(
+  probe.expect(
     refused.code === 2 && found.length > 4,
     `race: a bad file is refused with ${found.length} findings`,
   );
@@ -255,63 +258,6 @@
   return code === 1 && /^[~+-] |still differs/m.test(stderr);
 }
 
-/** Gives an order and measures when it came into force. */
-async function orderRound(
-  name: string,
-  { out }: { out: boolean },
-): Promise<CommandEnd> {
-  const action = out ? "out" : "in";
-  const { version } = await standing();
-  const end = await runCommand(deployment, ["domain", action, domain]);
-  const acceptedAt = await acceptedAtOf(version + 1);
-  await sleep(Math.max(0, acceptedAt + SETTLE_MS - Date.now()));
-  const seen = await sightAll(deployment);
-  const times = seen.filter((one) => one.version === version + 1)
-    .map(({ appliedAt }) => appliedAt - acceptedAt);
-  times.forEach((ms) => inForce.record(ms));
-  const late = seen.filter((one) => one.version <= version && one.takesWork);
-  expect(end.code === 0, `${name}: domain ${action}: ${end.stdout.trim()}`);
-  expect(late.length === 0, `${name}: ${late.length} take work as before`);
-  if (out) {
-    const last = seen.filter((one) => one.domain === domain)
-      .map(({ lastStartAt }) => lastStartAt - acceptedAt);
-    lastNewWork.record(Math.max(0, ...last));
-  }
-  return end;
-}
-
-/** Wall-clock time at which the stand-in accepted a version. */
-async function acceptedAtOf(version: number): Promise<number> {
-  const table = new HttpTable(topology.tableUrl);
-  const read = await table.read([`lists/head`]);
-  const row = read._unsafeUnwrap()[0];
-  if (row?.version !== version) return Date.now();
-  return (row.value as { acceptedAt: number }).acceptedAt;
-}
-
-async function standing() {
-  return (await until(readStanding)).lists;
-}
-
-async function readStanding() {
-  const read = await readLists(new HttpTable(topology.tableUrl));
-  return read.match(
-    (lists) => ({ code: 0, lists }),
-    () => ({ code: 1, lists: undefined as never }),
-  );
-}
-
-/** Repeats a step until it ends with code 0. */
-async function until<T extends { code: number }>(
-  step: () => Promise<T>,
-): Promise<T> {
-  for (let i = 0;; i += 1) {
-    const end = await step();
-    if (end.code === 0 || i === 20) return end;
-    await sleep(100);
-  }
-}
-
 function total(
   seen: readonly Sighting[],
   read: (one: Sighting) => number,
--- a/src/process/lists_sync.ts
+++ b/src/process/lists_sync.ts
@@ -86,7 +86,7 @@
     this.#members = new Members(opts.table);
     this.#book = new PeerBook({ self: opts.info.url, random: this.#random });
     opts.seeds?.forEach((seed) => this.#book.add(seed));
-    this.#learn({ kind: "domains-read", domains: this.#book.domains() });
+    this.#learn({ kind: "domains-set", domains: this.#book.domains() });
     this.#gossip = new Gossip({
       side: this,
       book: this.#book,
@@ -263,8 +263,11 @@
       const infos = peersOf(this.#members);
       const { seeds = [] } = this.#opts;
       this.#book.replace([...infos, ...seeds]);
-      const domains = infos.map(({ domain }) => domain);
-      this.#learn({ kind: "domains-read", domains });
+      // Before the own registration shows, others may be missing too.
+      if (infos.some(({ url }) => url === this.info.url)) {
+        const domains = infos.map(({ domain }) => domain);
+        this.#learn({ kind: "domains-read", domains });
+      }
     });
     const { size } = this.#book;
     const wait = size === 0
