--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -7,9 +7,9 @@
 import { every, monotonicMs, seededRandom } from "../kernel/mod.ts";
 import { serviceable } from "../membership/mod.ts";
 import {
+  type Availability,
   type DomainName,
   type HostId,
-  type Lists,
   type PoolName,
   promptOf,
   StageKind,
@@ -67,7 +67,7 @@
   /** Hosts that get no new work by the host list. */
   readonly avoidedHosts: ReadonlySet<HostId>;
   readonly entries: readonly EntryPlace[];
-  readonly lists: Lists;
+  readonly availability: Availability;
 }
 
 const NOBODY: ReadonlySet<TargetId> = new Set();
@@ -174,7 +174,7 @@
     this.#followed = now;
     const members = serviceable({
       registered: now.targets,
-      availability: now.lists.availability,
+      availability: now.availability,
       leavingHosts: now.avoidedHosts,
       suspected: NOBODY,
     });
@@ -195,7 +195,7 @@
       targets: this.#members.targets,
       avoidedHosts: this.#avoidedHosts,
       entries: this.#opts.entries?.() ?? this.#members.entries,
-      lists: this.#opts.lists.current,
+      availability: this.#opts.lists.current.availability,
     };
   }
 
@@ -237,7 +237,7 @@
 
 function isSame(a: Membership, b: Membership): boolean {
   return a.targets === b.targets && a.avoidedHosts === b.avoidedHosts &&
-    a.entries === b.entries && a.lists === b.lists;
+    a.entries === b.entries && a.availability === b.availability;
 }
 
 function isSameSet<T>(a: ReadonlySet<T>, b: ReadonlySet<T>): boolean {
--- a/src/entry/pool_router.ts
+++ b/src/entry/pool_router.ts
@@ -66,6 +66,7 @@
   readonly #self: EntryPlace;
   readonly #known: KnownTargets;
   readonly #random: () => number;
+  #entries: readonly EntryPlace[] | undefined;
   #members: readonly Target[] = [];
   #subset: readonly Target[] = [];
   #health: PoolHealth = createHealth();
@@ -86,6 +87,9 @@
 
   /** Replaces the members of the pool and the entries before it. */
   follow(members: readonly Target[], entries: readonly EntryPlace[]): void {
+    // The subsets of a large fleet are costly to work out.
+    if (entries === this.#entries && isSame(members, this.#members)) return;
+    this.#entries = entries;
     this.#members = members;
     this.#subset = subsetOf(members, { self: this.#self, entries });
     this.#applyHealth({
@@ -163,3 +167,7 @@
     this.#health = applyHealth(this.#health, event, monotonicMs());
   }
 }
+
+function isSame(a: readonly Target[], b: readonly Target[]): boolean {
+  return a.length === b.length && a.every((target, i) => target === b[i]);
+}
--- a/src/process/members.ts
+++ b/src/process/members.ts
@@ -63,11 +63,20 @@
 
   #replace(rows: readonly Row[]): void {
     this.#rows = new Map(rows.map((row) => [row.key, row]));
-    this.#targets = rows.filter(({ key }) => isTargetKey(key))
+    const targets = rows.filter(({ key }) => isTargetKey(key))
       .map(({ value }) => value as TargetRow)
       .filter(({ stamp }) => !stamp?.leaving);
-    this.#entries = rows.filter(({ key }) => !isTargetKey(key))
+    const entries = rows.filter(({ key }) => !isTargetKey(key))
       .map(({ value }) => value as EntryRow)
       .filter(({ stamp }) => !stamp?.leaving);
+    this.#targets = sameOr(this.#targets, targets);
+    this.#entries = sameOr(this.#entries, entries);
   }
 }
+
+/** The older list when both hold the same items, so that readers see no change. */
+function sameOr<T>(older: readonly T[], newer: readonly T[]): readonly T[] {
+  const isSame = older.length === newer.length &&
+    older.every((item, i) => item === newer[i]);
+  return isSame ? older : newer;
+}
--- a/src/process/members_test.ts
+++ b/src/process/members_test.ts
@@ -89,3 +89,24 @@
   await members.refresh();
   assert.equal(members.targets.length, count);
 });
+
+// Fails when sameOr() always gives the newer list: entries then work out the
+// subsets of every pool at each change of any target.
+test("Members.refresh() keeps the list of entries when a target changes", async () => {
+  const table = new MemoryTable();
+  const members = new Members(table);
+  await table.commit({
+    checks: [],
+    puts: [{
+      key: "entry/e",
+      value: { name: "e", host: "h", domain: "d", url: "u" },
+    }],
+  });
+  await members.refresh();
+  const { entries, targets } = members;
+  await registerTarget(table, target(1, "u"));
+  await members.refresh();
+  assert.equal(entries.length, 1);
+  assert.equal(members.entries, entries);
+  assert.notEqual(members.targets, targets);
+});
