--- /dev/null
+++ b/src/agent/leave_test.ts
@@ -0,0 +1,151 @@
+import { install } from "@sinonjs/fake-timers";
+import { okAsync, ResultAsync } from "neverthrow";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { sleep } from "../kernel/mod.ts";
+import {
+  EMPTY_LISTS,
+  Priority,
+  type StageCall,
+  StageKind,
+  type Target,
+  TargetKind,
+} from "../model/mod.ts";
+import type { ListsSync } from "../process/mod.ts";
+import { MemoryTable } from "../standin/mod.ts";
+import { Metrics, SILENT_LOGGER, Tracing } from "../telemetry/mod.ts";
+import { Agent } from "./agent.ts";
+import { ClaimService } from "./claim_service.ts";
+import { GateService } from "./gate_service.ts";
+
+const RUN_MS = 3_000;
+
+const target: Target = {
+  id: "t",
+  pool: "p",
+  kind: TargetKind.Service,
+  host: "h",
+  domain: "d",
+  agentUrl: "u",
+};
+
+const lists = {
+  current: { ...EMPTY_LISTS, version: 1 },
+  isConfirmed: true,
+  notice: () => {},
+} as unknown as ListsSync;
+
+const callOf = (callId: string): StageCall => ({
+  callId,
+  requestId: callId,
+  customer: "c",
+  pipeline: "p",
+  stage: "s",
+  kind: StageKind.LookUp,
+  target: "t",
+  idempotent: true,
+  fingerprint: "f",
+  priority: Priority.Interactive,
+  weight: 1,
+  remainingMs: 10_000,
+  listsVersion: 1,
+  input: null,
+});
+
+/** An agent whose target takes three seconds for a call. */
+function agentOf(signal: AbortSignal): Agent {
+  const metrics = new Metrics();
+  return new Agent({
+    name: "agent",
+    target,
+    gate: new GateService({
+      coldLimit: 8,
+      maxLimit: 8,
+      maxQueued: 8,
+      provenAfter: 4,
+      showsProgress: false,
+    }, signal),
+    claims: new ClaimService(new MemoryTable(), { metrics }),
+    client: {
+      run: () =>
+        ResultAsync.fromSafePromise(sleep(RUN_MS))
+          .andThen(() => okAsync({ output: "done", tokens: 0 })),
+      close: () => Promise.resolve(),
+    },
+    lists,
+    metrics,
+    tracing: new Tracing({ to: "none", log: SILENT_LOGGER, process: "agent" }),
+    log: SILENT_LOGGER,
+  });
+}
+
+/** Kind of the last event of a call, with the reason of a refusal. */
+async function lastOf(agent: Agent, callId: string): Promise<string> {
+  let last = "";
+  const events = agent.call(callOf(callId), new AbortController().signal);
+  for await (const event of events) {
+    last = event.kind === "refused"
+      ? `${event.refusal.proof} ${event.refusal.reason}`
+      : event.kind;
+  }
+  return last;
+}
+
+async function underClock(
+  body: (
+    clock: ReturnType<typeof install>,
+    agent: Agent,
+  ) => Promise<void>,
+): Promise<void> {
+  const clock = install();
+  const stop = new AbortController();
+  try {
+    await body(clock, agentOf(stop.signal));
+  } finally {
+    stop.abort();
+    clock.uninstall();
+  }
+}
+
+// Fails when leave() refuses at once, and when it never refuses.
+test("Agent.leave() gives notice, then refuses new calls as not run", () =>
+  underClock(async (clock, agent) => {
+    agent.leave();
+    assert.equal(agent.targetState().load.leaving, true);
+    assert.equal(agent.isReady, false);
+    await clock.tickAsync(1_000);
+    const early = lastOf(agent, "early");
+    await clock.tickAsync(600);
+    const late = lastOf(agent, "late");
+    await clock.tickAsync(RUN_MS);
+    assert.equal(await early, "result");
+    assert.equal(await late, "not-run leaving");
+  }));
+
+// Fails when drain() does not wait for the calls in hand.
+test("Agent.drain() ends calls in hand with their results", () =>
+  underClock(async (clock, agent) => {
+    const call = lastOf(agent, "in-hand");
+    await clock.tickAsync(500);
+    let drained = false;
+    const draining = agent.drain().then(() => drained = true);
+    await clock.tickAsync(1_000);
+    assert.equal(drained, false);
+    await clock.tickAsync(RUN_MS);
+    await draining;
+    assert.equal(await call, "result");
+  }));
+
+// Fails when the agent does not ask its registration.
+test("Agent.follow() refuses calls while a newer agent holds the name", () =>
+  underClock(async (clock, agent) => {
+    const registration = { isSuperseded: true };
+    agent.follow(registration);
+    const refused = lastOf(agent, "one");
+    await clock.tickAsync(RUN_MS);
+    assert.equal(await refused, "not-run leaving");
+    registration.isSuperseded = false;
+    const taken = lastOf(agent, "two");
+    await clock.tickAsync(RUN_MS);
+    assert.equal(await taken, "result");
+  }));
