--- a/src/config/lists.ts
+++ b/src/config/lists.ts
@@ -25,35 +25,45 @@
 
 const customerListSchema = z.strictObject({
   customers: z.array(z.strictObject({
-    id: name,
-    plan: name,
-    keySha256: z.string().regex(/^[0-9a-f]{64}$/, "Use a SHA-256 in hex"),
+    id: name.describe("Name of the customer"),
+    plan: name.describe("Plan that the customer is on"),
+    keySha256: z.string().regex(/^[0-9a-f]{64}$/, "Use a SHA-256 in hex")
+      .describe("SHA-256 of the customer's key"),
   })),
 });
 
 const stageSchema = z.strictObject({
-  name,
-  kind: z.enum(StageKind),
-  pool: name,
-  idempotent: z.boolean(),
-  maxTokens: z.int().positive().optional(),
-  model: z.string().optional(),
-  expectedMs: z.number().positive(),
+  name: name.describe("Name of the stage, unique in its pipeline"),
+  kind: z.enum(StageKind).describe("What the stage does"),
+  pool: name.describe("Pool whose targets run the stage"),
+  idempotent: z.boolean()
+    .describe("False when a second run of the call does harm"),
+  maxTokens: z.int().positive().optional()
+    .describe("Most tokens that a generate stage may produce"),
+  model: z.string().optional()
+    .describe("Model or adapter that a generate stage asks for"),
+  expectedMs: z.number().positive()
+    .describe("Time of an unloaded call, in ms; measured times replace it"),
 });
 
 const useListSchema = z.strictObject({
   plans: z.array(z.strictObject({
-    name,
-    weight: z.number().positive(),
-    maxConcurrent: z.int().positive(),
-    pipelines: z.array(name),
+    name: name.describe("Name of the plan"),
+    weight: z.number().positive()
+      .describe("Weight of each customer on the plan in the fair shares"),
+    maxConcurrent: z.int().positive()
+      .describe("Most requests of one customer in hand across the fleet"),
+    pipelines: z.array(name).describe("Pipelines that the plan may use"),
   })),
   pipelines: z.array(z.strictObject({
-    name,
-    stages: z.array(stageSchema).min(1),
-    durable: z.boolean(),
-    priority: z.enum(Priority),
-    deadlineMs: z.int().positive(),
+    name: name.describe("Name of the pipeline"),
+    stages: z.array(stageSchema).min(1)
+      .describe("Stages in the order in which they run"),
+    durable: z.boolean()
+      .describe("True when stage results are kept for a resumed request"),
+    priority: z.enum(Priority).describe("Priority at the gates"),
+    deadlineMs: z.int().positive()
+      .describe("Deadline of a request that names none, in ms"),
   })),
 });
 
@@ -67,15 +77,21 @@
   return check(useListSchema, value);
 }
 
-const listsFileSchema = z.strictObject({
-  version: z.int().nonnegative().optional(),
-  customers: customerListSchema.shape.customers.optional(),
-  plans: useListSchema.shape.plans.optional(),
-  pipelines: useListSchema.shape.pipelines.optional(),
+/** Schema of a file for `lists check` and `lists apply`. */
+export const listsFileSchema = z.strictObject({
+  version: z.int().nonnegative().optional()
+    .describe("Version that the file was made from; refused when it is old"),
+  customers: customerListSchema.shape.customers.optional()
+    .describe("First list: the customers and their plans"),
+  plans: useListSchema.shape.plans.optional()
+    .describe("Second list: what each plan may use"),
+  pipelines: useListSchema.shape.pipelines.optional()
+    .describe("Second list: the pipelines"),
   availability: z.strictObject({
-    domainsOut: z.array(z.string()),
-    hostsOut: z.array(z.string()),
-  }).optional(),
+    domainsOut: z.array(z.string()).describe("Failure domains out of service"),
+    hostsOut: z.array(z.string()).describe("Hosts out of service"),
+  }).optional()
+    .describe("As `lists show` prints it; changed only by `domain` and `host`"),
 });
 
 /** Lists that an operator wants accepted. */
--- a/src/config/reference.ts
+++ b/src/config/reference.ts
@@ -5,7 +5,8 @@
  */
 
 import { z } from "zod";
-import { loadableSchemas } from "./settings.ts";
+import { listsFileSchema } from "./lists.ts";
+import { agentSettingsSchema, entrySettingsSchema } from "./settings.ts";
 
 /** The parts of JSON Schema that the reference reads. */
 interface Node {
@@ -19,9 +20,28 @@
   readonly items?: Node;
 }
 
-/** Markdown page with one table for each kind of settings. */
+/** What the reference describes. */
+const DOCUMENTED = [
+  {
+    title: "Entry",
+    command: "cassiapost entry --settings FILE",
+    schema: entrySettingsSchema,
+  },
+  {
+    title: "Agent",
+    command: "cassiapost agent --settings FILE",
+    schema: agentSettingsSchema,
+  },
+  {
+    title: "Lists",
+    command: "cassiapost lists check|apply FILE",
+    schema: listsFileSchema,
+  },
+] as const;
+
+/** Markdown page with one table for each kind of file. */
 export function settingsReference(): string {
-  const sections = loadableSchemas.map(({ title, command, schema }) =>
+  const sections = DOCUMENTED.map(({ title, command, schema }) =>
     [
       `## ${title}`,
       "",
@@ -35,11 +55,12 @@
   return [HEADING, ...sections].join("\n\n") + "\n";
 }
 
-const HEADING = `# Settings
+const HEADING = `# Settings and lists
 
-Settings are one JSON file for each process. All faults of a file are reported
-together, each with its JSON path; unknown keys are refused. \`--check\` checks a
-file without running the process. This page is written by
+Settings are one JSON file for each process; the operators' lists are JSON files
+too. All faults of a file are reported together, each with its JSON path;
+unknown keys are refused. \`--check\` checks settings without running the
+process, \`lists check\` checks a lists file without applying it. This page is written by
 \`npm run docs:settings\`.`;
 
 function rowsOf(node: Node, prefix: string): string[] {
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -103,17 +103,3 @@
   EntrySettings,
   "listen" | "listenTls" | "maxBodyBytes" | "seed"
 >;
-
-/** Settings that are described in the reference. */
-export const loadableSchemas = [
-  {
-    title: "Entry",
-    command: "cassiapost entry --settings FILE",
-    schema: entrySettingsSchema,
-  },
-  {
-    title: "Agent",
-    command: "cassiapost agent --settings FILE",
-    schema: agentSettingsSchema,
-  },
-] as const;
