--- a/src/config/reference_test.ts
+++ b/src/config/reference_test.ts
@@ -8,7 +8,7 @@
 
 const pathOf = (path: string) =>
   fileURLToPath(new URL(`../../../${path}`, import.meta.url));
-const cells = (text: string) => text.replaceAll(/[ -]+/g, " ");
+const cells = (text: string) => text.replaceAll(/[\s-]+/g, " ");
 
 test("settingsReference() is what docs/CONFIGURATION.md holds", () => {
   const page = readFileSync(pathOf("docs/CONFIGURATION.md"), "utf8");
