--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -18,7 +18,6 @@
   type CallEvent,
   digest,
   notRun,
-  outcomeUnknown,
   type Refusal,
   RefusalReason,
   type StageCall,
@@ -34,13 +33,16 @@
   PeerState,
   TargetState,
 } from "../wire/mod.ts";
+import type { CacheJournal } from "./cache_follower.ts";
 import type { ClaimService } from "./claim_service.ts";
 import type { GateService, Permit } from "./gate_service.ts";
-import type {
-  TargetAnswer,
-  TargetClient,
-  TargetFailure,
-} from "./target_client.ts";
+import {
+  claimedLate,
+  deadlinePassed,
+  refusalOf,
+  targetSilent,
+} from "./run_refusals.ts";
+import type { TargetAnswer, TargetClient } from "./target_client.ts";
 
 /** Time between two heartbeats on an answer stream, in milliseconds. */
 export const HEARTBEAT_MS = 500;
@@ -61,6 +63,8 @@
   readonly name: string;
   readonly target: Target;
   readonly gate: GateService;
+  /** Present beside a model engine. */
+  readonly cache?: CacheJournal;
   readonly claims: ClaimService;
   readonly client: TargetClient;
   readonly lists: ListsSync;
@@ -269,6 +273,7 @@
       parent: session.traceparent,
       attributes: { call: call.callId, target: call.target },
     });
+    this.#parts.cache?.noteCall(call);
     const watch = new Watchdog(silenceMs(call));
     const answer = await this.#parts.client.run(call, {
       traceparent: span.traceparent,
@@ -340,7 +345,10 @@
     outcome: Result<StageResult, Refusal>,
   ): CallEvent {
     const report = {
-      load: this.#parts.gate.loadFor(call.customer),
+      load: {
+        ...this.#parts.gate.loadFor(call.customer),
+        cache: this.#parts.cache?.changes,
+      },
       listsVersion: this.#parts.lists.current.version,
     };
     return outcome.match<CallEvent>(
@@ -380,37 +388,6 @@
     LATE_OUTCOME_MS;
 }
 
-function targetSilent(): Refusal {
-  return outcomeUnknown(
-    RefusalReason.Silent,
-    "The target made no progress",
-    RETRY_AFTER_MS,
-  );
-}
-
-function deadlinePassed(): Refusal {
-  return outcomeUnknown(
-    RefusalReason.DeadlineExceeded,
-    "The deadline passed while the call was at the target",
-    RETRY_AFTER_MS,
-  );
-}
-
-function claimedLate(): Refusal {
-  return notRun(
-    RefusalReason.DeadlineExceeded,
-    "The claim came after the deadline, so the call was not sent",
-    RETRY_AFTER_MS,
-  );
-}
-
-function refusalOf(failure: TargetFailure): Refusal {
-  const { reason, detail } = failure;
-  return failure.mayHaveRun
-    ? outcomeUnknown(reason, detail, RETRY_AFTER_MS)
-    : notRun(reason, detail, RETRY_AFTER_MS);
-}
-
 /** Queues text; a reader that lags gets it in fewer and longer chunks. */
 function pushText(stream: Stream, { callId }: StageCall, text: string): void {
   const seq = stream.chunks;
