Give the experiments' processes control addresses that peers can reach

Entries and agents register the control address of their settings, which was port 0 in the harness: no gossip and no 'cassiapost costs' there. Seen by running both commands against a harness world.

--- a/src/bench/policy_side.ts
+++ b/src/bench/policy_side.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { Hono } from "hono";
 import { startAgent } from "../agent/mod.ts";
 import {
   type AgentSettings,
@@ -13,7 +14,7 @@
 } from "../config/mod.ts";
 import { startEntry } from "../entry/mod.ts";
 import { type Kernel, serviceKey, sleep } from "../kernel/mod.ts";
-import { type Listening, METRICS } from "../process/mod.ts";
+import { listen, type Listening, METRICS } from "../process/mod.ts";
 import type { ServedSide } from "./harness.ts";
 import type { World, WorldTarget } from "./world.ts";
 
@@ -37,10 +38,17 @@
 /** Starts one agent for each target, then the entries. */
 export async function startPolicySide(world: World): Promise<PolicySide> {
   const agents = await Promise.all(
-    world.targets.map((one) => startAgent(agentSettings(world, one))),
+    world.targets.map(async (one) =>
+      startAgent({
+        ...agentSettings(world, one),
+        control: await freeAddress(),
+      })
+    ),
   );
   const entries = await Promise.all(
-    entrySettings(world).map((cfg) => startEntry(cfg)),
+    entrySettings(world).map(async (cfg) =>
+      startEntry({ ...cfg, control: await freeAddress() })
+    ),
   );
   const entryUrls = entries.map((entry) =>
     `http://${ADDRESS}:${entry.get(LISTEN).port}`
@@ -57,6 +65,16 @@
   };
 }
 
+/**
+ * Address with a port that is free at this moment. Peers learn the control
+ * address from settings, where port 0 would tell them nothing.
+ */
+async function freeAddress(): Promise<{ address: string; port: number }> {
+  const probe = await listen(new Hono(), FREE_PORT);
+  await probe.close();
+  return { address: ADDRESS, port: probe.port };
+}
+
 async function stopAll(
   entries: readonly Kernel[],
   agents: readonly Kernel[],
--- a/src/cli/costs_commands.ts
+++ b/src/cli/costs_commands.ts
@@ -64,6 +64,12 @@
   const rows = asked.flatMap((one) =>
     one.status === "fulfilled" ? one.value : []
   );
+  if (entries.length > 0 && unreachable.length === entries.length) {
+    throw new CommandError(
+      ExitCode.Refused,
+      `No entry answers: ${unreachable.join(", ")}`,
+    );
+  }
   const costs = sumCosts(rows, grouping);
   if (flags.json) return console.log(JSON.stringify({ costs, unreachable }));
   costs.map(lineOf).forEach((line) => console.log(line));
