Run soak histories with seeded random numbers under one paused clock

The group commit and the admission draw from Math.random, so a history was not the same twice. Change: the paused clock of the experiments, which seeds Math.random too, serves the soak as well; the second copy is gone.

--- a/src/bench/claims.ts
+++ b/src/bench/claims.ts
@@ -13,7 +13,7 @@
 import { MemoryTable } from "../standin/mod.ts";
 import { Durations } from "../telemetry/mod.ts";
 import type { Experiment } from "./experiment.ts";
-import { underPausedClock } from "./paused_clock.ts";
+import { underPausedClock } from "../testing/mod.ts";
 
 /** Limits of the platform's table service in this experiment. */
 const TABLE = { writesPerS: 400, latencyMs: 5 };
--- a/src/bench/overload.ts
+++ b/src/bench/overload.ts
@@ -19,7 +19,7 @@
   serveByRoundRobin,
 } from "./lab_load.ts";
 import { DOSSIER, DRAFT, LAB_PLAN } from "./lab_plan.ts";
-import { underPausedClock } from "./paused_clock.ts";
+import { underPausedClock } from "../testing/mod.ts";
 
 const FACTORS = [1, 2, 4] as const;
 const DURATION_S = 30;
--- a/src/bench/shares.ts
+++ b/src/bench/shares.ts
@@ -9,7 +9,7 @@
 import { attainmentOf, type LabOutcome, round } from "./lab_load.ts";
 import { DRAFT, LAB_PLAN } from "./lab_plan.ts";
 import { type LabRun, runLabSide } from "./overload.ts";
-import { underPausedClock } from "./paused_clock.ts";
+import { underPausedClock } from "../testing/mod.ts";
 
 const DURATION_S = 30;
 const MS_PER_S = 1000;
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -27,6 +27,7 @@
   ["wire", "platform"],
   ["process"],
   ["entry", "agent"],
+  ["testing"],
   ["standin"],
   ["load"],
   ["launch"],
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -8,7 +8,7 @@
 import { onViolation, violationCount } from "../kernel/mod.ts";
 import { type SoakAudit } from "./audit.ts";
 import { runHistory } from "./history.ts";
-import { underPausedClock } from "./paused_clock.ts";
+import { underPausedClock } from "../testing/mod.ts";
 
 const KEYS = 200;
 const LENGTH_MS = 30_000;
@@ -36,8 +36,9 @@
     console.error(`seed=${seed} invariant=${name} ${detail}`)
   );
   for (; Date.now() < until && seed < lastSeed; seed += 1) {
-    const audit = await underPausedClock(() =>
-      runHistory({ seed, keys: KEYS, lengthMs: LENGTH_MS })
+    const audit = await underPausedClock(
+      () => runHistory({ seed, keys: KEYS, lengthMs: LENGTH_MS }),
+      { seed },
     );
     total = add(audit, total);
   }
--- a/src/soak/mod.ts
+++ b/src/soak/mod.ts
@@ -6,4 +6,3 @@
 
 export * from "./audit.ts";
 export * from "./history.ts";
-export * from "./paused_clock.ts";
--- /dev/null
+++ b/src/testing/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Helpers for tests and simulated runs.
+ *
+ * @module
+ */
+
+export * from "./paused_clock.ts";
--- a/src/bench/paused_clock.ts
+++ b/src/testing/paused_clock.ts
@@ -1,6 +1,7 @@
 /**
- * Runs a program under a paused clock, so that an experiment takes no notice of
- * how busy the machine is and gives the same figures for the same seed.
+ * Runs a program under a paused clock and with seeded random numbers, so that
+ * it takes no notice of how busy the machine is and runs the same for the same
+ * seed.
  *
  * @module
  */
@@ -8,6 +9,8 @@
 import { install } from "@sinonjs/fake-timers";
 import { seededRandom } from "../kernel/mod.ts";
 
+/** Wall-clock time at the start, in milliseconds since the epoch. */
+const START_MS = 1_700_000_000_000;
 /** Kept from before the clock is paused. */
 const nativeImmediate = setImmediate;
 
@@ -17,6 +20,7 @@
   opts: { seed: number },
 ): Promise<T> {
   const clock = install({
+    now: START_MS,
     toFake: [
       "setTimeout",
       "clearTimeout",
