Split the running of calls from the agent

The agent's module held its API, its stops and the running of calls in 400 lines. The call runner takes permitted calls; the agent decides which come in.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -4,19 +4,11 @@
  * @module
  */
 
-import { err, ok, type Result } from "neverthrow";
-import { randomUUID } from "node:crypto";
-import {
-  AsyncQueue,
-  monotonicMs,
-  timeoutSignal,
-  Watchdog,
-} from "../kernel/mod.ts";
-import { LATE_OUTCOME_MS } from "../ledger/mod.ts";
+import { err, type Result } from "neverthrow";
+import { AsyncQueue, monotonicMs } from "../kernel/mod.ts";
 import type { ListsUpdate } from "../lists/mod.ts";
 import {
   type CallEvent,
-  digest,
   notRun,
   type Refusal,
   RefusalReason,
@@ -25,7 +17,7 @@
   type Target,
 } from "../model/mod.ts";
 import type { ListsSync } from "../process/mod.ts";
-import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
+import type { Logger } from "../telemetry/mod.ts";
 import type {
   AgentApi,
   GossipAnswer,
@@ -33,16 +25,13 @@
   PeerState,
   TargetState,
 } from "../wire/mod.ts";
-import type { CacheJournal } from "./cache_follower.ts";
-import type { ClaimService } from "./claim_service.ts";
-import type { GateService, Permit } from "./gate_service.ts";
 import {
-  claimedLate,
-  deadlinePassed,
-  refusalOf,
-  targetSilent,
-} from "./run_refusals.ts";
-import type { TargetAnswer, TargetClient } from "./target_client.ts";
+  type AnswerStream,
+  CallRunner,
+  type RunnerParts,
+  type RunSession,
+} from "./call_runner.ts";
+import type { GateService } from "./gate_service.ts";
 
 /** Time between two heartbeats on an answer stream, in milliseconds. */
 export const HEARTBEAT_MS = 500;
@@ -53,39 +42,29 @@
  */
 const LEAVE_NOTICE_MS = 1_500;
 const RETRY_AFTER_MS = 1_000;
-/** Longest silence of a target during an idempotent call, in milliseconds. */
-const TARGET_SILENCE_MS = 2_000;
 /** Longest wait for unwritten records on a planned stop, in milliseconds. */
 const RECORD_DRAIN_MS = 5_000;
 
 /** What an agent is made of. */
-export interface AgentParts {
+export interface AgentParts extends RunnerParts {
   readonly name: string;
   readonly target: Target;
   readonly gate: GateService;
-  /** Present beside a model engine. */
-  readonly cache?: CacheJournal;
-  readonly claims: ClaimService;
-  readonly client: TargetClient;
   readonly lists: ListsSync;
-  readonly metrics: Metrics;
-  readonly tracing: Tracing;
   readonly log: Logger;
 }
 
 /** Serves stage calls for one target. */
 export class Agent implements AgentApi {
   readonly #parts: AgentParts;
+  readonly #runner: CallRunner;
   readonly #inHand = new Set<Promise<unknown>>();
   #leaving = false;
   #registration: { readonly isSuperseded: boolean } | undefined;
 
-  /** Wall-clock time at which the last call started, in milliseconds. */
-  #lastStartAt = 0;
-
   constructor(parts: AgentParts) {
     this.#parts = parts;
-    parts.metrics.gauge("last_call_started_at_ms", () => this.#lastStartAt);
+    this.#runner = new CallRunner(parts, () => this.#refusalByLists());
   }
 
   peerState(): PeerState {
@@ -144,7 +123,7 @@
   ): AsyncGenerator<CallEvent> {
     const { gate } = this.#parts;
     const events = new AsyncQueue<CallEvent>();
-    const stream: Stream = { events, chunks: 0 };
+    const stream: AnswerStream = { events, chunks: 0 };
     const timer = setInterval(
       () =>
         events.push({ kind: "heartbeat", load: gate.loadFor(call.customer) }),
@@ -163,7 +142,7 @@
   /** Runs the call and queues its last event. */
   async #settle(
     call: StageCall,
-    stream: Stream,
+    stream: AnswerStream,
     signal: AbortSignal,
   ): Promise<void> {
     const { tracing, metrics } = this.#parts;
@@ -186,7 +165,7 @@
 
   async #perform(
     call: StageCall,
-    hop: Pick<Session, "stream" | "signal" | "traceparent">,
+    hop: Pick<RunSession, "stream" | "signal" | "traceparent">,
   ): Promise<Result<StageResult, Refusal>> {
     const deadlineAt = monotonicMs() + call.remainingMs;
     this.#parts.lists.notice(call.listsVersion);
@@ -194,19 +173,12 @@
     if (refusal) return err(refusal);
     const permit = await this.#parts.gate.enter(call, hop.signal);
     if (permit.isErr()) return err(permit.error);
-    const session: Session = {
+    return await this.#runner.run({
       call,
       ...hop,
       permit: permit.value,
       deadlineAt,
-    };
-    try {
-      return call.idempotent
-        ? await this.#run(session)
-        : await this.#runClaimed(session);
-    } finally {
-      permit.value.release({ kind: "unused" });
-    }
+    });
   }
 
   #refusalBeforeGate(call: StageCall): Refusal | undefined {
@@ -244,104 +216,9 @@
     }
   }
 
-  async #runClaimed(session: Session): Promise<Result<StageResult, Refusal>> {
-    const { claims } = this.#parts;
-    const { call, deadlineAt } = session;
-    const asked = await claims.claim(call, randomUUID());
-    if (asked.isErr()) return err(asked.error);
-    const answer = asked.value;
-    if (answer.kind === "replay") {
-      return ok({ ...answer.result, callId: call.callId, replayed: true });
-    }
-    if (answer.kind !== "held") return err(answer.refusal);
-    const outcome = monotonicMs() < deadlineAt
-      ? await this.#run(session)
-      : err(claimedLate());
-    await claims.record(answer.held, outcome);
-    return outcome;
-  }
-
-  /** Runs a permitted call at the target. */
-  async #run(session: Session): Promise<Result<StageResult, Refusal>> {
-    const { call, stream, permit, deadlineAt } = session;
-    // The wait at the gate or for the claim may have outlived the lists.
-    const refusal = this.#refusalByLists();
-    if (refusal) return err(refusal);
-    this.#lastStartAt = Date.now();
-    const startedAt = monotonicMs();
-    const span = this.#parts.tracing.start("agent.target", {
-      parent: session.traceparent,
-      attributes: { call: call.callId, target: call.target },
-    });
-    this.#parts.cache?.noteCall(call);
-    const watch = new Watchdog(silenceMs(call));
-    const answer = await this.#parts.client.run(call, {
-      traceparent: span.traceparent,
-      signal: this.#runSignal(session, watch),
-      onText: (text) => {
-        watch.heard();
-        pushText(stream, call, text);
-      },
-      onSign: (sign) => permit.sign(sign),
-    });
-    watch.end();
-    const serviceMs = monotonicMs() - startedAt;
-    span.end(answer.isErr() ? answer.error.reason : undefined);
-    return answer
-      .map((value) => {
-        permit.release({ kind: "ok", serviceMs });
-        return this.#result(session, value, serviceMs);
-      })
-      .mapErr((failure) => {
-        permit.release(
-          session.signal.aborted
-            ? { kind: "abandoned" }
-            : { kind: "failed", serviceMs, cold: failure.cold },
-        );
-        if (watch.isExpired) return targetSilent();
-        return monotonicMs() >= deadlineAt && failure.mayHaveRun
-          ? deadlinePassed()
-          : refusalOf(failure);
-      });
-  }
-
-  /**
-   * Signal of the exchange with the target. A non-idempotent call goes on when
-   * its caller is gone and for a time after its deadline, so that its outcome
-   * can be recorded.
-   */
-  #runSignal(
-    { call, signal, deadlineAt }: Session,
-    watch: Watchdog,
-  ): AbortSignal {
-    const remainingMs = deadlineAt - monotonicMs();
-    return call.idempotent
-      ? timeoutSignal(remainingMs, signal, watch.signal)
-      : timeoutSignal(remainingMs + LATE_OUTCOME_MS, watch.signal);
-  }
-
-  #result(
-    { call, permit }: Session,
-    answer: TargetAnswer,
-    serviceMs: number,
-  ): StageResult {
-    return {
-      callId: call.callId,
-      stage: call.stage,
-      fingerprint: call.fingerprint,
-      target: call.target,
-      output: answer.output,
-      digest: digest(answer.output ?? null),
-      tokens: answer.tokens,
-      serviceMs,
-      queuedMs: permit.queuedMs,
-      replayed: false,
-    };
-  }
-
   #lastEvent(
     call: StageCall,
-    { chunks }: Stream,
+    { chunks }: AnswerStream,
     outcome: Result<StageResult, Refusal>,
   ): CallEvent {
     const report = {
@@ -362,39 +239,3 @@
     );
   }
 }
-
-/** One call in hand. */
-interface Session {
-  readonly call: StageCall;
-  readonly stream: Stream;
-  readonly signal: AbortSignal;
-  readonly permit: Permit;
-  /** Monotonic time at which the whole answer is due, in milliseconds. */
-  readonly deadlineAt: number;
-  /** W3C trace context of the call's span. */
-  readonly traceparent: string;
-}
-
-/** Answer stream of a call. */
-interface Stream {
-  readonly events: AsyncQueue<CallEvent>;
-  /** Chunks that were streamed so far. */
-  chunks: number;
-}
-
-/** Longest silence of the target during a call, in milliseconds. */
-function silenceMs(call: StageCall): number {
-  return call.idempotent ? TARGET_SILENCE_MS : call.remainingMs +
-    LATE_OUTCOME_MS;
-}
-
-/** Queues text; a reader that lags gets it in fewer and longer chunks. */
-function pushText(stream: Stream, { callId }: StageCall, text: string): void {
-  const seq = stream.chunks;
-  const isJoined = stream.events.merge(
-    { kind: "chunk", callId, seq, text },
-    (last) =>
-      last.kind === "chunk" ? { ...last, text: last.text + text } : undefined,
-  );
-  if (!isJoined) stream.chunks += 1;
-}
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -265,15 +265,13 @@
   ): void {
     const { metrics } = this.#parts;
     const labels = { stage: stage.req.stage };
-    const isWasted = outcome.isErr() || stage.won;
+    const result = outcome.isOk() && !stage.won ? outcome.value : undefined;
     metrics.count("stage_work_ms_total", labels, ms);
-    if (isWasted) metrics.count("stage_wasted_ms_total", labels, ms);
+    if (!result) metrics.count("stage_wasted_ms_total", labels, ms);
     this.#parts.costs?.add(stage.req, {
       attempts: 1,
       workMs: ms,
-      ...(outcome.isErr() || stage.won
-        ? { wastedMs: ms }
-        : resultCost(outcome.value)),
+      ...(result ? resultCost(result) : { wastedMs: ms }),
     });
     if (outcome.isErr()) return;
     stage.won = true;
