--- a/src/agent/claim_service.ts
+++ b/src/agent/claim_service.ts
@@ -24,7 +24,7 @@
   type StageCall,
   type StageResult,
 } from "../model/mod.ts";
-import type { Table } from "../platform/mod.ts";
+import type { Table } from "../store/mod.ts";
 import {
   type GroupCommitOptions,
   Ledger,
--- a/src/agent/claim_service_test.ts
+++ b/src/agent/claim_service_test.ts
@@ -16,7 +16,7 @@
   type Row,
   type Table,
   type Transaction,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import { ClaimService } from "./claim_service.ts";
 
 const CALL = {
--- a/src/agent/claim_sweeper.ts
+++ b/src/agent/claim_sweeper.ts
@@ -17,7 +17,7 @@
   sweepAction,
   unknownClaim,
 } from "../ledger/mod.ts";
-import type { PlatformError, Row, Table } from "../platform/mod.ts";
+import type { PlatformError, Row, Table } from "../store/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 
 /** Key of the row that holds the lease. */
--- a/src/agent/claim_sweeper_test.ts
+++ b/src/agent/claim_sweeper_test.ts
@@ -10,7 +10,7 @@
   DONE_RETENTION_MS,
 } from "../ledger/mod.ts";
 import type { StageCall } from "../model/mod.ts";
-import type { Row, Table, Transaction } from "../platform/mod.ts";
+import type { Row, Table, Transaction } from "../store/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { ClaimSweeper } from "./claim_sweeper.ts";
 
--- a/src/agent/lease_holder.ts
+++ b/src/agent/lease_holder.ts
@@ -17,7 +17,7 @@
   nextLeaseStep,
   releaseStep,
 } from "../lease/mod.ts";
-import type { Row, Table } from "../platform/mod.ts";
+import type { Row, Table } from "../store/mod.ts";
 
 /** Longest pause before the row is looked at again, in milliseconds. */
 const LOOK_MS = 2_000;
--- a/src/agent/orders.ts
+++ b/src/agent/orders.ts
@@ -14,7 +14,7 @@
   OrderKind,
 } from "../lease/mod.ts";
 import type { Target, UseList } from "../model/mod.ts";
-import type { WeightStore } from "../platform/mod.ts";
+import type { WeightStore } from "../store/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import {
   type EngineControl,
--- a/src/agent/orders_test.ts
+++ b/src/agent/orders_test.ts
@@ -15,7 +15,7 @@
   PlatformError,
   PlatformErrorKind,
   type WeightStore,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import { EngineOrders, MemoryTable } from "../standin/mod.ts";
 import { createLogger, LogLevel, Metrics } from "../telemetry/mod.ts";
 import {
--- a/src/bench/baseline_side.ts
+++ b/src/bench/baseline_side.ts
@@ -23,7 +23,7 @@
   type StageSpec,
   TargetKind,
 } from "../model/mod.ts";
-import { HostState } from "../platform/mod.ts";
+import { HostState } from "../store/mod.ts";
 import { listen } from "../process/mod.ts";
 import type { ServedSide } from "./harness.ts";
 import type { World, WorldTarget } from "./world.ts";
--- a/src/bench/control_rig.ts
+++ b/src/bench/control_rig.ts
@@ -23,7 +23,7 @@
   type Target,
   TargetKind,
 } from "../model/mod.ts";
-import { HostState, type Table } from "../platform/mod.ts";
+import { HostState, type Table } from "../store/mod.ts";
 import {
   changeLists,
   createControlApp,
--- a/src/bench/domain_out.ts
+++ b/src/bench/domain_out.ts
@@ -6,7 +6,7 @@
  */
 
 import { monotonicMs, sleep } from "../kernel/mod.ts";
-import { type HostEntry, HostState } from "../platform/mod.ts";
+import { type HostEntry, HostState } from "../store/mod.ts";
 import { changeLists, readLists } from "../process/mod.ts";
 import type { Experiment, ExperimentReport } from "./experiment.ts";
 import {
--- a/src/bench/lists_scale.ts
+++ b/src/bench/lists_scale.ts
@@ -8,7 +8,7 @@
 import { monotonicMs } from "../kernel/mod.ts";
 import { applyUpdate, EMPTY_HISTORY, type History } from "../lists/mod.ts";
 import { type Customer, EMPTY_LISTS, type Lists } from "../model/mod.ts";
-import type { Table } from "../platform/mod.ts";
+import type { Table } from "../store/mod.ts";
 import {
   acceptLists,
   type NewerLists,
--- a/src/bench/overhead.ts
+++ b/src/bench/overhead.ts
@@ -26,7 +26,7 @@
   StageKind,
   TargetKind,
 } from "../model/mod.ts";
-import { HttpTable } from "../platform/mod.ts";
+import { HttpTable } from "../store/mod.ts";
 import { changeLists } from "../process/mod.ts";
 import { Durations, type DurationSummary } from "../telemetry/mod.ts";
 import type { Experiment, ExperimentReport } from "./experiment.ts";
--- a/src/bench/world.ts
+++ b/src/bench/world.ts
@@ -11,7 +11,7 @@
   TargetKind,
   type UseList,
 } from "../model/mod.ts";
-import { HostState } from "../platform/mod.ts";
+import { HostState } from "../store/mod.ts";
 import { changeLists, listen, type Listening } from "../process/mod.ts";
 import {
   createEngineApp,
--- a/src/cli/lists.ts
+++ b/src/cli/lists.ts
@@ -21,7 +21,7 @@
   type ListsUpdate,
 } from "../lists/mod.ts";
 import { EMPTY_LISTS, type Lists } from "../model/mod.ts";
-import type { Table } from "../platform/mod.ts";
+import type { Table } from "../store/mod.ts";
 import { acceptLists, readLists } from "../process/mod.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 
--- a/src/cli/lists_commands.ts
+++ b/src/cli/lists_commands.ts
@@ -8,7 +8,7 @@
 import { monotonicMs } from "../kernel/mod.ts";
 import type { AvailabilityOrder } from "../lists/mod.ts";
 import type { Lists } from "../model/mod.ts";
-import { HttpTable, type Table } from "../platform/mod.ts";
+import { HttpTable, type Table } from "../store/mod.ts";
 import { readPeers } from "../process/mod.ts";
 import type { PeerInfo } from "../wire/mod.ts";
 import { tableUrlOf } from "./command.ts";
--- a/src/cli/lists_fleet_test.ts
+++ b/src/cli/lists_fleet_test.ts
@@ -16,7 +16,7 @@
   PlatformErrorKind,
   type Table,
   type Transaction,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import {
   type Acceptance,
   acceptLists,
--- a/src/cli/lists_test.ts
+++ b/src/cli/lists_test.ts
@@ -10,7 +10,7 @@
   PlatformError,
   PlatformErrorKind,
   type Table,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import { readLists } from "../process/mod.ts";
 import { MemoryTable } from "../standin/mod.ts";
 import { applyFile, giveOrder, readListsFile } from "./lists.ts";
--- a/src/cli/outcomes.ts
+++ b/src/cli/outcomes.ts
@@ -11,7 +11,7 @@
   type Resolution,
   resolveClaim,
 } from "../ledger/mod.ts";
-import type { Table } from "../platform/mod.ts";
+import type { Table } from "../store/mod.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 
 /** One record as operators see it. */
--- a/src/cli/outcomes_commands.ts
+++ b/src/cli/outcomes_commands.ts
@@ -7,7 +7,7 @@
 
 import type { CAC } from "cac";
 import { Resolution } from "../ledger/mod.ts";
-import { HttpTable } from "../platform/mod.ts";
+import { HttpTable } from "../store/mod.ts";
 import { requireFlag, tableUrlOf } from "./command.ts";
 import { CommandError, ExitCode } from "./exit.ts";
 import {
--- a/src/cli/rollout.ts
+++ b/src/cli/rollout.ts
@@ -8,7 +8,7 @@
 import { MAX_CONFIRMED_AGE_MS } from "../freshness/mod.ts";
 import { monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
 import type { ListsUpdate } from "../lists/mod.ts";
-import type { Table } from "../platform/mod.ts";
+import type { Table } from "../store/mod.ts";
 import { readPeers } from "../process/mod.ts";
 import {
   connectPeers,
--- a/src/cli/targets_commands.ts
+++ b/src/cli/targets_commands.ts
@@ -6,7 +6,7 @@
 
 import type { CAC } from "cac";
 import type { TargetLoad } from "../model/mod.ts";
-import { HostState, HttpHostList } from "../platform/mod.ts";
+import { HostState, HttpHostList } from "../store/mod.ts";
 import { readLists, readTargets, type TargetRow } from "../process/mod.ts";
 import { TrpcAgentClient } from "../wire/mod.ts";
 import { CommandError, ExitCode } from "./exit.ts";
--- a/src/entry/checkpoints.ts
+++ b/src/entry/checkpoints.ts
@@ -15,7 +15,7 @@
   type StageName,
   type StageResult,
 } from "../model/mod.ts";
-import type { ObjectStore } from "../platform/mod.ts";
+import type { ObjectStore } from "../store/mod.ts";
 import type { Metrics } from "../telemetry/mod.ts";
 
 /** Longest wait for the object store, in milliseconds. */
--- a/src/entry/key_record_test.ts
+++ b/src/entry/key_record_test.ts
@@ -16,7 +16,7 @@
   type Row,
   type Table,
   type Transaction,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import { Ledger } from "../process/mod.ts";
 import { KeyRecord } from "./key_record.ts";
 
--- a/src/launch/deployment.ts
+++ b/src/launch/deployment.ts
@@ -10,7 +10,7 @@
 import { type Dispatcher, request } from "undici";
 import { EMPTY_LISTS, type UseList } from "../model/mod.ts";
 import { type FilingRecord, type LoadSettings } from "../load/mod.ts";
-import { HttpTable } from "../platform/mod.ts";
+import { HttpTable } from "../store/mod.ts";
 import { changeLists, infoOf, readLists } from "../process/mod.ts";
 import { KeyStore, type TlsFiles } from "../tls/mod.ts";
 import { TestAuthority } from "./test_authority.ts";
--- a/src/launch/ops_probe.ts
+++ b/src/launch/ops_probe.ts
@@ -6,7 +6,7 @@
 
 import { sleep } from "../kernel/mod.ts";
 import type { Lists } from "../model/mod.ts";
-import { HttpTable } from "../platform/mod.ts";
+import { HttpTable } from "../store/mod.ts";
 import { HEAD_KEY, readLists } from "../process/mod.ts";
 import { Durations } from "../telemetry/mod.ts";
 import type { RunningDeployment } from "./deployment.ts";
--- a/src/launch/topology.ts
+++ b/src/launch/topology.ts
@@ -7,7 +7,7 @@
 import { z } from "zod";
 import type { AgentSettings, EntrySettings } from "../config/mod.ts";
 import { OutageRule, TargetKind } from "../model/mod.ts";
-import { HostState } from "../platform/mod.ts";
+import { HostState } from "../store/mod.ts";
 import { StandInKind, type StandInSettings } from "../standin/mod.ts";
 import { LogLevel, TraceExport } from "../telemetry/mod.ts";
 import type { TlsFiles } from "../tls/mod.ts";
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -24,7 +24,7 @@
     "ledger",
     "pipeline",
   ],
-  ["wire", "platform"],
+  ["wire", "store"],
   ["process"],
   ["entry", "agent"],
   ["testing"],
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -8,4 +8,4 @@
 export { startEntry } from "./entry/mod.ts";
 export * from "./config/mod.ts";
 export * from "./model/mod.ts";
-export * from "./platform/mod.ts";
+export * from "./store/mod.ts";
--- a/src/process/base.ts
+++ b/src/process/base.ts
@@ -18,7 +18,7 @@
   HttpObjectStore,
   HttpTable,
   HttpWeightStore,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import { KeyStore } from "../tls/mod.ts";
 import { createLogger, Metrics, Tracing } from "../telemetry/mod.ts";
 import { connectPeers, type PeerInfo } from "../wire/mod.ts";
--- a/src/process/cleaner.ts
+++ b/src/process/cleaner.ts
@@ -10,7 +10,7 @@
 import { every, monotonicMs } from "../kernel/mod.ts";
 import { missingSince } from "../membership/mod.ts";
 import type { HostId } from "../model/mod.ts";
-import type { Row, Table } from "../platform/mod.ts";
+import type { Row, Table } from "../store/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import type { HostsSync } from "./hosts_sync.ts";
 import type { Members } from "./members.ts";
--- a/src/process/cleaner_test.ts
+++ b/src/process/cleaner_test.ts
@@ -1,7 +1,7 @@
 import { install } from "@sinonjs/fake-timers";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { HostState } from "../platform/mod.ts";
+import { HostState } from "../store/mod.ts";
 import { MemoryHostList, MemoryTable } from "../standin/mod.ts";
 import { createLogger, LogLevel } from "../telemetry/mod.ts";
 import { Cleaner } from "./cleaner.ts";
--- a/src/process/group_commit.ts
+++ b/src/process/group_commit.ts
@@ -19,7 +19,7 @@
   PlatformErrorKind,
   type Row,
   type Table,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 
 /** One conditional write. */
 export interface RowWrite {
--- a/src/process/group_commit_test.ts
+++ b/src/process/group_commit_test.ts
@@ -9,7 +9,7 @@
   type Row,
   type Table,
   type Transaction,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import { sleep } from "../kernel/mod.ts";
 import { GroupCommit } from "./group_commit.ts";
 
--- a/src/process/hosts_sync.ts
+++ b/src/process/hosts_sync.ts
@@ -12,7 +12,7 @@
   judgeHosts,
 } from "../membership/mod.ts";
 import type { HostId } from "../model/mod.ts";
-import { type HostList, HostState } from "../platform/mod.ts";
+import { type HostList, HostState } from "../store/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 
 /** Shortest time between two reads, in milliseconds. */
--- a/src/process/keys.ts
+++ b/src/process/keys.ts
@@ -10,7 +10,7 @@
   ObjectStore,
   Table,
   WeightStore,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
 import type { KeyStore } from "../tls/mod.ts";
 import type { ListsSync } from "./lists_sync.ts";
--- a/src/process/ledger.ts
+++ b/src/process/ledger.ts
@@ -8,7 +8,7 @@
 import { sleep } from "../kernel/mod.ts";
 import { type Claim, claimKey } from "../ledger/mod.ts";
 import type { CustomerId, IdempotencyKey } from "../model/mod.ts";
-import type { PlatformError, Row, Table } from "../platform/mod.ts";
+import type { PlatformError, Row, Table } from "../store/mod.ts";
 import { GroupCommit, type GroupCommitOptions } from "./group_commit.ts";
 
 /** A claim as it stands; the claim is undefined when there is no row. */
--- a/src/process/lists_rows.ts
+++ b/src/process/lists_rows.ts
@@ -21,7 +21,7 @@
   type Lists,
   sha256,
 } from "../model/mod.ts";
-import type { Row, RowPut } from "../platform/mod.ts";
+import type { Row, RowPut } from "../store/mod.ts";
 
 /** Row that every change writes; its row version is the lists' version. */
 export const HEAD_KEY = "lists/head";
--- a/src/process/lists_store.ts
+++ b/src/process/lists_store.ts
@@ -23,7 +23,7 @@
   Row,
   Table,
   Transaction,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import {
   changeKey,
   type ChangeRecord,
--- a/src/process/lists_sync.ts
+++ b/src/process/lists_sync.ts
@@ -23,7 +23,7 @@
   updateSince,
 } from "../lists/mod.ts";
 import { type Lists, OutageRule } from "../model/mod.ts";
-import type { PlatformError, Table } from "../platform/mod.ts";
+import type { PlatformError, Table } from "../store/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import type {
   GossipAnswer,
--- a/src/process/members.ts
+++ b/src/process/members.ts
@@ -6,7 +6,7 @@
 
 import { okAsync, type ResultAsync } from "neverthrow";
 import { planRefresh, type SeenHeads, seenOf } from "../membership/mod.ts";
-import type { PlatformError, Row, Table } from "../platform/mod.ts";
+import type { PlatformError, Row, Table } from "../store/mod.ts";
 import {
   type EntryRow,
   isTargetKey,
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -6,7 +6,7 @@
 
 import type { ResultAsync } from "neverthrow";
 import type { DomainName } from "../model/mod.ts";
-import type { PlatformError, Row, Table } from "../platform/mod.ts";
+import type { PlatformError, Row, Table } from "../store/mod.ts";
 import type { PeerInfo } from "../wire/mod.ts";
 import type { Members } from "./members.ts";
 import {
--- a/src/process/registrar.ts
+++ b/src/process/registrar.ts
@@ -16,7 +16,7 @@
   type Stamp,
   unregistered,
 } from "../membership/mod.ts";
-import type { PlatformError, Table } from "../platform/mod.ts";
+import type { PlatformError, Table } from "../store/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import { readMember, writeMember } from "./registry.ts";
 
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -26,7 +26,7 @@
   PlatformError,
   Row,
   Table,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 
 const TARGET_PREFIX = "target/";
 const ENTRY_PREFIX = "entry/";
--- a/src/soak/faulty_table.ts
+++ b/src/soak/faulty_table.ts
@@ -13,7 +13,7 @@
   PlatformErrorKind,
   type Table,
   type Transaction,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import type { ProcessShell } from "./process_shell.ts";
 
 /** Faults of the table. Shares are in [0, 1]. */
--- a/src/standin/start.ts
+++ b/src/standin/start.ts
@@ -6,7 +6,7 @@
 
 import type { Hono } from "hono";
 import { z } from "zod";
-import { HostState } from "../platform/mod.ts";
+import { HostState } from "../store/mod.ts";
 import { listen, type Listening } from "../process/mod.ts";
 import { Engine } from "./engine.ts";
 import { createEngineApp } from "./engine_app.ts";
--- a/src/standin/stores.ts
+++ b/src/standin/stores.ts
@@ -12,7 +12,7 @@
   ObjectStore,
   PlatformError,
   WeightStore,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import { type Faults, withFaults } from "./faults.ts";
 
 const HTTP_TOO_MANY_REQUESTS = 429;
--- a/src/standin/table.ts
+++ b/src/standin/table.ts
@@ -15,7 +15,7 @@
   type ScanPage,
   type Table,
   type Transaction,
-} from "../platform/mod.ts";
+} from "../store/mod.ts";
 import { type Faults, withFaults } from "./faults.ts";
 
 const DEFAULT_PAGE = 1_000;
