--- a/src/cli/lists_test.ts
+++ b/src/cli/lists_test.ts
@@ -6,11 +6,7 @@
 import { errAsync, ResultAsync } from "neverthrow";
 import { checkListsFile } from "../config/mod.ts";
 import { EMPTY_LISTS, type Lists } from "../model/mod.ts";
-import {
-  PlatformError,
-  PlatformErrorKind,
-  type Table,
-} from "../store/mod.ts";
+import { PlatformError, PlatformErrorKind, type Table } from "../store/mod.ts";
 import { readLists } from "../process/mod.ts";
 import { MemoryTable } from "../standin/mod.ts";
 import { applyFile, giveOrder, readListsFile } from "./lists.ts";
--- /dev/null
+++ b/src/gateway/stage_runner.ts
@@ -0,0 +1,234 @@
+/**
+ * Takes one request through its stages of pieces.
+ *
+ * @module
+ */
+
+import { err, ok, type Result } from "neverthrow";
+import { monotonicMs } from "../kernel/mod.ts";
+import {
+  type Catalog,
+  expectedCallMs,
+  type PlannedStage,
+  type ResultHandle,
+  type Route,
+  StagePlan,
+} from "../serving/mod.ts";
+import type { Logger } from "../telemetry/mod.ts";
+import type {
+  EntryPeerClients,
+  StageWork,
+  StageWorkAnswer,
+} from "../wire/mod.ts";
+import type { Peers } from "./peers.ts";
+import type { CallerRequest, TargetClient } from "./ports.ts";
+import type { StageOwner } from "./stage_owner.ts";
+
+/** Owners that are tried with the pieces of one stage. */
+const MAX_OWNERS = 3;
+
+/** Why a request's stages did not end. */
+export interface StageRefusal {
+  readonly reason: string;
+  /** Time until a place is expected, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** When the request has to be done. Monotonic milliseconds. */
+export interface RequestTimes {
+  /** Latest first answer that earns full credit. */
+  readonly goalAt: number;
+  /** End of the caller's wait. */
+  readonly deadlineAt: number;
+  /** Usual time of the request itself, behind its stages, in milliseconds. */
+  readonly ownMs: number;
+}
+
+/** Results that the request itself reads. */
+export interface StagedInputs {
+  readonly results: readonly ResultHandle[];
+  /** Gives up the results once they were read. */
+  free(): void;
+}
+
+/** What one run of the stages is about. */
+interface StageRun {
+  readonly req: CallerRequest;
+  readonly route: Route;
+  readonly priority: number;
+  readonly catalog: Catalog;
+  readonly times: RequestTimes;
+  readonly signal: AbortSignal;
+}
+
+/** Runs the stages of requests, each by the owner of its pool. */
+export class StageRunner {
+  readonly #owner: StageOwner;
+  readonly #peers: Peers;
+  readonly #clients: EntryPeerClients;
+  readonly #targets: TargetClient;
+  readonly #log: Logger;
+
+  constructor(
+    deps: {
+      owner: StageOwner;
+      peers: Peers;
+      clients: EntryPeerClients;
+      targets: TargetClient;
+      log: Logger;
+    },
+  ) {
+    this.#owner = deps.owner;
+    this.#peers = deps.peers;
+    this.#clients = deps.clients;
+    this.#targets = deps.targets;
+    this.#log = deps.log;
+  }
+
+  /** Runs all stages; frees what was made when it fails. */
+  async run(run: StageRun): Promise<Result<StagedInputs, StageRefusal>> {
+    const abort = new AbortController();
+    const signal = AbortSignal.any([run.signal, abort.signal]);
+    let plan = StagePlan.of(run.route.stages, run.req.pieces);
+    let freed = new Set<ResultHandle>();
+    const free = (results: readonly ResultHandle[]) => {
+      const fresh = results.filter((one) => !freed.has(one));
+      freed = new Set([...freed, ...fresh]);
+      if (fresh.length > 0) this.#targets.freeResults(fresh);
+    };
+    const running = new Map<number, Promise<[number, StageWorkAnswer]>>();
+    while (!plan.isDone) {
+      plan.ready().forEach((stage) => {
+        running.set(stage.index, this.#stage(run, plan, stage, signal));
+        plan = plan.start(stage.index);
+      });
+      const [index, answer] = await Promise.race(running.values());
+      running.delete(index);
+      if (answer.kind !== "done") {
+        abort.abort();
+        running.forEach((one) =>
+          one.then(([, late]) => late.kind === "done" && free(late.results))
+        );
+        free(plan.allResults());
+        return err(refusalOf(answer));
+      }
+      plan = plan.finish(index, answer.results);
+      free(plan.spentResults());
+    }
+    return ok({
+      results: plan.finalResults(),
+      free: () => free(plan.allResults()),
+    });
+  }
+
+  async #stage(
+    run: StageRun,
+    plan: StagePlan,
+    stage: PlannedStage,
+    signal: AbortSignal,
+  ): Promise<[number, StageWorkAnswer]> {
+    const work = workOf(run, plan, stage);
+    const startedAt = monotonicMs();
+    const answer = await this.#submit(work, signal, startedAt);
+    this.#log.info("stage_ended", {
+      request: run.req.id,
+      stage: stage.index,
+      pool: work.pool,
+      pieces: stage.pieces,
+      outcome: answer.kind,
+      reason: answer.kind === "refused" ? answer.reason : undefined,
+      tookMs: Math.round(monotonicMs() - startedAt),
+      slackMs: Math.round(work.dueMs),
+    });
+    return [stage.index, answer];
+  }
+
+  /** Has the pool's owner do the work; another one when that one fails. */
+  async #submit(
+    work: StageWork,
+    signal: AbortSignal,
+    startedAt: number,
+    tries = 1,
+  ): Promise<StageWorkAnswer> {
+    const owner = tries < MAX_OWNERS
+      ? this.#peers.ownerOf(work.pool)
+      : undefined;
+    const passedMs = monotonicMs() - startedAt;
+    const left = {
+      ...work,
+      dueMs: work.dueMs - passedMs,
+      expiresMs: work.expiresMs - passedMs,
+    };
+    if (!owner) return this.#owner.submit(left, signal);
+    try {
+      const answer = await this.#clients.runStage(owner.url, left, signal);
+      if (answer.kind !== "leaving") return answer;
+    } catch (cause) {
+      if (signal.aborted) {
+        return { kind: "refused", reason: "caller has gone", waitMs: 0 };
+      }
+      this.#log.warn("stage_owner_failed", {
+        request: work.pieces[0]?.requestId,
+        pool: work.pool,
+        owner: owner.name,
+        detail: String(cause),
+      });
+    }
+    this.#peers.suspect(owner);
+    return this.#submit(work, signal, startedAt, tries + 1);
+  }
+}
+
+/** Time that the stages from `stage` on take at least, in milliseconds. */
+export function chainMs(
+  catalog: Catalog,
+  plan: StagePlan,
+  stage: PlannedStage,
+): number {
+  const limits = catalog.pool(stage.spec.pool)?.batch;
+  const ownMs = limits && stage.pieces > 0
+    ? expectedCallMs(limits, Math.min(limits.maxPieces, stage.pieces))
+    : 0;
+  const next = plan.stages
+    .filter(({ spec }) => spec.after.includes(stage.index))
+    .map((one) => chainMs(catalog, plan, one));
+  return ownMs + Math.max(0, ...next);
+}
+
+function workOf(
+  { req, catalog, times, priority }: StageRun,
+  plan: StagePlan,
+  stage: PlannedStage,
+): StageWork {
+  const now = monotonicMs();
+  const aheadMs = chainMs(catalog, plan, stage) + times.ownMs;
+  const inputs = plan.inputsOf(stage);
+  const segments = Array.from({ length: stage.pieces }, (_, i) => i);
+  return {
+    pool: stage.spec.pool,
+    priority,
+    dueMs: times.goalAt - now - aheadMs,
+    expiresMs: times.deadlineAt - now - aheadMs,
+    pieces: segments.map((segment) => ({
+      requestId: req.id,
+      stage: stage.index,
+      segment,
+      ...(stage.spec.after.length === 0
+        ? { key: req.pieceKey }
+        : { inputs: [...inputs] }),
+    })),
+  };
+}
+
+function refusalOf(
+  answer: Exclude<StageWorkAnswer, { kind: "done" }>,
+): StageRefusal {
+  switch (answer.kind) {
+    case "refused":
+      return { reason: answer.reason, waitMs: answer.waitMs };
+    case "input-gone":
+      return { reason: "a stage result is gone", waitMs: 0 };
+    case "leaving":
+      return { reason: "no owner of the pool", waitMs: 0 };
+  }
+}
--- /dev/null
+++ b/src/gateway/start.ts
@@ -0,0 +1,198 @@
+/**
+ * Composition of an entry that calls its targets itself.
+ *
+ * @module
+ */
+
+import { createServer, type Server } from "node:http";
+import { Kernel, service, serviceKey, sleep } from "../kernel/mod.ts";
+import type { ListedPeer } from "../serving/mod.ts";
+import { type Logger, Metrics } from "../telemetry/mod.ts";
+import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
+import { FleetView } from "./fleet_view.ts";
+import { Gateway } from "./gateway.ts";
+import { HttpFront, type ListenAddress } from "./http_front.ts";
+import { OwnTimes } from "./own_times.ts";
+import { Peers } from "./peers.ts";
+import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
+import { StageOwner } from "./stage_owner.ts";
+import { StageRunner } from "./stage_runner.ts";
+import { type RepeatBounds, TargetBook } from "./target_book.ts";
+
+/** What a gateway is started with. */
+export interface GatewayConfig {
+  readonly self: ListedPeer;
+  /** Base URLs at which peers may be found. */
+  readonly seeds: readonly string[];
+  readonly front: ListenAddress;
+  readonly ready: ListenAddress;
+  readonly control: ListenAddress;
+  readonly metrics?: ListenAddress;
+  readonly repeats: RepeatBounds;
+  /** Time between a stop's announcement and the kill, in milliseconds. */
+  readonly graceMs: number;
+}
+
+/** Adapters of a platform. */
+export interface GatewayAdapters {
+  readonly source: StateSource;
+  readonly targets: TargetClient;
+  readonly codec: CallerCodec;
+}
+
+/** Pause between tries to register with the store, in milliseconds. */
+const REGISTER_RETRY_MS = 1_000;
+/** Longest wait for the answer to a registration, in milliseconds. */
+const REGISTER_TIMEOUT_MS = 1_500;
+/**
+ * Time for which a leaving process still takes requests, in milliseconds: the
+ * balancer asks once a second and takes a process out after two refusals.
+ */
+const LINGER_MS = 2_600;
+/** Part of the grace that is left for the end of the process, in ms. */
+const GRACE_RESERVE_MS = 700;
+
+export const GATEWAY = serviceKey<Gateway>("gateway");
+
+/** Starts a gateway; the kernel stops it. */
+export function startGateway(
+  cfg: GatewayConfig,
+  adapters: GatewayAdapters,
+  log: Logger,
+): Promise<Kernel> {
+  const { source, targets, codec } = adapters;
+  const metrics = new Metrics();
+  const clients = new EntryPeerClients();
+  const view = new FleetView({ source, log, metrics });
+  const peers = new Peers({
+    self: cfg.self,
+    seeds: cfg.seeds,
+    view,
+    clients,
+    log,
+    metrics,
+  });
+  const state = () => view.state;
+  const owner = new StageOwner({ state, client: targets, log, metrics });
+  const runner = new StageRunner({ owner, peers, clients, targets, log });
+  const book = new TargetBook({
+    state,
+    processes: () => peers.processNames,
+    self: cfg.self,
+    repeats: cfg.repeats,
+  });
+  const gateway = new Gateway({
+    view,
+    peers,
+    book,
+    runner,
+    client: targets,
+    ownTimes: new OwnTimes(),
+    log,
+    metrics,
+  });
+  const front = new HttpFront({ codec, handler: gateway, log, metrics });
+  view.onChange(({ catalog, targets: listed }) => {
+    if (catalog) front.setLimits(catalog.spec.limits);
+    book.prune();
+    targets.keepOnly(
+      new Set(
+        [...listed.values()].flatMap(({ target }) =>
+          target ? [target.address] : []
+        ),
+      ),
+    );
+  });
+  let isLeaving = false;
+  return Kernel.start([
+    service({
+      key: serviceKey<FleetView>("fleet"),
+      start: ({ signal }) => {
+        view.run(signal);
+        register(source, cfg.self, { log, signal });
+        return view;
+      },
+    }),
+    service({
+      key: serviceKey<Peers>("peers"),
+      start: async ({ signal }) => {
+        await listen(
+          createServer(entryPeerHandler({
+            sync: (question) => peers.answer(question),
+            runStage: (work, gone) =>
+              isLeaving
+                ? Promise.resolve({ kind: "leaving" })
+                : owner.submit(work, gone),
+          })),
+          cfg.control,
+        );
+        peers.run(signal);
+        return peers;
+      },
+      leave: () => peers.leave(),
+      end: () => clients.close(),
+    }),
+    service({
+      key: serviceKey<Server>("metrics"),
+      start: async () => {
+        const server = createServer((_req, res) => res.end(metrics.text()));
+        if (cfg.metrics) await listen(server, cfg.metrics);
+        return server;
+      },
+    }),
+    service({ key: GATEWAY, start: () => gateway }),
+    service({
+      key: serviceKey<HttpFront>("front"),
+      start: async () => {
+        await front.listen(cfg.front);
+        await listen(
+          createServer((_req, res) => {
+            res.statusCode = gateway.isReady && !isLeaving ? 200 : 503;
+            res.end();
+          }),
+          cfg.ready,
+        );
+        log.info("started", { name: cfg.self.name });
+        return front;
+      },
+      leave: () => {
+        isLeaving = true;
+        front.leave();
+        log.info("stopping", { inHand: front.inHand });
+      },
+      drain: async () => {
+        await sleep(LINGER_MS);
+        await front.drain(cfg.graceMs - LINGER_MS - GRACE_RESERVE_MS);
+      },
+      end: async () => {
+        await targets.close();
+        log.info("stopped", { inHand: front.inHand });
+      },
+    }),
+  ]);
+}
+
+/** Lists this process for its peers, until the store has taken it. */
+async function register(
+  source: StateSource,
+  self: ListedPeer,
+  { log, signal }: { log: Logger; signal: AbortSignal },
+): Promise<void> {
+  while (!signal.aborted) {
+    const limit = AbortSignal.any([
+      signal,
+      AbortSignal.timeout(REGISTER_TIMEOUT_MS),
+    ]);
+    const done = await source.register(self, limit);
+    if (done.isOk()) return log.info("registered", { name: self.name });
+    log.warn("register_failed", { reason: done.error.kind });
+    await sleep(REGISTER_RETRY_MS, signal);
+  }
+}
+
+function listen(server: Server, { host, port }: ListenAddress): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => resolve());
+  });
+}
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -21,12 +21,7 @@
   type Target,
   type TargetId,
 } from "../model/mod.ts";
-import type {
-  CommitResult,
-  PlatformError,
-  Row,
-  Table,
-} from "../store/mod.ts";
+import type { CommitResult, PlatformError, Row, Table } from "../store/mod.ts";
 
 const TARGET_PREFIX = "target/";
 const ENTRY_PREFIX = "entry/";
--- /dev/null
+++ b/src/serving/batch_queue.ts
@@ -0,0 +1,82 @@
+/**
+ * Queue of pieces in front of the targets of one pool. A call costs most of
+ * its time whatever it carries, so pieces of all requests share calls; the
+ * order is by slack, so that a call carries what is due first.
+ *
+ * Answers the load in which requests for more pieces arrive than the targets
+ * can work on: what can no longer end in time leaves before it costs a call.
+ *
+ * @module
+ */
+
+/** One piece that waits. Times are monotonic milliseconds. */
+export interface QueuedPiece<T> {
+  readonly item: T;
+  /** Group of pieces that is useful only as a whole. */
+  readonly group: string;
+  /** Rank; 0 is the most urgent. */
+  readonly priority: number;
+  /** Latest useful start for an answer that earns its full credit. */
+  readonly dueAt: number;
+  /** Time after which the result is of no use. */
+  readonly expiresAt: number;
+}
+
+/** Pieces that wait, in the order in which they are taken. Immutable. */
+export class BatchQueue<T> {
+  readonly #pieces: readonly QueuedPiece<T>[];
+
+  constructor(pieces: readonly QueuedPiece<T>[] = []) {
+    this.#pieces = pieces;
+  }
+
+  get length(): number {
+    return this.#pieces.length;
+  }
+
+  /** Queue with more pieces. */
+  add(pieces: readonly QueuedPiece<T>[]): BatchQueue<T> {
+    return new BatchQueue([...this.#pieces, ...pieces]);
+  }
+
+  /** Queue without the pieces of a group. */
+  drop(group: string): BatchQueue<T> {
+    return new BatchQueue(this.#pieces.filter((one) => one.group !== group));
+  }
+
+  /** Queue without the pieces that expired, and those. */
+  expire(now: number): [BatchQueue<T>, readonly QueuedPiece<T>[]] {
+    const expired = this.#pieces.filter(({ expiresAt }) => expiresAt <= now);
+    if (expired.length === 0) return [this, expired];
+    const kept = this.#pieces.filter(({ expiresAt }) => expiresAt > now);
+    return [new BatchQueue(kept), expired];
+  }
+
+  /**
+   * Takes the pieces of one call: those that can still be on time by their
+   * due time, then the late ones.
+   */
+  take(
+    max: number,
+    now: number,
+  ): [BatchQueue<T>, readonly QueuedPiece<T>[]] {
+    const ordered = [...this.#pieces].sort((a, b) => compare(a, b, now));
+    return [new BatchQueue(ordered.slice(max)), ordered.slice(0, max)];
+  }
+
+  /** Pieces that would be taken before one with this rank and due time. */
+  ahead(piece: { priority: number; dueAt: number }, now: number): number {
+    return this.#pieces
+      .filter((one) => compare(one, piece, now) <= 0).length;
+  }
+}
+
+type Rank = Pick<QueuedPiece<unknown>, "priority" | "dueAt">;
+
+function compare(a: Rank, b: Rank, now: number): number {
+  const isALate = a.dueAt < now;
+  const isBLate = b.dueAt < now;
+  if (isALate !== isBLate) return isALate ? 1 : -1;
+  if (isALate && a.priority !== b.priority) return a.priority - b.priority;
+  return a.dueAt - b.dueAt;
+}
--- /dev/null
+++ b/src/serving/choice.ts
@@ -0,0 +1,80 @@
+/**
+ * Choice of the target of a request among those in use. Requests that share a
+ * prompt prefix go to the same engine, so that it need not read the prefix
+ * again, unless that engine has much more work than the others.
+ *
+ * @module
+ */
+
+import { rendezvousOrder } from "../routing/mod.ts";
+import type { ListedTarget } from "./fleet_state.ts";
+
+/** What is known of the load of one target. */
+export interface TargetLoad {
+  /** Requests of this process that the target has not answered. */
+  readonly own: number;
+  /** Requests that the target last reported, running and waiting. */
+  readonly reported: number;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  /** Between 0 while it is ejected and 1. */
+  readonly weight: number;
+  /** False when this process may not send to it now. */
+  readonly isOpen: boolean;
+}
+
+/** Candidate of a choice. */
+export interface ServingCandidate {
+  readonly target: ListedTarget;
+  readonly load: TargetLoad;
+}
+
+/** Share of the slots by which a preferred target may be ahead of the mean. */
+const AFFINITY_SLACK = 0.12;
+
+/**
+ * Target for a request, or undefined when none is open. `affinity` is the
+ * name of the prompt prefix; without one the least loaded target is chosen.
+ */
+export function chooseTarget(
+  candidates: readonly ServingCandidate[],
+  opts: { affinity?: string; failureDomain: string; random: () => number },
+): ListedTarget | undefined {
+  const open = candidates.filter(({ load }) => load.isOpen && load.weight > 0);
+  if (open.length === 0) return undefined;
+  if (opts.affinity !== undefined) return preferred(open, opts.affinity);
+  return leastLoaded(open, opts);
+}
+
+function preferred(
+  open: readonly ServingCandidate[],
+  affinity: string,
+): ListedTarget | undefined {
+  const mean = open.reduce((sum, one) => sum + busyShare(one), 0) / open.length;
+  const order = rendezvousOrder(open, {
+    key: affinity,
+    idOf: ({ target }) => target.id,
+  });
+  const first = order.find((one) => busyShare(one) <= mean + AFFINITY_SLACK);
+  return (first ?? order[0])?.target;
+}
+
+function leastLoaded(
+  open: readonly ServingCandidate[],
+  opts: { failureDomain: string; random: () => number },
+): ListedTarget | undefined {
+  const scored = open.map((one) => ({
+    one,
+    score: busyShare(one) / one.load.weight,
+    isNear: one.target.failureDomain === opts.failureDomain,
+    tie: opts.random(),
+  }));
+  scored.sort((a, b) =>
+    a.score - b.score || Number(b.isNear) - Number(a.isNear) || a.tie - b.tie
+  );
+  return scored[0]?.one.target;
+}
+
+function busyShare({ load }: ServingCandidate): number {
+  return Math.max(load.own, load.reported) / Math.max(1, load.slots);
+}
--- /dev/null
+++ b/src/serving/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * Decisions of an entry that calls its targets itself: what a request may use,
+ * which targets are in use, how pieces of stages are batched, and who may
+ * spend which share of a limit of the whole fleet. All are pure.
+ *
+ * @module
+ */
+
+export * from "./batch_queue.ts";
+export * from "./catalog.ts";
+export * from "./choice.ts";
+export * from "./fleet_state.ts";
+export * from "./shares.ts";
+export * from "./stage_plan.ts";
+export * from "./stage_servers.ts";
+export * from "./event_splitter.ts";
--- /dev/null
+++ b/src/serving/stage_plan.ts
@@ -0,0 +1,108 @@
+/**
+ * Progress of one request through its stages of pieces.
+ *
+ * @module
+ */
+
+import type { StageSpec } from "./catalog.ts";
+
+/** Result of one piece, as its maker names it (`IP:PORT/NAME`). */
+export type ResultHandle = string;
+
+/** One stage with the number of its pieces. */
+export interface PlannedStage {
+  readonly index: number;
+  readonly spec: StageSpec;
+  readonly pieces: number;
+  /** Results of all pieces; undefined until the stage has ended. */
+  readonly results?: readonly ResultHandle[];
+  readonly isStarted: boolean;
+}
+
+/** Stages of one request. Immutable. */
+export class StagePlan {
+  readonly stages: readonly PlannedStage[];
+
+  constructor(stages: readonly PlannedStage[]) {
+    this.stages = stages;
+  }
+
+  /** Plan of a request; `pieces` has one number for each stage. */
+  static of(specs: readonly StageSpec[], pieces: readonly number[]): StagePlan {
+    const stages = specs.map((spec, index) => ({
+      index,
+      spec,
+      pieces: pieces[index] ?? 0,
+      isStarted: false,
+    }));
+    return new StagePlan(
+      stages.map((stage) =>
+        stage.pieces === 0 ? { ...stage, results: [], isStarted: true } : stage
+      ),
+    );
+  }
+
+  /** Stages that can start now. */
+  ready(): readonly PlannedStage[] {
+    return this.stages.filter((stage) =>
+      !stage.isStarted &&
+      stage.spec.after.every((i) => this.stages[i]?.results !== undefined)
+    );
+  }
+
+  /** Plan after a stage was started. */
+  start(index: number): StagePlan {
+    return this.#with(index, (stage) => ({ ...stage, isStarted: true }));
+  }
+
+  /** Plan after a stage ended with the results of its pieces in order. */
+  finish(index: number, results: readonly ResultHandle[]): StagePlan {
+    return this.#with(index, (stage) => ({ ...stage, results }));
+  }
+
+  get isDone(): boolean {
+    return this.stages.every(({ results }) => results !== undefined);
+  }
+
+  /** Results that a stage reads, in the order of its `after`. */
+  inputsOf(stage: PlannedStage): readonly ResultHandle[] {
+    return stage.spec.after.flatMap((i) => this.stages[i]?.results ?? []);
+  }
+
+  /** Results of the stages that no other stage reads. */
+  finalResults(): readonly ResultHandle[] {
+    const read = new Set(this.stages.flatMap(({ spec }) => spec.after));
+    return this.stages
+      .filter(({ index }) => !read.has(index))
+      .flatMap(({ results }) => results ?? []);
+  }
+
+  /** All results that were made. */
+  allResults(): readonly ResultHandle[] {
+    return this.stages.flatMap(({ results }) => results ?? []);
+  }
+
+  /**
+   * Results that nothing reads any more once the stages that are done have
+   * read them; those of final stages never count.
+   */
+  spentResults(): readonly ResultHandle[] {
+    return this.stages
+      .filter(({ index }) => {
+        const readers = this.stages
+          .filter(({ spec }) => spec.after.includes(index));
+        return readers.length > 0 &&
+          readers.every(({ results }) => results !== undefined);
+      })
+      .flatMap(({ results }) => results ?? []);
+  }
+
+  #with(
+    index: number,
+    change: (stage: PlannedStage) => PlannedStage,
+  ): StagePlan {
+    return new StagePlan(
+      this.stages.map((stage) => stage.index === index ? change(stage) : stage),
+    );
+  }
+}
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -71,6 +71,53 @@
   };
 }
 
+const STDOUT_FD = 1;
+/** Bytes that are collected before they are written. */
+const WRITE_BYTES = 4_096;
+/** Bytes that wait for a slow reader; lines beyond are dropped and counted. */
+const MAX_WAITING_BYTES = 1_048_576;
+/** Pause between writes of what was collected, in milliseconds. */
+const FLUSH_MS = 250;
+
+/**
+ * Makes a logger that writes one JSON object a line to standard output. It
+ * never waits for the reader: lines are dropped when too many bytes wait, and
+ * the next line that is written says how many.
+ */
+export function createLineLogger(
+  opts: { level: LogLevel; fields?: LogFields },
+): Logger {
+  const stream = pino.destination({
+    dest: STDOUT_FD,
+    sync: false,
+    minLength: WRITE_BYTES,
+    maxLength: MAX_WAITING_BYTES,
+  });
+  let dropped = 0;
+  stream.on("drop", () => dropped += 1);
+  setInterval(() => stream.flush(), FLUSH_MS).unref();
+  const out = pino({
+    level: opts.level,
+    base: opts.fields ?? {},
+    redact: [...SECRET_FIELDS],
+    messageKey: "event",
+    timestamp: pino.stdTimeFunctions.isoTime,
+  }, stream);
+  const write =
+    (level: "debug" | "info" | "warn" | "error") =>
+    (event: string, fields?: LogFields) => {
+      const lost = dropped;
+      dropped = 0;
+      out[level](lost > 0 ? { ...fields, droppedLines: lost } : fields, event);
+    };
+  return {
+    debug: write("debug"),
+    info: write("info"),
+    warn: write("warn"),
+    error: write("error"),
+  };
+}
+
 /** Logger that drops everything, for tests. */
 export const SILENT_LOGGER: Logger = {
   debug: () => {},
