Account for the room of results, and admit by the expected wait

Change: results are freed by the owner of their pool, which keeps account of each target's room and sends no call beyond it; a first stage is refused at once when the expected wait exceeds its slack, by rank; late pieces leave when others can still be on time.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -32,6 +32,7 @@
   askedAt?: number;
   isLeaving: boolean;
   isSilent: boolean;
+  waitsMs: Readonly<Record<string, number>>;
 }
 
 /** Keeps in touch with the other entries. */
@@ -108,7 +109,10 @@
   }
 
   /** Answers a peer's question. */
-  answer({ versions }: SyncQuestion): SyncAnswer {
+  answer(
+    { versions }: SyncQuestion,
+    waitsMs: Readonly<Record<string, number>>,
+  ): SyncAnswer {
     const known = this.#versions();
     const isBehind = Object.values(StatePart)
       .some((part) => (versions[part] ?? 0) < (known[part] ?? 0));
@@ -121,9 +125,20 @@
       versions: known,
       storeAgeMs: Math.min(this.#view.storeAgeMs, Number.MAX_SAFE_INTEGER),
       isLeaving: this.#isLeaving,
+      waitsMs,
     };
   }
 
+  /** Wait for a target of a pool as its owner last told, in milliseconds. */
+  waitMs(pool: string): number {
+    const owner = this.ownerOf(pool);
+    const record = owner && this.#records.get(owner.name);
+    if (!record || monotonicMs() - record.answeredAt > SILENT_AFTER_MS) {
+      return 0;
+    }
+    return record.waitsMs[pool] ?? 0;
+  }
+
   async #round(): Promise<void> {
     const urls = this.#watched();
     await Promise.all(urls.map((peer) => this.#ask(peer)));
@@ -180,6 +195,7 @@
     record.askedAt = undefined;
     record.isSilent = false;
     record.isLeaving = answer.isLeaving;
+    record.waitsMs = answer.waitsMs;
   }
 
   #markSilent(name: string, detail: string): void {
@@ -192,7 +208,12 @@
   #record(name: string): PeerRecord {
     const found = this.#records.get(name);
     if (found) return found;
-    const fresh = { answeredAt: 0, isLeaving: false, isSilent: false };
+    const fresh: PeerRecord = {
+      answeredAt: 0,
+      isLeaving: false,
+      isSilent: false,
+      waitsMs: {},
+    };
     this.#records.set(name, fresh);
     return fresh;
   }
--- a/src/gateway/stage_owner.ts
+++ b/src/gateway/stage_owner.ts
@@ -17,10 +17,11 @@
   type ListedTarget,
   type QueuedPiece,
   type ResultHandle,
+  ResultRoom,
   StageServers,
 } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
-import type { StageWork, StageWorkAnswer } from "../wire/mod.ts";
+import type { FreeWork, StageWork, StageWorkAnswer } from "../wire/mod.ts";
 import {
   type Piece,
   PieceFault,
@@ -37,10 +38,21 @@
 const CALL_TIMEOUT_RATIO = 8;
 /** Pause for a target that is full, in milliseconds. */
 const FULL_PAUSE_MS = 60;
+/**
+ * Time by which a request of each lower rank has to be earlier to get a place,
+ * in milliseconds: the more urgent requests fill the rest of the queue.
+ */
+const RANK_RESERVE_MS = 120;
+/** Time behind its due time at which a piece leaves a full queue, in ms. */
+const LATE_TOLERANCE_MS = 300;
 /** Shortest wait for a target to become free, in milliseconds. */
 const MIN_RETRY_MS = 10;
 /** Longest wait until the queue is looked at again, in milliseconds. */
 const MAX_RETRY_MS = 250;
+/** Slack of the piece whose wait is told to peers, in milliseconds. */
+const NEXT_RANK_MS = 500;
+/** Longest wait that is told to peers, in milliseconds. */
+const MAX_TOLD_WAIT_MS = 10_000;
 
 interface Submission {
   readonly id: string;
@@ -64,6 +76,7 @@
   readonly name: string;
   queue: BatchQueue<PieceTask>;
   servers: StageServers;
+  room: ResultRoom;
   timer?: NodeJS.Timeout;
 }
 
@@ -90,9 +103,26 @@
     this.#metrics = deps.metrics;
   }
 
-  /** Pieces that wait for a target of a pool. */
-  waiting(pool: string): number {
-    return this.#pools.get(pool)?.queue.length ?? 0;
+  /** Waits for a target of the pools that have work, in milliseconds. */
+  get waitsMs(): Record<string, number> {
+    const now = monotonicMs();
+    return Object.fromEntries(
+      [...this.#pools.values()].flatMap((pool) => {
+        const limits = this.#limits(pool.name);
+        if (!limits) return [];
+        const rank = { priority: 0, dueAt: now + NEXT_RANK_MS };
+        const waitMs = this.#expectedWaitMs(pool, limits, rank, now);
+        return [[pool.name, Math.min(MAX_TOLD_WAIT_MS, Math.round(waitMs))]];
+      }),
+    );
+  }
+
+  /** Frees results at their makers. */
+  free({ pool: name, results }: FreeWork): void {
+    const pool = this.#pool(name);
+    pool.room = pool.room.free(results, monotonicMs());
+    this.#client.freeResults(results);
+    this.#pump(pool);
   }
 
   /** Works on the pieces of one stage of one request. */
@@ -103,8 +133,9 @@
     }
     const now = monotonicMs();
     const pool = this.#pool(work.pool);
-    const waitMs = this.#expectedWaitMs(pool, limits, work, now);
-    if (waitMs > work.expiresMs) {
+    const rank = { priority: work.priority, dueAt: now + work.dueMs };
+    const waitMs = this.#expectedWaitMs(pool, limits, rank, now);
+    if (work.isFirst && waitMs > work.dueMs - RANK_RESERVE_MS * work.priority) {
       this.#metrics.count("stage_refusals_total", { reason: "queue" });
       return Promise.resolve(refused("the queue is too long", waitMs));
     }
@@ -140,15 +171,14 @@
   #expectedWaitMs(
     pool: PoolWork,
     limits: BatchLimits,
-    work: StageWork,
+    rank: { readonly priority: number; readonly dueAt: number },
     now: number,
   ): number {
     this.#refresh(pool, now);
     const awake = pool.servers.countAwake(now);
     if (awake === 0) return pool.servers.nextFreeMs(now);
-    const rank = { priority: work.priority, dueAt: now + work.dueMs };
-    const ahead = pool.queue.ahead(rank, now) + work.pieces.length;
-    const calls = Math.floor((ahead - 1) / limits.maxPieces / awake);
+    const ahead = pool.queue.ahead(rank, now);
+    const calls = ahead / limits.maxPieces / awake;
     return pool.servers.nextFreeMs(now) +
       calls * expectedCallMs(limits, limits.maxPieces);
   }
@@ -160,6 +190,7 @@
       priority: task.submission.work.priority,
       dueAt: task.submission.dueAt,
       expiresAt: task.submission.expiresAt,
+      bytes: task.submission.work.resultBytes,
     })));
   }
 
@@ -170,13 +201,20 @@
     if (!limits) return;
     const now = monotonicMs();
     this.#refresh(pool, now);
-    this.#expire(pool, now);
+    this.#expire(pool, limits, now);
     while (pool.queue.length > 0) {
-      const server = pool.servers.pick(limits, now);
+      const nextBytes = pool.queue.nextBytes(now);
+      const roomAt = (id: string) => limits.roomBytes - pool.room.used(id, now);
+      const server = pool.servers
+        .pick(limits, now, (id) => roomAt(id) >= nextBytes);
       const target = server && this.#state().targets.get(server.id)?.target;
       if (!target) break;
-      const [rest, taken] = pool.queue.take(limits.maxPieces, now);
+      const [rest, taken] = pool.queue.take({
+        maxPieces: limits.maxPieces,
+        roomBytes: roomAt(target.id),
+      }, now);
       pool.queue = rest;
+      if (taken.length === 0) break;
       const tasks = taken.map(({ item }) => item).filter(isOpen);
       if (tasks.length > 0) this.#call(pool, limits, target, tasks);
     }
@@ -193,12 +231,22 @@
     pool.servers = pool.servers.members(usable.map(({ id }) => id));
   }
 
-  #expire(pool: PoolWork, now: number): void {
-    const [queue, expired] = pool.queue.expire(now);
+  /** Drops what is late while others wait that can be on time. */
+  #expire(pool: PoolWork, limits: BatchLimits, now: number): void {
+    const [valid, expired] = pool.queue.expire(now);
+    const [queue, late] = valid.shed(now, {
+      graceMs: LATE_TOLERANCE_MS,
+      enough: limits.maxPieces * pool.servers.countAwake(now),
+    });
     pool.queue = queue;
-    new Set(expired.map(({ item }) => item.submission)).forEach((one) =>
-      this.#settle(pool, one, refused("its time has passed", 0))
-    );
+    const waitMs = this.#expectedWaitMs(pool, limits, {
+      priority: 0,
+      dueAt: now + NEXT_RANK_MS,
+    }, now);
+    new Set([...expired, ...late].map(({ item }) => item.submission))
+      .forEach((one) =>
+        this.#settle(pool, one, refused("its time has passed", waitMs))
+      );
   }
 
   async #call(
@@ -209,7 +257,10 @@
   ): Promise<void> {
     const now = monotonicMs();
     const expectedMs = expectedCallMs(limits, tasks.length);
+    const bytes = tasks
+      .reduce((sum, { submission }) => sum + submission.work.resultBytes, 0);
     pool.servers = pool.servers.sent(target.id, limits, tasks.length, now);
+    pool.room = pool.room.promise(target.id, bytes);
     this.#metrics.count("stage_calls_total", { pool: pool.name });
     this.#metrics.count(
       "stage_pieces_total",
@@ -240,11 +291,31 @@
       outcome: outcome.isOk() ? "ok" : outcome.error.kind,
       waiting: pool.queue.length,
     });
+    const made = outcome.unwrapOr([]).flatMap((one, i) =>
+      "result" in one
+        ? [{
+          handle: one.result,
+          bytes: tasks[i]?.submission.work.resultBytes ?? 0,
+        }]
+        : []
+    );
+    pool.room = pool.room
+      .settle(target.id, bytes, made, monotonicMs() + limits.resultTtlMs);
     if (outcome.isOk()) {
       const ratio = tookMs / expectedMs;
       pool.servers = isSlow.value
         ? pool.servers
         : pool.servers.answered(target.id, ratio, monotonicMs());
+      const isFull = outcome.value.some((one) =>
+        "fault" in one && one.fault === PieceFault.NoRoom
+      );
+      if (isFull) {
+        pool.servers = pool.servers.rest(
+          target.id,
+          monotonicMs(),
+          FULL_PAUSE_MS,
+        );
+      }
       outcome.value.forEach((one, i) => this.#pieceDone(pool, tasks[i], one));
     } else if (!isSlow.value) {
       this.#callFailed(pool, target, tasks, outcome.error);
@@ -313,7 +384,7 @@
     if (!task) return;
     const { submission, index } = task;
     if ("result" in outcome) {
-      if (!isOpen(task)) return this.#client.freeResults([outcome.result]);
+      if (!isOpen(task)) return this.#drop(pool, [outcome.result]);
       submission.results[index] = outcome.result;
       const results = submission.results.filter((one) => one !== undefined);
       if (results.length < submission.results.length) return;
@@ -329,9 +400,19 @@
     if (outcome.fault === PieceFault.InputGone) {
       return this.#settle(pool, submission, { kind: "input-gone" });
     }
+    if (outcome.fault === PieceFault.NoRoom) {
+      if (isOpen(task)) this.#enqueue(pool, [task]);
+      return;
+    }
     this.#retry(pool, [task]);
   }
 
+  #drop(pool: PoolWork, results: readonly ResultHandle[]): void {
+    if (results.length === 0) return;
+    pool.room = pool.room.free(results, monotonicMs());
+    this.#client.freeResults(results);
+  }
+
   #settle(
     pool: PoolWork,
     submission: Submission,
@@ -342,9 +423,7 @@
     submission.settle = undefined;
     pool.queue = pool.queue.drop(submission.id);
     if (answer.kind !== "done") {
-      this.#client.freeResults(
-        submission.results.filter((one) => one !== undefined),
-      );
+      this.#drop(pool, submission.results.filter((one) => one !== undefined));
     }
     this.#metrics.durations("stage", { pool: pool.name, outcome: answer.kind })
       .record(monotonicMs() - submission.queuedAt);
@@ -358,6 +437,7 @@
       name,
       queue: new BatchQueue<PieceTask>(),
       servers: new StageServers(),
+      room: new ResultRoom(),
     };
     this.#pools.set(name, fresh);
     return fresh;
--- a/src/gateway/stage_runner.ts
+++ b/src/gateway/stage_runner.ts
@@ -10,6 +10,7 @@
   type Catalog,
   expectedCallMs,
   type PlannedStage,
+  type PoolResults,
   type ResultHandle,
   type Route,
   StagePlan,
@@ -17,6 +18,7 @@
 import type { Logger } from "../telemetry/mod.ts";
 import type {
   EntryPeerClients,
+  FreeWork,
   StageWork,
   StageWorkAnswer,
 } from "../wire/mod.ts";
@@ -27,6 +29,9 @@
 /** Owners that are tried with the pieces of one stage. */
 const MAX_OWNERS = 3;
 
+/** Longest wait for the owner that frees results, in milliseconds. */
+const FREE_TIMEOUT_MS = 1_000;
+
 /** Why a request's stages did not end. */
 export interface StageRefusal {
   readonly reason: string;
@@ -91,11 +96,12 @@
     const signal = AbortSignal.any([run.signal, abort.signal]);
     let plan = StagePlan.of(run.route.stages, run.req.pieces);
     let freed = new Set<ResultHandle>();
-    const free = (results: readonly ResultHandle[]) => {
-      const fresh = results.filter((one) => !freed.has(one));
-      freed = new Set([...freed, ...fresh]);
-      if (fresh.length > 0) this.#targets.freeResults(fresh);
-    };
+    const free = (all: readonly PoolResults[]) =>
+      all.forEach(({ pool, results }) => {
+        const fresh = results.filter((one) => !freed.has(one));
+        freed = new Set([...freed, ...fresh]);
+        if (fresh.length > 0) this.#free({ pool, results: fresh });
+      });
     const running = new Map<number, Promise<[number, StageWorkAnswer]>>();
     while (!plan.isDone) {
       plan.ready().forEach((stage) => {
@@ -107,7 +113,11 @@
       if (answer.kind !== "done") {
         abort.abort();
         running.forEach((one) =>
-          one.then(([, late]) => late.kind === "done" && free(late.results))
+          one.then(([late, answer]) => {
+            if (answer.kind === "done") {
+              free(plan.finish(late, answer.results).allResults());
+            }
+          })
         );
         free(plan.allResults());
         return err(refusalOf(answer));
@@ -127,7 +137,7 @@
     stage: PlannedStage,
     signal: AbortSignal,
   ): Promise<[number, StageWorkAnswer]> {
-    const work = workOf(run, plan, stage);
+    const work = workOf(run, plan, stage, (pool) => this.#waitMs(pool));
     const startedAt = monotonicMs();
     const answer = await this.#submit(work, signal, startedAt);
     this.#log.info("stage_ended", {
@@ -143,6 +153,29 @@
     return [stage.index, answer];
   }
 
+  /** Usual wait for a target of a pool now, in milliseconds. */
+  #waitMs(pool: string): number {
+    return this.#peers.ownerOf(pool)
+      ? this.#peers.waitMs(pool)
+      : this.#owner.waitsMs[pool] ?? 0;
+  }
+
+  /** Frees results by the owner of their pool, or by itself without one. */
+  async #free(work: FreeWork): Promise<void> {
+    const owner = this.#peers.ownerOf(work.pool);
+    if (!owner) return this.#owner.free(work);
+    try {
+      await this.#clients.freeResults(owner.url, work, FREE_TIMEOUT_MS);
+    } catch (cause) {
+      this.#log.debug("free_failed", {
+        pool: work.pool,
+        owner: owner.name,
+        detail: String(cause),
+      });
+      this.#targets.freeResults(work.results);
+    }
+  }
+
   /** Has the pool's owner do the work; another one when that one fails. */
   async #submit(
     work: StageWork,
@@ -179,19 +212,26 @@
   }
 }
 
-/** Time that the stages from `stage` on take at least, in milliseconds. */
+/**
+ * Usual time from the start of a stage to the end of the last one, in
+ * milliseconds, with full calls; `waitMs` gives the wait in front of a pool.
+ */
 export function chainMs(
   catalog: Catalog,
   plan: StagePlan,
   stage: PlannedStage,
+  waitMs: (pool: string) => number,
 ): number {
   const limits = catalog.pool(stage.spec.pool)?.batch;
   const ownMs = limits && stage.pieces > 0
-    ? expectedCallMs(limits, Math.min(limits.maxPieces, stage.pieces))
+    ? expectedCallMs(limits, limits.maxPieces)
     : 0;
   const next = plan.stages
     .filter(({ spec }) => spec.after.includes(stage.index))
-    .map((one) => chainMs(catalog, plan, one));
+    .map((one) =>
+      chainMs(catalog, plan, one, waitMs) +
+      (one.pieces > 0 ? waitMs(one.spec.pool) : 0)
+    );
   return ownMs + Math.max(0, ...next);
 }
 
@@ -199,14 +239,17 @@
   { req, catalog, times, priority }: StageRun,
   plan: StagePlan,
   stage: PlannedStage,
+  waitMs: (pool: string) => number,
 ): StageWork {
   const now = monotonicMs();
-  const aheadMs = chainMs(catalog, plan, stage) + times.ownMs;
+  const aheadMs = chainMs(catalog, plan, stage, waitMs) + times.ownMs;
   const inputs = plan.inputsOf(stage);
   const segments = Array.from({ length: stage.pieces }, (_, i) => i);
   return {
     pool: stage.spec.pool,
     priority,
+    resultBytes: stage.spec.resultBytes,
+    isFirst: stage.spec.after.length === 0,
     dueMs: times.goalAt - now - aheadMs,
     expiresMs: times.deadlineAt - now - aheadMs,
     pieces: segments.map((segment) => ({
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -5,7 +5,13 @@
  */
 
 import { createServer, type Server } from "node:http";
-import { Kernel, service, serviceKey, sleep } from "../kernel/mod.ts";
+import {
+  Kernel,
+  service,
+  serviceKey,
+  sleep,
+  timeoutSignal,
+} from "../kernel/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
 import { type Logger, Metrics } from "../telemetry/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
@@ -118,7 +124,8 @@
       start: async ({ signal }) => {
         await listen(
           createServer(entryPeerHandler({
-            sync: (question) => peers.answer(question),
+            sync: (question) => peers.answer(question, owner.waitsMs),
+            freeResults: (work) => owner.free(work),
             runStage: (work, gone) =>
               isLeaving
                 ? Promise.resolve({ kind: "leaving" })
@@ -179,10 +186,7 @@
   { log, signal }: { log: Logger; signal: AbortSignal },
 ): Promise<void> {
   while (!signal.aborted) {
-    const limit = AbortSignal.any([
-      signal,
-      AbortSignal.timeout(REGISTER_TIMEOUT_MS),
-    ]);
+    const limit = timeoutSignal(REGISTER_TIMEOUT_MS, signal);
     const done = await source.register(self, limit);
     if (done.isOk()) return log.info("registered", { name: self.name });
     log.warn("register_failed", { reason: done.error.kind });
--- a/src/serving/batch_queue.ts
+++ b/src/serving/batch_queue.ts
@@ -20,6 +20,15 @@
   readonly dueAt: number;
   /** Time after which the result is of no use. */
   readonly expiresAt: number;
+  /** Room that the result takes, in bytes. */
+  readonly bytes: number;
+}
+
+/** Bounds of one call. */
+export interface CallBounds {
+  readonly maxPieces: number;
+  /** Room for results at the target, in bytes. */
+  readonly roomBytes: number;
 }
 
 /** Pieces that wait, in the order in which they are taken. Immutable. */
@@ -52,16 +61,48 @@
     return [new BatchQueue(kept), expired];
   }
 
+  /**
+   * Queue without the pieces that are late by more than `graceMs`, and those,
+   * when more than `enough` others can still be on time.
+   */
+  shed(
+    now: number,
+    { graceMs, enough }: { readonly graceMs: number; readonly enough: number },
+  ): [BatchQueue<T>, readonly QueuedPiece<T>[]] {
+    const onTime = this.#pieces.filter(({ dueAt }) => dueAt >= now).length;
+    if (onTime <= enough) return [this, []];
+    const late = this.#pieces.filter(({ dueAt }) => dueAt + graceMs < now);
+    const kept = this.#pieces.filter(({ dueAt }) => dueAt + graceMs >= now);
+    return [new BatchQueue(kept), late];
+  }
+
   /**
    * Takes the pieces of one call: those that can still be on time by their
-   * due time, then the late ones.
+   * due time, then the late ones, as long as there is room for their results.
    */
   take(
-    max: number,
+    { maxPieces, roomBytes }: CallBounds,
     now: number,
   ): [BatchQueue<T>, readonly QueuedPiece<T>[]] {
     const ordered = [...this.#pieces].sort((a, b) => compare(a, b, now));
-    return [new BatchQueue(ordered.slice(max)), ordered.slice(0, max)];
+    let left = roomBytes;
+    const fits = ordered.filter((one, at) => {
+      const isTaken = at < maxPieces && one.bytes <= left;
+      if (isTaken) left -= one.bytes;
+      return isTaken;
+    });
+    const taken = new Set(fits);
+    const rest = ordered.filter((one) => !taken.has(one));
+    return [new BatchQueue(rest), fits];
+  }
+
+  /** Size of the result of the piece that is taken next, in bytes. */
+  nextBytes(now: number): number {
+    const next = this.#pieces.reduce<QueuedPiece<T> | undefined>(
+      (best, one) => best && compare(best, one, now) <= 0 ? best : one,
+      undefined,
+    );
+    return next?.bytes ?? 0;
   }
 
   /** Pieces that would be taken before one with this rank and due time. */
--- a/src/serving/stage_plan.ts
+++ b/src/serving/stage_plan.ts
@@ -9,6 +9,12 @@
 /** Result of one piece, as its maker names it (`IP:PORT/NAME`). */
 export type ResultHandle = string;
 
+/** Results of one pool. */
+export interface PoolResults {
+  readonly pool: string;
+  readonly results: readonly ResultHandle[];
+}
+
 /** One stage with the number of its pieces. */
 export interface PlannedStage {
   readonly index: number;
@@ -78,15 +84,15 @@
   }
 
   /** All results that were made. */
-  allResults(): readonly ResultHandle[] {
-    return this.stages.flatMap(({ results }) => results ?? []);
+  allResults(): readonly PoolResults[] {
+    return this.stages.map(poolResults);
   }
 
   /**
    * Results that nothing reads any more once the stages that are done have
    * read them; those of final stages never count.
    */
-  spentResults(): readonly ResultHandle[] {
+  spentResults(): readonly PoolResults[] {
     return this.stages
       .filter(({ index }) => {
         const readers = this.stages
@@ -94,7 +100,7 @@
         return readers.length > 0 &&
           readers.every(({ results }) => results !== undefined);
       })
-      .flatMap(({ results }) => results ?? []);
+      .map(poolResults);
   }
 
   #with(
@@ -106,3 +112,7 @@
     );
   }
 }
+
+function poolResults({ spec, results }: PlannedStage): PoolResults {
+  return { pool: spec.pool, results: results ?? [] };
+}
--- a/src/serving/stage_servers.ts
+++ b/src/serving/stage_servers.ts
@@ -60,10 +60,17 @@
     return this.#servers.get(id);
   }
 
-  /** Free target that is expected to be the fastest; undefined when none is. */
-  pick(limits: BatchLimits, now: number): StageServer | undefined {
+  /**
+   * Free target that is expected to be the fastest among those that `hasRoom`
+   * holds for; undefined when there is none.
+   */
+  pick(
+    limits: BatchLimits,
+    now: number,
+    hasRoom: (id: string) => boolean,
+  ): StageServer | undefined {
     const free = this.#awake(now)
-      .filter(({ calls }) => calls < limits.slots);
+      .filter(({ id, calls }) => calls < limits.slots && hasRoom(id));
     return [...free].sort((a, b) =>
       a.slowness - b.slowness || a.freeAt - b.freeAt
     )[0];
@@ -124,6 +131,11 @@
     }));
   }
 
+  /** State in which a target gets no call for `waitMs` milliseconds. */
+  rest(id: string, now: number, waitMs: number): StageServers {
+    return this.#with(id, (one) => ({ ...one, restsUntil: now + waitMs }));
+  }
+
   /** Time until the next target is free or awake, in milliseconds. */
   nextFreeMs(now: number): number {
     const times = [...this.#servers.values()]
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -28,6 +28,8 @@
   /** Time since the peer last heard the store, in milliseconds. */
   readonly storeAgeMs: number;
   readonly isLeaving: boolean;
+  /** Waits for a target of the pools that the peer owns, in milliseconds. */
+  readonly waitsMs: Readonly<Record<string, number>>;
 }
 
 const pieceSchema = z.object({
@@ -40,12 +42,16 @@
 
 const stageWorkSchema = z.object({
   pool: z.string(),
+  /** Room that one result takes, in bytes. */
+  resultBytes: z.number(),
   /** Rank; 0 is the most urgent. */
   priority: z.number(),
   /** Time until the latest start for an answer in time, in milliseconds. */
   dueMs: z.number(),
   /** Time until the results are of no use, in milliseconds. */
   expiresMs: z.number(),
+  /** True on the first stage of a request: it may still be refused cheaply. */
+  isFirst: z.boolean(),
   pieces: z.array(pieceSchema),
 });
 
@@ -66,8 +72,14 @@
   /** This process takes no pieces any more. */
   | { readonly kind: "leaving" };
 
+const freeSchema = z.object({ pool: z.string(), results: z.array(z.string()) });
+
+/** Results of a pool that nothing reads any more. */
+export type FreeWork = z.infer<typeof freeSchema>;
+
 /** What an entry serves to its peers. */
 export interface EntryPeerApi {
+  freeResults(work: FreeWork): void;
   sync(question: SyncQuestion): SyncAnswer;
   runStage(work: StageWork, signal: AbortSignal): Promise<StageWorkAnswer>;
 }
@@ -79,6 +91,9 @@
     sync: trpc.procedure.input(syncSchema).mutation(({ input }) =>
       api.sync(input)
     ),
+    freeResults: trpc.procedure.input(freeSchema).mutation(({ input }) =>
+      api.freeResults(input)
+    ),
     runStage: trpc.procedure.input(stageWorkSchema).mutation((
       { input, signal },
     ) => api.runStage(input, signal ?? new AbortController().signal)),
@@ -125,6 +140,16 @@
       .mutate(work, { signal }) as StageWorkAnswer;
   }
 
+  /** Has the owner of a pool free results; rejects after `timeoutMs`. */
+  async freeResults(
+    url: string,
+    work: FreeWork,
+    timeoutMs: number,
+  ): Promise<void> {
+    const signal = timeoutSignal(timeoutMs);
+    await this.#of(url).freeResults.mutate(work, { signal });
+  }
+
   close(): Promise<void> {
     return this.#agent.destroy();
   }
