--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -150,6 +150,7 @@
     }
     const reservation = this.#deps.book.reserve(pool, {
       affinity: affinityOf(req),
+      inputDomain: inputs.failureDomain,
       exclude: this.#tried,
     });
     if (!reservation) {
--- a/src/gateway/stage_owner.ts
+++ b/src/gateway/stage_owner.ts
@@ -283,13 +283,15 @@
     clearTimeout(slowTimer);
     const tookMs = monotonicMs() - now;
     this.#metrics.durations("stage_call", { pool: pool.name }).record(tookMs);
-    this.#log.debug("stage_call", {
+    this.#log.info("stage_call", {
       pool: pool.name,
       target: target.id,
       pieces: tasks.length,
       tookMs: Math.round(tookMs),
       outcome: outcome.isOk() ? "ok" : outcome.error.kind,
       waiting: pool.queue.length,
+      usedBytes: pool.room.used(target.id, monotonicMs()),
+      faults: outcome.unwrapOr([]).filter((one) => "fault" in one).length,
     });
     const made = outcome.unwrapOr([]).flatMap((one, i) =>
       "result" in one
--- a/src/gateway/stage_runner.ts
+++ b/src/gateway/stage_runner.ts
@@ -7,6 +7,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
 import {
+  addressOf,
   type Catalog,
   expectedCallMs,
   type PlannedStage,
@@ -32,6 +33,12 @@
 /** Longest wait for the owner that frees results, in milliseconds. */
 const FREE_TIMEOUT_MS = 1_000;
 
+/**
+ * Inputs from which on their place decides that of the request itself, in
+ * bytes: below, a prompt prefix that is read again costs more than a transfer.
+ */
+const LARGE_INPUT_BYTES = 200_000;
+
 /** Why a request's stages did not end. */
 export interface StageRefusal {
   readonly reason: string;
@@ -52,6 +59,8 @@
 /** Results that the request itself reads. */
 export interface StagedInputs {
   readonly results: readonly ResultHandle[];
+  /** Failure domain in which most of their bytes lie; undefined for few. */
+  readonly failureDomain?: string;
   /** Gives up the results once they were read. */
   free(): void;
 }
@@ -73,6 +82,7 @@
   readonly #clients: EntryPeerClients;
   readonly #targets: TargetClient;
   readonly #log: Logger;
+  readonly #domainAt: (address: string) => string | undefined;
 
   constructor(
     deps: {
@@ -80,9 +90,12 @@
       peers: Peers;
       clients: EntryPeerClients;
       targets: TargetClient;
+      /** Failure domain of the target at an address. */
+      domainAt: (address: string) => string | undefined;
       log: Logger;
     },
   ) {
+    this.#domainAt = deps.domainAt;
     this.#owner = deps.owner;
     this.#peers = deps.peers;
     this.#clients = deps.clients;
@@ -127,10 +140,25 @@
     }
     return ok({
       results: plan.finalResults(),
+      failureDomain: this.#domainOf(plan),
       free: () => free(plan.allResults()),
     });
   }
 
+  /** Failure domain that holds the most bytes of the final results. */
+  #domainOf(plan: StagePlan): string | undefined {
+    const bytes = new Map<string, number>();
+    plan.finalStages().forEach(({ results = [], spec }) =>
+      results.forEach((result) => {
+        const domain = this.#domainAt(addressOf(result));
+        if (domain === undefined) return;
+        bytes.set(domain, (bytes.get(domain) ?? 0) + spec.resultBytes);
+      })
+    );
+    const [most] = [...bytes].sort((a, b) => b[1] - a[1]);
+    return most && most[1] >= LARGE_INPUT_BYTES ? most[0] : undefined;
+  }
+
   async #stage(
     run: StageRun,
     plan: StagePlan,
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -80,7 +80,18 @@
   });
   const state = () => view.state;
   const owner = new StageOwner({ state, client: targets, log, metrics });
-  const runner = new StageRunner({ owner, peers, clients, targets, log });
+  const domainAt = (address: string) =>
+    [...view.state.targets.values()]
+      .find(({ target }) => target?.address === address)?.target
+      ?.failureDomain;
+  const runner = new StageRunner({
+    owner,
+    peers,
+    clients,
+    targets,
+    domainAt,
+    log,
+  });
   const book = new TargetBook({
     state,
     processes: () => peers.processNames,
--- a/src/gateway/target_book.ts
+++ b/src/gateway/target_book.ts
@@ -108,7 +108,11 @@
   /** Chooses a target of a pool; undefined when none is open. */
   reserve(
     pool: Pool,
-    opts: { affinity?: string; exclude: ReadonlySet<string> },
+    opts: {
+      affinity?: string;
+      inputDomain?: string;
+      exclude: ReadonlySet<string>;
+    },
   ): Reservation | undefined {
     const now = monotonicMs();
     const usable = this.#state().usable(pool.name, now);
@@ -119,6 +123,7 @@
     );
     const target = chooseTarget(candidates, {
       affinity: opts.affinity,
+      inputDomain: opts.inputDomain,
       failureDomain: this.#self.failureDomain,
       random: Math.random,
     }) ?? this.#ejected(candidates);
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -32,25 +32,44 @@
 /** Share of the slots by which a preferred target may be ahead of the mean. */
 const AFFINITY_SLACK = 0.12;
 
-/**
- * Target for a request, or undefined when none is open. `affinity` is the
- * name of the prompt prefix; without one the least loaded target is chosen.
- */
+/** What decides a choice besides the load. */
+export interface ChoiceOptions {
+  /** Name of the prompt prefix; without one the least loaded is chosen. */
+  readonly affinity?: string;
+  /** Failure domain of this process. */
+  readonly failureDomain: string;
+  /** Failure domain in which the request's large inputs lie. */
+  readonly inputDomain?: string;
+  readonly random: () => number;
+}
+
+/** Target for a request, or undefined when none is open. */
 export function chooseTarget(
   candidates: readonly ServingCandidate[],
-  opts: { affinity?: string; failureDomain: string; random: () => number },
+  opts: ChoiceOptions,
 ): ListedTarget | undefined {
-  const open = candidates.filter(({ load }) => load.isOpen && load.weight > 0);
-  if (open.length === 0) return undefined;
+  const all = candidates.filter(({ load }) => load.isOpen && load.weight > 0);
+  if (all.length === 0) return undefined;
+  const open = besideInputs(all, opts.inputDomain);
   if (opts.affinity !== undefined) return preferred(open, opts.affinity);
   return leastLoaded(open, opts);
 }
 
+/** Candidates beside the inputs, unless they have much more work. */
+function besideInputs(
+  open: readonly ServingCandidate[],
+  domain: string | undefined,
+): readonly ServingCandidate[] {
+  const near = open.filter(({ target }) => target.failureDomain === domain);
+  if (near.length === 0) return open;
+  return meanShare(near) <= meanShare(open) + AFFINITY_SLACK ? near : open;
+}
+
 function preferred(
   open: readonly ServingCandidate[],
   affinity: string,
 ): ListedTarget | undefined {
-  const mean = open.reduce((sum, one) => sum + busyShare(one), 0) / open.length;
+  const mean = meanShare(open);
   const order = rendezvousOrder(open, {
     key: affinity,
     idOf: ({ target }) => target.id,
@@ -61,7 +80,7 @@
 
 function leastLoaded(
   open: readonly ServingCandidate[],
-  opts: { failureDomain: string; random: () => number },
+  opts: ChoiceOptions,
 ): ListedTarget | undefined {
   const scored = open.map((one) => ({
     one,
@@ -75,6 +94,10 @@
   return scored[0]?.one.target;
 }
 
+function meanShare(open: readonly ServingCandidate[]): number {
+  return open.reduce((sum, one) => sum + busyShare(one), 0) / open.length;
+}
+
 function busyShare({ load }: ServingCandidate): number {
   return Math.max(load.own, load.reported) / Math.max(1, load.slots);
 }
--- a/src/serving/stage_plan.ts
+++ b/src/serving/stage_plan.ts
@@ -9,6 +9,11 @@
 /** Result of one piece, as its maker names it (`IP:PORT/NAME`). */
 export type ResultHandle = string;
 
+/** `IP:PORT` of the target that made a result. */
+export function addressOf(result: ResultHandle): string {
+  return result.slice(0, result.indexOf("/"));
+}
+
 /** Results of one pool. */
 export interface PoolResults {
   readonly pool: string;
@@ -75,12 +80,15 @@
     return stage.spec.after.flatMap((i) => this.stages[i]?.results ?? []);
   }
 
-  /** Results of the stages that no other stage reads. */
-  finalResults(): readonly ResultHandle[] {
+  /** Stages that no other stage reads. */
+  finalStages(): readonly PlannedStage[] {
     const read = new Set(this.stages.flatMap(({ spec }) => spec.after));
-    return this.stages
-      .filter(({ index }) => !read.has(index))
-      .flatMap(({ results }) => results ?? []);
+    return this.stages.filter(({ index }) => !read.has(index));
+  }
+
+  /** Results that the request itself reads. */
+  finalResults(): readonly ResultHandle[] {
+    return this.finalStages().flatMap(({ results }) => results ?? []);
   }
 
   /** All results that were made. */
