Place pieces beside their inputs and readers; choose engines by prefix again

Change: pieces yield for 120 ms at targets outside the failure domain of their large inputs, or of the engine that their prompt prefix prefers.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -120,7 +120,8 @@
 
   /** Runs the stages; undefined when the exchange is over. */
   async #stages(): Promise<StagedInputs | undefined> {
-    const { req, route, catalog, priority } = this.#admitted;
+    const { req, route, pool, catalog, priority } = this.#admitted;
+    const affinity = affinityOf(req);
     if (route.stages.length === 0) return { results: [], free: () => {} };
     const outcome = await this.#deps.runner.run({
       req,
@@ -132,6 +133,9 @@
         deadlineAt: this.#deadlineAt,
         ownMs: this.#deps.ownTimes.of(route.name),
       },
+      resultDomain: affinity === undefined
+        ? undefined
+        : this.#deps.book.preferredDomain(pool, affinity),
       signal: this.#over.signal,
     });
     if (outcome.isOk()) return outcome.value;
@@ -150,7 +154,6 @@
     }
     const reservation = this.#deps.book.reserve(pool, {
       affinity: affinityOf(req),
-      inputDomain: inputs.failureDomain,
       exclude: this.#tried,
     });
     if (!reservation) {
--- a/src/gateway/stage_owner.ts
+++ b/src/gateway/stage_owner.ts
@@ -191,6 +191,7 @@
       dueAt: task.submission.dueAt,
       expiresAt: task.submission.expiresAt,
       bytes: task.submission.work.resultBytes,
+      domain: task.submission.work.domain,
     })));
   }
 
@@ -212,6 +213,7 @@
       const [rest, taken] = pool.queue.take({
         maxPieces: limits.maxPieces,
         roomBytes: roomAt(target.id),
+        domain: target.failureDomain,
       }, now);
       pool.queue = rest;
       if (taken.length === 0) break;
--- a/src/gateway/stage_runner.ts
+++ b/src/gateway/stage_runner.ts
@@ -33,11 +33,8 @@
 /** Longest wait for the owner that frees results, in milliseconds. */
 const FREE_TIMEOUT_MS = 1_000;
 
-/**
- * Inputs from which on their place decides that of the request itself, in
- * bytes: below, a prompt prefix that is read again costs more than a transfer.
- */
-const LARGE_INPUT_BYTES = 200_000;
+/** Results of a stage that are worth placing, in bytes. */
+const LARGE_BYTES = 100_000;
 
 /** Why a request's stages did not end. */
 export interface StageRefusal {
@@ -59,8 +56,6 @@
 /** Results that the request itself reads. */
 export interface StagedInputs {
   readonly results: readonly ResultHandle[];
-  /** Failure domain in which most of their bytes lie; undefined for few. */
-  readonly failureDomain?: string;
   /** Gives up the results once they were read. */
   free(): void;
 }
@@ -72,6 +67,8 @@
   readonly priority: number;
   readonly catalog: Catalog;
   readonly times: RequestTimes;
+  /** Failure domain in which the results are likely to be read. */
+  readonly resultDomain?: string;
   readonly signal: AbortSignal;
 }
 
@@ -140,23 +137,36 @@
     }
     return ok({
       results: plan.finalResults(),
-      failureDomain: this.#domainOf(plan),
       free: () => free(plan.allResults()),
     });
   }
 
-  /** Failure domain that holds the most bytes of the final results. */
-  #domainOf(plan: StagePlan): string | undefined {
-    const bytes = new Map<string, number>();
-    plan.finalStages().forEach(({ results = [], spec }) =>
-      results.forEach((result) => {
-        const domain = this.#domainAt(addressOf(result));
-        if (domain === undefined) return;
-        bytes.set(domain, (bytes.get(domain) ?? 0) + spec.resultBytes);
-      })
-    );
-    const [most] = [...bytes].sort((a, b) => b[1] - a[1]);
-    return most && most[1] >= LARGE_INPUT_BYTES ? most[0] : undefined;
+  /**
+   * Failure domain beside which a stage is best run: that of its large inputs,
+   * or the one where its large results are read.
+   */
+  #domainFor(
+    { resultDomain }: StageRun,
+    plan: StagePlan,
+    stage: PlannedStage,
+  ): string | undefined {
+    const inputs = stage.spec.after.flatMap((i) => plan.stages[i] ?? []);
+    const inputBytes = sum(inputs.map(bytesOf));
+    if (inputBytes >= LARGE_BYTES) return this.#domainOf(inputs);
+    const isFinal = plan.finalStages().includes(stage);
+    return isFinal && bytesOf(stage) >= LARGE_BYTES ? resultDomain : undefined;
+  }
+
+  /** Failure domain that holds the most results of stages. */
+  #domainOf(stages: readonly PlannedStage[]): string | undefined {
+    const counts = new Map<string, number>();
+    stages.flatMap(({ results = [] }) => results).forEach((result) => {
+      const domain = this.#domainAt(addressOf(result));
+      if (domain !== undefined) {
+        counts.set(domain, (counts.get(domain) ?? 0) + 1);
+      }
+    });
+    return [...counts].sort((a, b) => b[1] - a[1])[0]?.[0];
   }
 
   async #stage(
@@ -165,7 +175,10 @@
     stage: PlannedStage,
     signal: AbortSignal,
   ): Promise<[number, StageWorkAnswer]> {
-    const work = workOf(run, plan, stage, (pool) => this.#waitMs(pool));
+    const work = {
+      ...workOf(run, plan, stage, (pool) => this.#waitMs(pool)),
+      domain: this.#domainFor(run, plan, stage),
+    };
     const startedAt = monotonicMs();
     const answer = await this.#submit(work, signal, startedAt);
     this.#log.info("stage_ended", {
@@ -263,6 +276,14 @@
   return ownMs + Math.max(0, ...next);
 }
 
+function bytesOf({ pieces, spec }: PlannedStage): number {
+  return pieces * spec.resultBytes;
+}
+
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, one) => total + one, 0);
+}
+
 function workOf(
   { req, catalog, times, priority }: StageRun,
   plan: StagePlan,
--- a/src/gateway/target_book.ts
+++ b/src/gateway/target_book.ts
@@ -110,7 +110,6 @@
     pool: Pool,
     opts: {
       affinity?: string;
-      inputDomain?: string;
       exclude: ReadonlySet<string>;
     },
   ): Reservation | undefined {
@@ -123,7 +122,6 @@
     );
     const target = chooseTarget(candidates, {
       affinity: opts.affinity,
-      inputDomain: opts.inputDomain,
       failureDomain: this.#self.failureDomain,
       random: Math.random,
     }) ?? this.#ejected(candidates);
@@ -131,6 +129,18 @@
     return this.#reserve(pool, target, now);
   }
 
+  /** Failure domain of the target that a prompt prefix prefers now. */
+  preferredDomain(pool: Pool, affinity: string): string | undefined {
+    const now = monotonicMs();
+    const candidates = this.#state().usable(pool.name, now)
+      .map((target) => this.#candidate(pool, target, now));
+    return chooseTarget(candidates, {
+      affinity,
+      failureDomain: this.#self.failureDomain,
+      random: Math.random,
+    })?.failureDomain;
+  }
+
   /** Forgets targets that are not listed any more. */
   prune(): void {
     const { targets } = this.#state();
--- a/src/serving/batch_queue.ts
+++ b/src/serving/batch_queue.ts
@@ -22,13 +22,24 @@
   readonly expiresAt: number;
   /** Room that the result takes, in bytes. */
   readonly bytes: number;
+  /** Failure domain in which it is best worked on. */
+  readonly domain?: string;
 }
 
+/**
+ * Time by which a piece yields at a target outside its failure domain, in
+ * milliseconds: about half of a call, so that it waits for a near target only
+ * if one is soon free.
+ */
+const FAR_PENALTY_MS = 120;
+
 /** Bounds of one call. */
 export interface CallBounds {
   readonly maxPieces: number;
   /** Room for results at the target, in bytes. */
   readonly roomBytes: number;
+  /** Failure domain of the target. */
+  readonly domain?: string;
 }
 
 /** Pieces that wait, in the order in which they are taken. Immutable. */
@@ -81,10 +92,13 @@
    * due time, then the late ones, as long as there is room for their results.
    */
   take(
-    { maxPieces, roomBytes }: CallBounds,
+    { maxPieces, roomBytes, domain }: CallBounds,
     now: number,
   ): [BatchQueue<T>, readonly QueuedPiece<T>[]] {
-    const ordered = [...this.#pieces].sort((a, b) => compare(a, b, now));
+    const ordered = this.#pieces
+      .map((one) => ({ one, rank: rankAt(one, domain, now) }))
+      .sort((a, b) => compare(a.rank, b.rank, now))
+      .map(({ one }) => one);
     let left = roomBytes;
     const fits = ordered.filter((one, at) => {
       const isTaken = at < maxPieces && one.bytes <= left;
@@ -112,6 +126,18 @@
   }
 }
 
+/** Rank of a piece at a target in `domain`; a late piece yields no further. */
+function rankAt<T>(
+  piece: QueuedPiece<T>,
+  domain: string | undefined,
+  now: number,
+): Rank {
+  const isFar = piece.domain !== undefined && domain !== undefined &&
+    piece.domain !== domain;
+  if (!isFar || piece.dueAt < now) return piece;
+  return { priority: piece.priority, dueAt: piece.dueAt + FAR_PENALTY_MS };
+}
+
 type Rank = Pick<QueuedPiece<unknown>, "priority" | "dueAt">;
 
 function compare(a: Rank, b: Rank, now: number): number {
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -38,8 +38,6 @@
   readonly affinity?: string;
   /** Failure domain of this process. */
   readonly failureDomain: string;
-  /** Failure domain in which the request's large inputs lie. */
-  readonly inputDomain?: string;
   readonly random: () => number;
 }
 
@@ -48,23 +46,12 @@
   candidates: readonly ServingCandidate[],
   opts: ChoiceOptions,
 ): ListedTarget | undefined {
-  const all = candidates.filter(({ load }) => load.isOpen && load.weight > 0);
-  if (all.length === 0) return undefined;
-  const open = besideInputs(all, opts.inputDomain);
+  const open = candidates.filter(({ load }) => load.isOpen && load.weight > 0);
+  if (open.length === 0) return undefined;
   if (opts.affinity !== undefined) return preferred(open, opts.affinity);
   return leastLoaded(open, opts);
 }
 
-/** Candidates beside the inputs, unless they have much more work. */
-function besideInputs(
-  open: readonly ServingCandidate[],
-  domain: string | undefined,
-): readonly ServingCandidate[] {
-  const near = open.filter(({ target }) => target.failureDomain === domain);
-  if (near.length === 0) return open;
-  return meanShare(near) <= meanShare(open) + AFFINITY_SLACK ? near : open;
-}
-
 function preferred(
   open: readonly ServingCandidate[],
   affinity: string,
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -44,6 +44,8 @@
   pool: z.string(),
   /** Room that one result takes, in bytes. */
   resultBytes: z.number(),
+  /** Failure domain in which the pieces are best worked on. */
+  domain: z.string().optional(),
   /** Rank; 0 is the most urgent. */
   priority: z.number(),
   /** Time until the latest start for an answer in time, in milliseconds. */
