Start large side stages just in time

Cause: results of 0.8 MB that only the engine reads were made first and held room for the 1.3 s of the chain beside them. Change: a ready stage with large results starts only once its own chain is about as long as the longest one that is left.

--- a/src/gateway/stage_runner.ts
+++ b/src/gateway/stage_runner.ts
@@ -33,6 +33,8 @@
 /** Longest wait for the owner that frees results, in milliseconds. */
 const FREE_TIMEOUT_MS = 1_000;
 
+/** Head start of a stage before another chain is as short, in milliseconds. */
+const START_MARGIN_MS = 150;
 /** Results of a stage that are worth placing, in bytes. */
 const LARGE_BYTES = 100_000;
 
@@ -114,7 +116,7 @@
       });
     const running = new Map<number, Promise<[number, StageWorkAnswer]>>();
     while (!plan.isDone) {
-      plan.ready().forEach((stage) => {
+      this.#startable(run.catalog, plan).forEach((stage) => {
         running.set(stage.index, this.#stage(run, plan, stage, signal));
         plan = plan.start(stage.index);
       });
@@ -141,6 +143,23 @@
     });
   }
 
+  /**
+   * Stages that are ready. One with large results that would wait for a longer
+   * chain of stages starts only when that chain is as short, so that its
+   * results do not hold room all the while.
+   */
+  #startable(catalog: Catalog, plan: StagePlan): readonly PlannedStage[] {
+    const waitMs = (pool: string) => this.#waitMs(pool);
+    const leftMs = (stage: PlannedStage) =>
+      chainMs(catalog, plan, stage, waitMs);
+    const open = plan.stages.filter(({ results }) => results === undefined);
+    const longestMs = Math.max(0, ...open.map(leftMs));
+    return plan.ready().filter((stage) =>
+      bytesOf(stage) < LARGE_BYTES ||
+      leftMs(stage) + START_MARGIN_MS >= longestMs
+    );
+  }
+
   /**
    * Failure domain beside which a stage is best run: that of its large inputs,
    * or the one where its large results are read.
@@ -298,7 +317,7 @@
     pool: stage.spec.pool,
     priority,
     resultBytes: stage.spec.resultBytes,
-    isFirst: stage.spec.after.length === 0,
+    isFirst: plan.stages.every((one) => one.pieces === 0 || !one.isStarted),
     dueMs: times.goalAt - now - aheadMs,
     expiresMs: times.deadlineAt - now - aheadMs,
     pieces: segments.map((segment) => ({
