--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -226,8 +226,8 @@
     pieces: readonly (Piece & { readonly remainingMs: number })[],
     signal: AbortSignal,
   ): Promise<Result<readonly PieceOutcome[], PiecesError>>;
-  /** Frees the room of results at their makers. */
-  freeResults(results: readonly ResultHandle[]): void;
+  /** Frees the room of results; resolves when their makers have answered. */
+  freeResults(results: readonly ResultHandle[]): Promise<void>;
   /** Forgets the connections of targets that are not in use. */
   keepOnly(addresses: ReadonlySet<string>): void;
   close(): Promise<void>;
--- a/src/gateway/stage_owner.ts
+++ b/src/gateway/stage_owner.ts
@@ -54,6 +54,13 @@
 /** Longest wait that is told to peers, in milliseconds. */
 const MAX_TOLD_WAIT_MS = 10_000;
 
+/**
+ * Time after which a call at an idle target has read its inputs, in
+ * milliseconds: some milliseconds a megabyte, and a round trip between failure
+ * domains.
+ */
+const INPUTS_READ_MS = 80;
+
 interface Submission {
   readonly id: string;
   readonly work: StageWork;
@@ -61,6 +68,8 @@
   readonly expiresAt: number;
   readonly results: (ResultHandle | undefined)[];
   readonly queuedAt: number;
+  /** Pieces that no call has taken yet. */
+  unsent: number;
   settle?: (answer: StageWorkAnswer) => void;
 }
 
@@ -84,6 +93,7 @@
 export class StageOwner {
   readonly #state: () => FleetState;
   readonly #client: TargetClient;
+  readonly #freeElsewhere: (work: FreeWork) => void;
   readonly #log: Logger;
   readonly #metrics: Metrics;
   readonly #pools = new Map<string, PoolWork>();
@@ -93,12 +103,15 @@
     deps: {
       state: () => FleetState;
       client: TargetClient;
+      /** Frees results of pools that may have another owner. */
+      freeElsewhere: (work: FreeWork) => void;
       log: Logger;
       metrics: Metrics;
     },
   ) {
     this.#state = deps.state;
     this.#client = deps.client;
+    this.#freeElsewhere = deps.freeElsewhere;
     this.#log = deps.log;
     this.#metrics = deps.metrics;
   }
@@ -117,12 +130,9 @@
     );
   }
 
-  /** Frees results at their makers. */
+  /** Frees results at their makers; their room counts from the answer on. */
   free({ pool: name, results }: FreeWork): void {
-    const pool = this.#pool(name);
-    pool.room = pool.room.free(results, monotonicMs());
-    this.#client.freeResults(results);
-    this.#pump(pool);
+    this.#drop(this.#pool(name), results);
   }
 
   /** Works on the pieces of one stage of one request. */
@@ -147,6 +157,7 @@
         expiresAt: now + work.expiresMs,
         results: work.pieces.map(() => undefined),
         queuedAt: now,
+        unsent: work.pieces.length,
         settle: resolve,
       };
       signal.addEventListener(
@@ -269,6 +280,7 @@
       { pool: pool.name },
       tasks.length,
     );
+    this.#freeInputs(tasks);
     const isSlow = { value: false };
     const slowTimer = setTimeout(() => {
       isSlow.value = true;
@@ -293,7 +305,9 @@
       outcome: outcome.isOk() ? "ok" : outcome.error.kind,
       waiting: pool.queue.length,
       usedBytes: pool.room.used(target.id, monotonicMs()),
-      faults: outcome.unwrapOr([]).filter((one) => "fault" in one).length,
+      roomLeft: limits.roomBytes - pool.room.used(target.id, monotonicMs()),
+      faults: outcome.unwrapOr([])
+        .flatMap((one) => "fault" in one ? [one.fault] : []).join(","),
     });
     const made = outcome.unwrapOr([]).flatMap((one, i) =>
       "result" in one
@@ -327,6 +341,24 @@
     this.#pump(pool);
   }
 
+  /**
+   * Frees the inputs of submissions of which every piece has been sent, as
+   * soon as the targets have read them: they hold room that others wait for.
+   */
+  #freeInputs(tasks: readonly PieceTask[]): void {
+    const first = tasks.filter(({ attempts }) => attempts === 0);
+    first.forEach(({ submission }) => submission.unsent -= 1);
+    const sent = first.map(({ submission }) => submission)
+      .filter(({ unsent, work }) =>
+        unsent === 0 && work.spentInputs.length > 0
+      );
+    if (sent.length === 0) return;
+    setTimeout(() => {
+      [...new Set(sent)].flatMap(({ work }) => work.spentInputs)
+        .forEach((spent) => this.#freeElsewhere(spent));
+    }, INPUTS_READ_MS);
+  }
+
   /** A call takes far too long: its pieces also go to another target. */
   #slow(
     pool: PoolWork,
@@ -411,10 +443,14 @@
     this.#retry(pool, [task]);
   }
 
-  #drop(pool: PoolWork, results: readonly ResultHandle[]): void {
+  async #drop(
+    pool: PoolWork,
+    results: readonly ResultHandle[],
+  ): Promise<void> {
     if (results.length === 0) return;
+    await this.#client.freeResults(results);
     pool.room = pool.room.free(results, monotonicMs());
-    this.#client.freeResults(results);
+    this.#pump(pool);
   }
 
   #settle(
--- a/src/gateway/stage_runner.ts
+++ b/src/gateway/stage_runner.ts
@@ -19,20 +19,17 @@
 import type { Logger } from "../telemetry/mod.ts";
 import type {
   EntryPeerClients,
-  FreeWork,
   StageWork,
   StageWorkAnswer,
 } from "../wire/mod.ts";
 import type { Peers } from "./peers.ts";
-import type { CallerRequest, TargetClient } from "./ports.ts";
+import type { CallerRequest } from "./ports.ts";
+import type { ResultFreer } from "./result_freer.ts";
 import type { StageOwner } from "./stage_owner.ts";
 
 /** Owners that are tried with the pieces of one stage. */
 const MAX_OWNERS = 3;
 
-/** Longest wait for the owner that frees results, in milliseconds. */
-const FREE_TIMEOUT_MS = 1_000;
-
 /** Head start of a stage before another chain is as short, in milliseconds. */
 const START_MARGIN_MS = 150;
 /** Results of a stage that are worth placing, in bytes. */
@@ -79,7 +76,7 @@
   readonly #owner: StageOwner;
   readonly #peers: Peers;
   readonly #clients: EntryPeerClients;
-  readonly #targets: TargetClient;
+  readonly #freer: ResultFreer;
   readonly #log: Logger;
   readonly #domainAt: (address: string) => string | undefined;
 
@@ -88,7 +85,7 @@
       owner: StageOwner;
       peers: Peers;
       clients: EntryPeerClients;
-      targets: TargetClient;
+      freer: ResultFreer;
       /** Failure domain of the target at an address. */
       domainAt: (address: string) => string | undefined;
       log: Logger;
@@ -98,7 +95,7 @@
     this.#owner = deps.owner;
     this.#peers = deps.peers;
     this.#clients = deps.clients;
-    this.#targets = deps.targets;
+    this.#freer = deps.freer;
     this.#log = deps.log;
   }
 
@@ -112,7 +109,7 @@
       all.forEach(({ pool, results }) => {
         const fresh = results.filter((one) => !freed.has(one));
         freed = new Set([...freed, ...fresh]);
-        if (fresh.length > 0) this.#free({ pool, results: fresh });
+        if (fresh.length > 0) this.#freer.free({ pool, results: fresh });
       });
     const running = new Map<number, Promise<[number, StageWorkAnswer]>>();
     while (!plan.isDone) {
@@ -197,6 +194,8 @@
     const work = {
       ...workOf(run, plan, stage, (pool) => this.#waitMs(pool)),
       domain: this.#domainFor(run, plan, stage),
+      spentInputs: plan.inputsOnlyOf(stage)
+        .map(({ pool, results }) => ({ pool, results: [...results] })),
     };
     const startedAt = monotonicMs();
     const answer = await this.#submit(work, signal, startedAt);
@@ -220,22 +219,6 @@
       : this.#owner.waitsMs[pool] ?? 0;
   }
 
-  /** Frees results by the owner of their pool, or by itself without one. */
-  async #free(work: FreeWork): Promise<void> {
-    const owner = this.#peers.ownerOf(work.pool);
-    if (!owner) return this.#owner.free(work);
-    try {
-      await this.#clients.freeResults(owner.url, work, FREE_TIMEOUT_MS);
-    } catch (cause) {
-      this.#log.debug("free_failed", {
-        pool: work.pool,
-        owner: owner.name,
-        detail: String(cause),
-      });
-      this.#targets.freeResults(work.results);
-    }
-  }
-
   /** Has the pool's owner do the work; another one when that one fails. */
   async #submit(
     work: StageWork,
@@ -308,7 +291,7 @@
   plan: StagePlan,
   stage: PlannedStage,
   waitMs: (pool: string) => number,
-): StageWork {
+): Omit<StageWork, "spentInputs"> {
   const now = monotonicMs();
   const aheadMs = chainMs(catalog, plan, stage, waitMs) + times.ownMs;
   const inputs = plan.inputsOf(stage);
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -21,6 +21,7 @@
 import { OwnTimes } from "./own_times.ts";
 import { Peers } from "./peers.ts";
 import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
+import { ResultFreer } from "./result_freer.ts";
 import { StageOwner } from "./stage_owner.ts";
 import { StageRunner } from "./stage_runner.ts";
 import { type RepeatBounds, TargetBook } from "./target_book.ts";
@@ -79,7 +80,20 @@
     metrics,
   });
   const state = () => view.state;
-  const owner = new StageOwner({ state, client: targets, log, metrics });
+  const freer: ResultFreer = new ResultFreer({
+    peers,
+    clients,
+    targets,
+    owner: () => owner,
+    log,
+  });
+  const owner = new StageOwner({
+    state,
+    client: targets,
+    freeElsewhere: (work) => freer.free(work),
+    log,
+    metrics,
+  });
   const domainAt = (address: string) =>
     [...view.state.targets.values()]
       .find(({ target }) => target?.address === address)?.target
@@ -88,7 +102,7 @@
     owner,
     peers,
     clients,
-    targets,
+    freer,
     domainAt,
     log,
   });
--- a/src/serving/stage_plan.ts
+++ b/src/serving/stage_plan.ts
@@ -80,6 +80,16 @@
     return stage.spec.after.flatMap((i) => this.stages[i]?.results ?? []);
   }
 
+  /** Results that a stage reads and no other one. */
+  inputsOnlyOf(stage: PlannedStage): readonly PoolResults[] {
+    return stage.spec.after
+      .filter((i) =>
+        this.stages.filter(({ spec }) => spec.after.includes(i)).length === 1
+      )
+      .flatMap((i) => this.stages[i] ?? [])
+      .map(poolResults);
+  }
+
   /** Stages that no other stage reads. */
   finalStages(): readonly PlannedStage[] {
     const read = new Set(this.stages.flatMap(({ spec }) => spec.after));
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -40,6 +40,11 @@
   inputs: z.array(z.string()).optional(),
 });
 
+const freeSchema = z.object({ pool: z.string(), results: z.array(z.string()) });
+
+/** Results of a pool that nothing reads any more. */
+export type FreeWork = z.infer<typeof freeSchema>;
+
 const stageWorkSchema = z.object({
   pool: z.string(),
   /** Room that one result takes, in bytes. */
@@ -55,6 +60,8 @@
   /** True on the first stage of a request: it may still be refused cheaply. */
   isFirst: z.boolean(),
   pieces: z.array(pieceSchema),
+  /** Inputs that nothing needs once all pieces have read them. */
+  spentInputs: z.array(freeSchema),
 });
 
 /** Pieces of one stage of one request, for the owner of a pool. */
@@ -74,11 +81,6 @@
   /** This process takes no pieces any more. */
   | { readonly kind: "leaving" };
 
-const freeSchema = z.object({ pool: z.string(), results: z.array(z.string()) });
-
-/** Results of a pool that nothing reads any more. */
-export type FreeWork = z.infer<typeof freeSchema>;
-
 /** What an entry serves to its peers. */
 export interface EntryPeerApi {
   freeResults(work: FreeWork): void;
