Run all stages of a request at one owner of their pools

Ruled out: early freeing as the cause of refusals by itself (both ways swing). Change: the pools that routes share form a group with one owner; it admits a chain by the work committed to each pool and runs its stages; entries hand over the whole chain. Lost inputs have their stages run again; inputs are freed early only while room is scarce.

--- /dev/null
+++ b/src/gateway/chain_runner.ts
@@ -0,0 +1,343 @@
+/**
+ * Owner of a group of pools of stages: admits the chains of stages of all
+ * entries' requests and runs them.
+ *
+ * One process sees all the work of the group's pools, so it knows at a
+ * request's arrival whether its results can be ready in time. Ownership is a
+ * matter of efficiency only: two owners at the same time form smaller calls.
+ *
+ * @module
+ */
+
+import { monotonicMs } from "../kernel/mod.ts";
+import {
+  addressOf,
+  type Catalog,
+  expectedCallMs,
+  type FleetState,
+  type PlannedStage,
+  type PoolResults,
+  type ResultHandle,
+  StagePlan,
+} from "../serving/mod.ts";
+import type { Logger } from "../telemetry/mod.ts";
+import type { ChainAnswer, StageChain } from "../wire/mod.ts";
+import type { StageBatcher, StageEnd, StageWork } from "./stage_batcher.ts";
+
+/**
+ * Time by which a request of each lower rank has to be earlier to get a place,
+ * in milliseconds: the more urgent requests fill the rest of the queue.
+ */
+const RANK_RESERVE_MS = 100;
+/** Gain of the moving mean of errors of the expected time. */
+const ERROR_GAIN = 0.1;
+/** Bounds of the mean error that is counted, in milliseconds. */
+const MAX_ERROR_MS = 500;
+/** Results of a stage that are worth placing, in bytes. */
+const LARGE_BYTES = 100_000;
+/** Head start of a stage before another chain is as short, in milliseconds. */
+const START_MARGIN_MS = 150;
+/** Times that stages are run again after a result was lost. */
+const MAX_REDOS = 2;
+
+/** One chain that is being run. */
+interface Run {
+  readonly chain: StageChain;
+  readonly catalog: Catalog;
+  readonly signal: AbortSignal;
+  readonly dueAt: number;
+  readonly expiresAt: number;
+  /** Frees results that were not freed before. */
+  free(all: readonly PoolResults[]): void;
+}
+
+/** Admits and runs chains of stages. */
+export class ChainRunner {
+  readonly #batcher: StageBatcher;
+  readonly #state: () => FleetState;
+  readonly #log: Logger;
+  /** Pieces of admitted chains that are not made, by pool. */
+  readonly #committed = new Map<string, number>();
+  #meanErrorMs = 0;
+
+  constructor(
+    deps: { batcher: StageBatcher; state: () => FleetState; log: Logger },
+  ) {
+    this.#batcher = deps.batcher;
+    this.#state = deps.state;
+    this.#log = deps.log;
+  }
+
+  /** Runs all stages; frees what was made when it fails. */
+  async run(chain: StageChain, signal: AbortSignal): Promise<ChainAnswer> {
+    const { catalog } = this.#state();
+    if (!catalog) return refused("no catalog is known", 0);
+    const plan = planOf(chain);
+    const expectedMs = this.#expectedMs(catalog, plan);
+    const limitMs = chain.dueMs - RANK_RESERVE_MS * chain.priority;
+    this.#log.info("chain_admission", {
+      request: chain.requestId,
+      expectedMs: Math.round(expectedMs),
+      errorMs: Math.round(this.#meanErrorMs),
+      limitMs: Math.round(limitMs),
+      priority: chain.priority,
+    });
+    if (expectedMs + this.#meanErrorMs > limitMs) {
+      return refused("the queue is too long", expectedMs - limitMs);
+    }
+    const startedAt = monotonicMs();
+    const left = new Map(
+      plan.stages.map(({ index, pieces, spec }) =>
+        [index, { pool: spec.pool, pieces }] as const
+      ),
+    );
+    left.forEach(({ pool, pieces }) => this.#commit(pool, pieces));
+    const answer = await this.#runAdmitted(chain, plan, {
+      catalog,
+      signal,
+      stageDone: (index) => {
+        const done = left.get(index);
+        left.delete(index);
+        if (done) this.#commit(done.pool, -done.pieces);
+      },
+    });
+    left.forEach(({ pool, pieces }) => this.#commit(pool, -pieces));
+    if (answer.kind === "done") {
+      this.#learn(monotonicMs() - startedAt - expectedMs);
+    }
+    return answer;
+  }
+
+  /** Frees results that nothing reads any more. */
+  free(all: readonly PoolResults[]): void {
+    all.filter(({ results }) => results.length > 0)
+      .forEach(({ pool, results }) => this.#batcher.free(pool, results));
+  }
+
+  async #runAdmitted(
+    chain: StageChain,
+    planned: StagePlan,
+    opts: {
+      catalog: Catalog;
+      signal: AbortSignal;
+      stageDone: (index: number) => void;
+    },
+  ): Promise<ChainAnswer> {
+    const { catalog, signal, stageDone } = opts;
+    const abort = new AbortController();
+    const now = monotonicMs();
+    const freed = new Set<ResultHandle>();
+    const run: Run = {
+      chain,
+      catalog,
+      signal: AbortSignal.any([signal, abort.signal]),
+      dueAt: now + chain.dueMs,
+      expiresAt: now + chain.expiresMs,
+      free: (all) =>
+        this.free(all.map(({ pool, results }) => {
+          const fresh = results.filter((one) => !freed.has(one));
+          fresh.forEach((one) => freed.add(one));
+          return { pool, results: fresh };
+        })),
+    };
+    let plan = planned;
+    let redos = 0;
+    const running = new Map<number, Promise<[number, StageEnd]>>();
+    while (!plan.isDone) {
+      startable(catalog, plan).forEach((stage) => {
+        running.set(stage.index, this.#stage(run, plan, stage));
+        plan = plan.start(stage.index);
+      });
+      const [index, end] = await Promise.race(running.values());
+      running.delete(index);
+      if (end.kind === "done") {
+        plan = plan.finish(index, end.results);
+        stageDone(index);
+        run.free(plan.spentResults());
+        continue;
+      }
+      if (end.kind === "input-gone" && redos < MAX_REDOS) {
+        redos += 1;
+        run.free(plan.allResults());
+        plan = plan.redo(index);
+        continue;
+      }
+      abort.abort();
+      running.forEach((one) =>
+        one.then(([late, end]) => {
+          if (end.kind === "done") {
+            run.free(plan.finish(late, end.results).allResults());
+          }
+        })
+      );
+      run.free(plan.allResults());
+      return refused(end.kind === "refused" ? end.reason : end.kind, 0);
+    }
+    return { kind: "done", results: finalResults(plan) };
+  }
+
+  async #stage(
+    run: Run,
+    plan: StagePlan,
+    stage: PlannedStage,
+  ): Promise<[number, StageEnd]> {
+    const { pool } = stage.spec;
+    const startedAt = monotonicMs();
+    const work = this.#workOf(run, plan, stage);
+    const end = await this.#batcher.submit(work, run.signal);
+    this.#log.info("stage_ended", {
+      request: run.chain.requestId,
+      stage: stage.index,
+      pool,
+      pieces: stage.pieces,
+      outcome: end.kind,
+      reason: end.kind === "refused" ? end.reason : undefined,
+      tookMs: Math.round(monotonicMs() - startedAt),
+      slackMs: Math.round(work.dueAt - startedAt),
+    });
+    return [stage.index, end];
+  }
+
+  #workOf(run: Run, plan: StagePlan, stage: PlannedStage): StageWork {
+    const aheadMs = chainMs(run.catalog, plan, stage);
+    const inputs = plan.inputsOf(stage);
+    const own = plan.inputsOnlyOf(stage);
+    const segments = Array.from({ length: stage.pieces }, (_, i) => i);
+    return {
+      pool: stage.spec.pool,
+      priority: run.chain.priority,
+      dueAt: run.dueAt - aheadMs,
+      expiresAt: run.expiresAt - aheadMs,
+      resultBytes: stage.spec.resultBytes,
+      domain: this.#domainFor(run, plan, stage),
+      pieces: segments.map((segment) => ({
+        requestId: run.chain.requestId,
+        stage: stage.index,
+        segment,
+        ...(stage.spec.after.length === 0
+          ? { key: run.chain.key }
+          : { inputs }),
+      })),
+      inputsRead: () =>
+        run.free(own.filter(({ pool }) => this.#batcher.isRoomScarce(pool))),
+    };
+  }
+
+  /**
+   * Time until a plan's results are expected, in milliseconds: no sooner than
+   * each pool has done the work that was admitted before.
+   */
+  #expectedMs(catalog: Catalog, plan: StagePlan): number {
+    return Math.max(
+      0,
+      ...plan.stages.filter(({ pieces }) => pieces > 0).map((stage) => {
+        const { pool } = stage.spec;
+        const committed = this.#committed.get(pool) ?? 0;
+        const rate = this.#batcher.rate(pool);
+        if (rate === 0) return Number.POSITIVE_INFINITY;
+        return committed / rate + chainMs(catalog, plan, stage);
+      }),
+      ...plan.stages.map((stage) => chainMs(catalog, plan, stage)),
+    );
+  }
+
+  #learn(errorMs: number): void {
+    const next = this.#meanErrorMs + ERROR_GAIN * (errorMs - this.#meanErrorMs);
+    this.#meanErrorMs = Math.min(MAX_ERROR_MS, Math.max(-MAX_ERROR_MS, next));
+  }
+
+  #commit(pool: string, pieces: number): void {
+    this.#committed.set(pool, (this.#committed.get(pool) ?? 0) + pieces);
+  }
+
+  /**
+   * Failure domain beside which a stage is best run: that of its large inputs,
+   * or the one where its large results are read.
+   */
+  #domainFor(
+    { chain }: Run,
+    plan: StagePlan,
+    stage: PlannedStage,
+  ): string | undefined {
+    const inputs = stage.spec.after.flatMap((i) => plan.stages[i] ?? []);
+    const inputBytes = inputs.reduce((sum, one) => sum + bytesOf(one), 0);
+    if (inputBytes >= LARGE_BYTES) return this.#domainOf(inputs);
+    const isFinal = plan.finalStages().includes(stage);
+    return isFinal && bytesOf(stage) >= LARGE_BYTES
+      ? chain.resultDomain
+      : undefined;
+  }
+
+  /** Failure domain that holds the most results of stages. */
+  #domainOf(stages: readonly PlannedStage[]): string | undefined {
+    const counts = new Map<string, number>();
+    stages.flatMap(({ results = [] }) => results).forEach((result) => {
+      const domain = this.#domainAt(addressOf(result));
+      if (domain === undefined) return;
+      counts.set(domain, (counts.get(domain) ?? 0) + 1);
+    });
+    return [...counts].sort((a, b) => b[1] - a[1])[0]?.[0];
+  }
+
+  #domainAt(address: string): string | undefined {
+    return [...this.#state().targets.values()]
+      .find(({ target }) => target?.address === address)?.target
+      ?.failureDomain;
+  }
+}
+
+/**
+ * Usual time from the start of a stage to the end of the last one, in
+ * milliseconds, with full calls.
+ */
+export function chainMs(
+  catalog: Catalog,
+  plan: StagePlan,
+  stage: PlannedStage,
+): number {
+  const limits = catalog.pool(stage.spec.pool)?.batch;
+  const ownMs = limits && stage.pieces > 0
+    ? expectedCallMs(limits, limits.maxPieces)
+    : 0;
+  const next = plan.stages
+    .filter(({ spec }) => spec.after.includes(stage.index))
+    .map((one) => chainMs(catalog, plan, one));
+  return ownMs + Math.max(0, ...next);
+}
+
+/**
+ * Stages that are ready. One with large results that would wait for a longer
+ * chain of stages starts only when that chain is as short, so that its results
+ * do not hold room all the while.
+ */
+function startable(
+  catalog: Catalog,
+  plan: StagePlan,
+): readonly PlannedStage[] {
+  const leftMs = (stage: PlannedStage) => chainMs(catalog, plan, stage);
+  const open = plan.stages.filter(({ results }) => results === undefined);
+  const longestMs = Math.max(0, ...open.map(leftMs));
+  return plan.ready().filter((stage) =>
+    bytesOf(stage) < LARGE_BYTES ||
+    leftMs(stage) + START_MARGIN_MS >= longestMs
+  );
+}
+
+function planOf({ stages }: StageChain): StagePlan {
+  return StagePlan.of(stages, stages.map(({ pieces }) => pieces));
+}
+
+function bytesOf({ pieces, spec }: PlannedStage): number {
+  return pieces * spec.resultBytes;
+}
+
+function finalResults(plan: StagePlan) {
+  return plan.finalStages().map(({ spec, results = [] }) => ({
+    pool: spec.pool,
+    results: [...results],
+  }));
+}
+
+function refused(reason: string, waitMs: number): ChainAnswer {
+  return { kind: "refused", reason, waitMs };
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -25,7 +25,7 @@
   type RunningCall,
   type TargetClient,
 } from "./ports.ts";
-import type { StagedInputs, StageRunner } from "./stage_runner.ts";
+import type { ChainClient, StagedInputs } from "./chain_client.ts";
 import type { Reservation, TargetBook } from "./target_book.ts";
 
 /** What a request was admitted for. */
@@ -41,7 +41,7 @@
 /** Services that exchanges use. */
 export interface ExchangeDeps {
   readonly book: TargetBook;
-  readonly runner: StageRunner;
+  readonly chains: ChainClient;
   readonly client: TargetClient;
   readonly ownTimes: OwnTimes;
   readonly log: Logger;
@@ -122,17 +122,15 @@
   async #stages(): Promise<StagedInputs | undefined> {
     const { req, route, pool, catalog, priority } = this.#admitted;
     const affinity = affinityOf(req);
+    const ownMs = this.#deps.ownTimes.of(route.name);
     if (route.stages.length === 0) return { results: [], free: () => {} };
-    const outcome = await this.#deps.runner.run({
+    const outcome = await this.#deps.chains.run({
       req,
       route,
       catalog,
       priority,
-      times: {
-        goalAt: req.receivedAt + route.latencyGoalMs,
-        deadlineAt: this.#deadlineAt,
-        ownMs: this.#deps.ownTimes.of(route.name),
-      },
+      dueAt: req.receivedAt + route.latencyGoalMs - ownMs,
+      expiresAt: this.#deadlineAt - ownMs,
       resultDomain: affinity === undefined
         ? undefined
         : this.#deps.book.preferredDomain(pool, affinity),
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -22,6 +22,8 @@
 const SYNC_TIMEOUT_MS = 350;
 /** Time without an answer after which a peer counts as silent, in ms. */
 const SILENT_AFTER_MS = 900;
+/** Likely owners of a group of pools that are asked in each round. */
+const CANDIDATE_OWNERS = 2;
 /** Neighbours that are asked in each round besides the owners of pools. */
 const NEIGHBOURS = 2;
 
@@ -32,7 +34,6 @@
   askedAt?: number;
   isLeaving: boolean;
   isSilent: boolean;
-  waitsMs: Readonly<Record<string, number>>;
 }
 
 /** Keeps in touch with the other entries. */
@@ -78,11 +79,11 @@
     this.#isLeaving = true;
   }
 
-  /** Owner of the pieces of a pool; undefined when it is this process. */
-  ownerOf(pool: string): ListedPeer | undefined {
+  /** Owner of a group of pools; undefined when it is this process. */
+  ownerOf(group: string): ListedPeer | undefined {
     const all = this.#everyone().filter((peer) => this.#isUsable(peer));
     const owner = rendezvousOrder(all, {
-      key: pool,
+      key: group,
       idOf: ({ name }) => name,
     })[0];
     return owner?.name === this.#self.name ? undefined : owner;
@@ -109,10 +110,7 @@
   }
 
   /** Answers a peer's question. */
-  answer(
-    { versions }: SyncQuestion,
-    waitsMs: Readonly<Record<string, number>>,
-  ): SyncAnswer {
+  answer({ versions }: SyncQuestion): SyncAnswer {
     const known = this.#versions();
     const isBehind = Object.values(StatePart)
       .some((part) => (versions[part] ?? 0) < (known[part] ?? 0));
@@ -125,20 +123,9 @@
       versions: known,
       storeAgeMs: Math.min(this.#view.storeAgeMs, Number.MAX_SAFE_INTEGER),
       isLeaving: this.#isLeaving,
-      waitsMs,
     };
   }
 
-  /** Wait for a target of a pool as its owner last told, in milliseconds. */
-  waitMs(pool: string): number {
-    const owner = this.ownerOf(pool);
-    const record = owner && this.#records.get(owner.name);
-    if (!record || monotonicMs() - record.answeredAt > SILENT_AFTER_MS) {
-      return 0;
-    }
-    return record.waitsMs[pool] ?? 0;
-  }
-
   async #round(): Promise<void> {
     const urls = this.#watched();
     await Promise.all(urls.map((peer) => this.#ask(peer)));
@@ -150,14 +137,13 @@
     if (others.length === 0) {
       return this.#seeds.map((url) => ({ url }));
     }
-    const pools = this.#view.state.catalog?.spec.pools ?? [];
-    const owners = pools.filter(({ batch }) => batch)
-      .flatMap(({ name }) =>
-        rendezvousOrder(this.#everyone(), {
-          key: name,
-          idOf: (peer) => peer.name,
-        }).slice(0, 2)
-      );
+    const groups = this.#view.state.catalog?.stageGroups ?? [];
+    const owners = groups.flatMap((group) =>
+      rendezvousOrder(this.#everyone(), {
+        key: group,
+        idOf: ({ name }) => name,
+      }).slice(0, CANDIDATE_OWNERS)
+    );
     const near = rendezvousOrder(others, {
       key: this.#self.name,
       idOf: ({ name }) => name,
@@ -195,7 +181,6 @@
     record.askedAt = undefined;
     record.isSilent = false;
     record.isLeaving = answer.isLeaving;
-    record.waitsMs = answer.waitsMs;
   }
 
   #markSilent(name: string, detail: string): void {
@@ -212,7 +197,6 @@
       answeredAt: 0,
       isLeaving: false,
       isSilent: false,
-      waitsMs: {},
     };
     this.#records.set(name, fresh);
     return fresh;
--- a/src/gateway/stage_owner.ts
+++ b/src/gateway/stage_batcher.ts
@@ -1,9 +1,6 @@
 /**
- * Owner of the batched pools: collects the pieces of all entries, forms the
- * calls of each pool's targets, and settles each submission as a whole.
- *
- * Ownership is a matter of efficiency only: two owners at the same time form
- * smaller calls, and a piece may be made twice.
+ * Calls of the batched pools: collects pieces of all requests, forms the calls
+ * of each pool's targets, and settles the pieces of a stage as a whole.
  *
  * @module
  */
@@ -21,7 +18,6 @@
   StageServers,
 } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
-import type { FreeWork, StageWork, StageWorkAnswer } from "../wire/mod.ts";
 import {
   type Piece,
   PieceFault,
@@ -38,21 +34,24 @@
 const CALL_TIMEOUT_RATIO = 8;
 /** Pause for a target that is full, in milliseconds. */
 const FULL_PAUSE_MS = 60;
-/**
- * Time by which a request of each lower rank has to be earlier to get a place,
- * in milliseconds: the more urgent requests fill the rest of the queue.
- */
-const RANK_RESERVE_MS = 120;
 /** Time behind its due time at which a piece leaves a full queue, in ms. */
-const LATE_TOLERANCE_MS = 300;
+const LATE_TOLERANCE_MS = 1_200;
 /** Shortest wait for a target to become free, in milliseconds. */
 const MIN_RETRY_MS = 10;
 /** Longest wait until the queue is looked at again, in milliseconds. */
 const MAX_RETRY_MS = 250;
-/** Slack of the piece whose wait is told to peers, in milliseconds. */
-const NEXT_RANK_MS = 500;
-/** Longest wait that is told to peers, in milliseconds. */
-const MAX_TOLD_WAIT_MS = 10_000;
+/** Gain of the moving mean of the pieces of calls under load. */
+const FILL_GAIN = 0.1;
+/** Share of the largest call that is expected under load at first. */
+const INITIAL_FILL = 0.85;
+/**
+ * Share of the room that is used: the size of results is known approximately.
+ */
+const ROOM_SHARE = 0.92;
+/** Share of the largest call for which a call waits until there is room. */
+const WORTHWHILE_SHARE = 0.5;
+/** Longest such wait, in milliseconds. */
+const ROOM_WAIT_MS = 120;
 
 /**
  * Time after which a call at an idle target has read its inputs, in
@@ -61,16 +60,37 @@
  */
 const INPUTS_READ_MS = 80;
 
+/** Pieces of one stage of one request. Times are monotonic milliseconds. */
+export interface StageWork {
+  readonly pool: string;
+  readonly priority: number;
+  /** Latest useful start for an answer that earns its full credit. */
+  readonly dueAt: number;
+  /** Time after which the results are of no use. */
+  readonly expiresAt: number;
+  /** Room that one result takes, in bytes. */
+  readonly resultBytes: number;
+  /** Failure domain in which the pieces are best worked on. */
+  readonly domain?: string;
+  readonly pieces: readonly Piece[];
+  /** Called once all targets are likely to have read the inputs. */
+  inputsRead(): void;
+}
+
+/** How the pieces of a stage ended. */
+export type StageEnd =
+  | { readonly kind: "done"; readonly results: readonly ResultHandle[] }
+  | { readonly kind: "input-gone" }
+  | { readonly kind: "refused"; readonly reason: string };
+
 interface Submission {
   readonly id: string;
   readonly work: StageWork;
-  readonly dueAt: number;
-  readonly expiresAt: number;
   readonly results: (ResultHandle | undefined)[];
   readonly queuedAt: number;
   /** Pieces that no call has taken yet. */
   unsent: number;
-  settle?: (answer: StageWorkAnswer) => void;
+  settle?: (end: StageEnd) => void;
 }
 
 interface PieceTask {
@@ -86,14 +106,15 @@
   queue: BatchQueue<PieceTask>;
   servers: StageServers;
   room: ResultRoom;
+  /** Mean pieces of calls that could have been full. */
+  fill?: number;
   timer?: NodeJS.Timeout;
 }
 
-/** Forms the calls of the batched pools that this process owns. */
-export class StageOwner {
+/** Forms the calls of batched pools. */
+export class StageBatcher {
   readonly #state: () => FleetState;
   readonly #client: TargetClient;
-  readonly #freeElsewhere: (work: FreeWork) => void;
   readonly #log: Logger;
   readonly #metrics: Metrics;
   readonly #pools = new Map<string, PoolWork>();
@@ -103,66 +124,59 @@
     deps: {
       state: () => FleetState;
       client: TargetClient;
-      /** Frees results of pools that may have another owner. */
-      freeElsewhere: (work: FreeWork) => void;
       log: Logger;
       metrics: Metrics;
     },
   ) {
     this.#state = deps.state;
     this.#client = deps.client;
-    this.#freeElsewhere = deps.freeElsewhere;
     this.#log = deps.log;
     this.#metrics = deps.metrics;
   }
 
-  /** Waits for a target of the pools that have work, in milliseconds. */
-  get waitsMs(): Record<string, number> {
+  /** Pieces that a pool works on under load, in pieces a millisecond. */
+  rate(name: string): number {
+    const limits = this.#limits(name);
+    if (!limits) return 0;
+    const pool = this.#pool(name);
     const now = monotonicMs();
-    return Object.fromEntries(
-      [...this.#pools.values()].flatMap((pool) => {
-        const limits = this.#limits(pool.name);
-        if (!limits) return [];
-        const rank = { priority: 0, dueAt: now + NEXT_RANK_MS };
-        const waitMs = this.#expectedWaitMs(pool, limits, rank, now);
-        return [[pool.name, Math.min(MAX_TOLD_WAIT_MS, Math.round(waitMs))]];
-      }),
+    this.#refresh(pool, now);
+    const fill = pool.fill ?? limits.maxPieces * INITIAL_FILL;
+    return pool.servers.capacity(now) * limits.slots * fill /
+      expectedCallMs(limits, fill);
+  }
+
+  /** True when pieces wait for room rather than for targets. */
+  isRoomScarce(name: string): boolean {
+    const limits = this.#limits(name);
+    const pool = this.#pools.get(name);
+    if (!limits || !pool || pool.queue.length === 0) return false;
+    return pool.servers.ids.some((id) =>
+      this.#roomAt(pool, limits, id) <
+        limits.maxPieces * pool.queue.nextBytes(monotonicMs())
     );
   }
 
   /** Frees results at their makers; their room counts from the answer on. */
-  free({ pool: name, results }: FreeWork): void {
-    this.#drop(this.#pool(name), results);
+  free(pool: string, results: readonly ResultHandle[]): void {
+    this.#drop(this.#pool(pool), results);
   }
 
   /** Works on the pieces of one stage of one request. */
-  submit(work: StageWork, signal: AbortSignal): Promise<StageWorkAnswer> {
-    const limits = this.#limits(work.pool);
-    if (!limits) {
-      return Promise.resolve(refused("the pool has no batch limits", 0));
-    }
-    const now = monotonicMs();
+  submit(work: StageWork, signal: AbortSignal): Promise<StageEnd> {
     const pool = this.#pool(work.pool);
-    const rank = { priority: work.priority, dueAt: now + work.dueMs };
-    const waitMs = this.#expectedWaitMs(pool, limits, rank, now);
-    if (work.isFirst && waitMs > work.dueMs - RANK_RESERVE_MS * work.priority) {
-      this.#metrics.count("stage_refusals_total", { reason: "queue" });
-      return Promise.resolve(refused("the queue is too long", waitMs));
-    }
     return new Promise((resolve) => {
       const submission: Submission = {
         id: `${work.pieces[0]?.requestId}/${this.#submissions++}`,
         work,
-        dueAt: now + work.dueMs,
-        expiresAt: now + work.expiresMs,
         results: work.pieces.map(() => undefined),
-        queuedAt: now,
+        queuedAt: monotonicMs(),
         unsent: work.pieces.length,
         settle: resolve,
       };
       signal.addEventListener(
         "abort",
-        () => this.#settle(pool, submission, refused("caller has gone", 0)),
+        () => this.#settle(pool, submission, refused("given up")),
         { once: true },
       );
       this.#enqueue(
@@ -178,29 +192,13 @@
     });
   }
 
-  /** Time until a piece with this rank and due time is likely to start. */
-  #expectedWaitMs(
-    pool: PoolWork,
-    limits: BatchLimits,
-    rank: { readonly priority: number; readonly dueAt: number },
-    now: number,
-  ): number {
-    this.#refresh(pool, now);
-    const awake = pool.servers.countAwake(now);
-    if (awake === 0) return pool.servers.nextFreeMs(now);
-    const ahead = pool.queue.ahead(rank, now);
-    const calls = ahead / limits.maxPieces / awake;
-    return pool.servers.nextFreeMs(now) +
-      calls * expectedCallMs(limits, limits.maxPieces);
-  }
-
   #enqueue(pool: PoolWork, tasks: readonly PieceTask[]): void {
     pool.queue = pool.queue.add(tasks.map((task): QueuedPiece<PieceTask> => ({
       item: task,
       group: task.submission.id,
       priority: task.submission.work.priority,
-      dueAt: task.submission.dueAt,
-      expiresAt: task.submission.expiresAt,
+      dueAt: task.submission.work.dueAt,
+      expiresAt: task.submission.work.expiresAt,
       bytes: task.submission.work.resultBytes,
       domain: task.submission.work.domain,
     })));
@@ -216,18 +214,25 @@
     this.#expire(pool, limits, now);
     while (pool.queue.length > 0) {
       const nextBytes = pool.queue.nextBytes(now);
-      const roomAt = (id: string) => limits.roomBytes - pool.room.used(id, now);
-      const server = pool.servers
-        .pick(limits, now, (id) => roomAt(id) >= nextBytes);
+      const server = pool.servers.pick(
+        limits,
+        now,
+        (id) => this.#isWorthCalling(pool, limits, { id, nextBytes, now }),
+      );
       const target = server && this.#state().targets.get(server.id)?.target;
       if (!target) break;
+      const wasFull = pool.queue.length >= limits.maxPieces;
       const [rest, taken] = pool.queue.take({
         maxPieces: limits.maxPieces,
-        roomBytes: roomAt(target.id),
+        roomBytes: this.#roomAt(pool, limits, target.id),
         domain: target.failureDomain,
       }, now);
       pool.queue = rest;
       if (taken.length === 0) break;
+      if (wasFull) {
+        const before = pool.fill ?? limits.maxPieces * INITIAL_FILL;
+        pool.fill = before + FILL_GAIN * (taken.length - before);
+      }
       const tasks = taken.map(({ item }) => item).filter(isOpen);
       if (tasks.length > 0) this.#call(pool, limits, target, tasks);
     }
@@ -239,6 +244,28 @@
     pool.timer = setTimeout(() => this.#pump(pool), waitMs);
   }
 
+  /**
+   * False when a target has no room for the next result, or so little that a
+   * call would carry few pieces although many wait and room is soon freed.
+   */
+  #isWorthCalling(
+    pool: PoolWork,
+    limits: BatchLimits,
+    at: { id: string; nextBytes: number; now: number },
+  ): boolean {
+    const room = this.#roomAt(pool, limits, at.id);
+    if (room < at.nextBytes) return false;
+    const wanted = Math.min(pool.queue.length, limits.maxPieces);
+    const fits = room / Math.max(1, at.nextBytes);
+    const sinceMs = at.now - (pool.servers.get(at.id)?.freeAt ?? 0);
+    return fits >= wanted * WORTHWHILE_SHARE || sinceMs >= ROOM_WAIT_MS;
+  }
+
+  /** Bytes that a target has left for results. */
+  #roomAt(pool: PoolWork, limits: BatchLimits, id: string): number {
+    return limits.roomBytes * ROOM_SHARE - pool.room.used(id, monotonicMs());
+  }
+
   #refresh(pool: PoolWork, now: number): void {
     const usable = this.#state().usable(pool.name, now);
     pool.servers = pool.servers.members(usable.map(({ id }) => id));
@@ -252,13 +279,9 @@
       enough: limits.maxPieces * pool.servers.countAwake(now),
     });
     pool.queue = queue;
-    const waitMs = this.#expectedWaitMs(pool, limits, {
-      priority: 0,
-      dueAt: now + NEXT_RANK_MS,
-    }, now);
     new Set([...expired, ...late].map(({ item }) => item.submission))
       .forEach((one) =>
-        this.#settle(pool, one, refused("its time has passed", waitMs))
+        this.#settle(pool, one, refused("its time has passed"))
       );
   }
 
@@ -280,7 +303,7 @@
       { pool: pool.name },
       tasks.length,
     );
-    this.#freeInputs(tasks);
+    this.#noteInputs(tasks);
     const isSlow = { value: false };
     const slowTimer = setTimeout(() => {
       isSlow.value = true;
@@ -290,7 +313,7 @@
       target,
       tasks.map(({ piece, submission }) => ({
         ...piece,
-        remainingMs: Math.max(1, Math.round(submission.expiresAt - now)),
+        remainingMs: Math.max(1, Math.round(submission.work.expiresAt - now)),
       })),
       timeoutSignal(expectedMs * CALL_TIMEOUT_RATIO),
     );
@@ -305,7 +328,7 @@
       outcome: outcome.isOk() ? "ok" : outcome.error.kind,
       waiting: pool.queue.length,
       usedBytes: pool.room.used(target.id, monotonicMs()),
-      roomLeft: limits.roomBytes - pool.room.used(target.id, monotonicMs()),
+      roomLeft: Math.round(this.#roomAt(pool, limits, target.id)),
       faults: outcome.unwrapOr([])
         .flatMap((one) => "fault" in one ? [one.fault] : []).join(","),
     });
@@ -341,22 +364,19 @@
     this.#pump(pool);
   }
 
-  /**
-   * Frees the inputs of submissions of which every piece has been sent, as
-   * soon as the targets have read them: they hold room that others wait for.
-   */
-  #freeInputs(tasks: readonly PieceTask[]): void {
+  /** Tells submissions of which every piece was sent that inputs are read. */
+  #noteInputs(tasks: readonly PieceTask[]): void {
     const first = tasks.filter(({ attempts }) => attempts === 0);
     first.forEach(({ submission }) => submission.unsent -= 1);
-    const sent = first.map(({ submission }) => submission)
-      .filter(({ unsent, work }) =>
-        unsent === 0 && work.spentInputs.length > 0
-      );
-    if (sent.length === 0) return;
-    setTimeout(() => {
-      [...new Set(sent)].flatMap(({ work }) => work.spentInputs)
-        .forEach((spent) => this.#freeElsewhere(spent));
-    }, INPUTS_READ_MS);
+    const sent = new Set(
+      first.map(({ submission }) => submission)
+        .filter(({ unsent }) => unsent === 0),
+    );
+    if (sent.size === 0) return;
+    setTimeout(
+      () => sent.forEach(({ work }) => work.inputsRead()),
+      INPUTS_READ_MS,
+    );
   }
 
   /** A call takes far too long: its pieces also go to another target. */
@@ -403,7 +423,7 @@
     const open = tasks.filter(isOpen);
     open.filter(({ attempts }) => attempts + 1 >= MAX_PIECE_ATTEMPTS)
       .forEach(({ submission }) =>
-        this.#settle(pool, submission, refused("pieces failed", 0))
+        this.#settle(pool, submission, refused("pieces failed"))
       );
     this.#enqueue(
       pool,
@@ -420,7 +440,10 @@
     if (!task) return;
     const { submission, index } = task;
     if ("result" in outcome) {
-      if (!isOpen(task)) return this.#drop(pool, [outcome.result]);
+      if (!isOpen(task)) {
+        this.#drop(pool, [outcome.result]);
+        return;
+      }
       submission.results[index] = outcome.result;
       const results = submission.results.filter((one) => one !== undefined);
       if (results.length < submission.results.length) return;
@@ -431,7 +454,7 @@
       fault: outcome.fault,
     });
     if (outcome.fault === PieceFault.Late) {
-      return this.#settle(pool, submission, refused("its time has passed", 0));
+      return this.#settle(pool, submission, refused("its time has passed"));
     }
     if (outcome.fault === PieceFault.InputGone) {
       return this.#settle(pool, submission, { kind: "input-gone" });
@@ -456,18 +479,18 @@
   #settle(
     pool: PoolWork,
     submission: Submission,
-    answer: StageWorkAnswer,
+    end: StageEnd,
   ): void {
     const { settle } = submission;
     if (!settle) return;
     submission.settle = undefined;
     pool.queue = pool.queue.drop(submission.id);
-    if (answer.kind !== "done") {
+    if (end.kind !== "done") {
       this.#drop(pool, submission.results.filter((one) => one !== undefined));
     }
-    this.#metrics.durations("stage", { pool: pool.name, outcome: answer.kind })
+    this.#metrics.durations("stage", { pool: pool.name, outcome: end.kind })
       .record(monotonicMs() - submission.queuedAt);
-    settle(answer);
+    settle(end);
   }
 
   #pool(name: string): PoolWork {
@@ -488,8 +511,8 @@
   }
 }
 
-function refused(reason: string, waitMs: number): StageWorkAnswer {
-  return { kind: "refused", reason, waitMs };
+function refused(reason: string): StageEnd {
+  return { kind: "refused", reason };
 }
 
 /** True while the task's result is still wanted. */
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -15,15 +15,15 @@
 import type { ListedPeer } from "../serving/mod.ts";
 import { type Logger, Metrics } from "../telemetry/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
+import { ChainClient } from "./chain_client.ts";
+import { ChainRunner } from "./chain_runner.ts";
 import { FleetView } from "./fleet_view.ts";
 import { Gateway } from "./gateway.ts";
 import { HttpFront, type ListenAddress } from "./http_front.ts";
 import { OwnTimes } from "./own_times.ts";
 import { Peers } from "./peers.ts";
 import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
-import { ResultFreer } from "./result_freer.ts";
-import { StageOwner } from "./stage_owner.ts";
-import { StageRunner } from "./stage_runner.ts";
+import { StageBatcher } from "./stage_batcher.ts";
 import { type RepeatBounds, TargetBook } from "./target_book.ts";
 
 /** What a gateway is started with. */
@@ -80,32 +80,9 @@
     metrics,
   });
   const state = () => view.state;
-  const freer: ResultFreer = new ResultFreer({
-    peers,
-    clients,
-    targets,
-    owner: () => owner,
-    log,
-  });
-  const owner = new StageOwner({
-    state,
-    client: targets,
-    freeElsewhere: (work) => freer.free(work),
-    log,
-    metrics,
-  });
-  const domainAt = (address: string) =>
-    [...view.state.targets.values()]
-      .find(({ target }) => target?.address === address)?.target
-      ?.failureDomain;
-  const runner = new StageRunner({
-    owner,
-    peers,
-    clients,
-    freer,
-    domainAt,
-    log,
-  });
+  const batcher = new StageBatcher({ state, client: targets, log, metrics });
+  const runner = new ChainRunner({ batcher, state, log });
+  const chains = new ChainClient({ runner, peers, clients, targets, log });
   const book = new TargetBook({
     state,
     processes: () => peers.processNames,
@@ -116,7 +93,7 @@
     view,
     peers,
     book,
-    runner,
+    chains,
     client: targets,
     ownTimes: new OwnTimes(),
     log,
@@ -149,12 +126,12 @@
       start: async ({ signal }) => {
         await listen(
           createServer(entryPeerHandler({
-            sync: (question) => peers.answer(question, owner.waitsMs),
-            freeResults: (work) => owner.free(work),
-            runStage: (work, gone) =>
+            sync: (question) => peers.answer(question),
+            freeResults: (results) => runner.free(results),
+            runChain: (chain, gone) =>
               isLeaving
                 ? Promise.resolve({ kind: "leaving" })
-                : owner.submit(work, gone),
+                : runner.run(chain, gone),
           })),
           cfg.control,
         );
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -122,6 +122,7 @@
   readonly #routes: ReadonlyMap<string, readonly Route[]>;
   readonly #pools: ReadonlyMap<string, Pool>;
   readonly #organisations: ReadonlyMap<string, Organisation>;
+  readonly #groups: ReadonlyMap<string, string>;
 
   constructor(spec: CatalogSpec) {
     this.spec = spec;
@@ -132,6 +133,7 @@
         one.keys.map((key) => [key, one] as const)
       ),
     );
+    this.#groups = groupPools(spec.routes);
   }
 
   get version(): number {
@@ -154,6 +156,19 @@
     return this.#organisations.get(key);
   }
 
+  /**
+   * Name of the group of pools that a route's stages use. Routes that share a
+   * pool have the same group, so that one owner sees all work of a pool.
+   */
+  stageGroupOf(route: Route): string {
+    return this.#groups.get(route.stages[0]?.pool ?? "") ?? "";
+  }
+
+  /** Names of all groups of pools of stages. */
+  get stageGroups(): readonly string[] {
+    return [...new Set(this.#groups.values())];
+  }
+
   pool(name: string): Pool | undefined {
     return this.#pools.get(name);
   }
@@ -167,6 +182,23 @@
   return route.pools.find((_, i) => point < (upTo[i] ?? 0))?.pool;
 }
 
+/** Group of each pool of stages: the first name among connected pools. */
+function groupPools(routes: readonly Route[]): ReadonlyMap<string, string> {
+  const groups = new Map<string, string>();
+  routes.map(({ stages }) => stages.map(({ pool }) => pool)).forEach(
+    (pools) => {
+      const joined = new Set(pools.map((pool) => groups.get(pool) ?? pool));
+      const name = [...joined].sort()[0];
+      if (name === undefined) return;
+      pools.forEach((pool) => groups.set(pool, name));
+      groups.forEach((group, pool) => {
+        if (joined.has(group)) groups.set(pool, name);
+      });
+    },
+  );
+  return groups;
+}
+
 function runningTotals(pools: readonly WeightedPool[]): number[] {
   let sum = 0;
   return pools.map(({ weight }) => sum += weight);
--- a/src/serving/stage_plan.ts
+++ b/src/serving/stage_plan.ts
@@ -71,6 +71,18 @@
     return this.#with(index, (stage) => ({ ...stage, results }));
   }
 
+  /** Plan in which a stage and all that it reads is run again. */
+  redo(index: number): StagePlan {
+    const again = this.#withAncestors(index);
+    return new StagePlan(
+      this.stages.map((stage) =>
+        again.has(stage.index) && stage.pieces > 0
+          ? { ...stage, isStarted: false, results: undefined }
+          : stage
+      ),
+    );
+  }
+
   get isDone(): boolean {
     return this.stages.every(({ results }) => results !== undefined);
   }
@@ -121,6 +133,14 @@
       .map(poolResults);
   }
 
+  #withAncestors(index: number): ReadonlySet<number> {
+    const before = this.stages[index]?.spec.after ?? [];
+    return new Set([
+      index,
+      ...before.flatMap((one) => [...this.#withAncestors(one)]),
+    ]);
+  }
+
   #with(
     index: number,
     change: (stage: PlannedStage) => PlannedStage,
--- a/src/serving/stage_servers.ts
+++ b/src/serving/stage_servers.ts
@@ -56,6 +56,11 @@
     );
   }
 
+  /** Identifiers of the targets. */
+  get ids(): readonly string[] {
+    return [...this.#servers.keys()];
+  }
+
   get(id: string): StageServer | undefined {
     return this.#servers.get(id);
   }
@@ -76,6 +81,12 @@
     )[0];
   }
 
+  /** Work of the targets that take calls, in usual targets. */
+  capacity(now: number): number {
+    return this.#awake(now)
+      .reduce((sum, { slowness }) => sum + 1 / Math.max(1, slowness), 0);
+  }
+
   /** Number of targets that take calls at `now`. */
   countAwake(now: number): number {
     return this.#awake(now).length;
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -28,64 +28,60 @@
   /** Time since the peer last heard the store, in milliseconds. */
   readonly storeAgeMs: number;
   readonly isLeaving: boolean;
-  /** Waits for a target of the pools that the peer owns, in milliseconds. */
-  readonly waitsMs: Readonly<Record<string, number>>;
 }
 
-const pieceSchema = z.object({
+const chainSchema = z.object({
   requestId: z.string(),
-  stage: z.number(),
-  segment: z.number(),
-  key: z.string().optional(),
-  inputs: z.array(z.string()).optional(),
-});
-
-const freeSchema = z.object({ pool: z.string(), results: z.array(z.string()) });
-
-/** Results of a pool that nothing reads any more. */
-export type FreeWork = z.infer<typeof freeSchema>;
-
-const stageWorkSchema = z.object({
-  pool: z.string(),
-  /** Room that one result takes, in bytes. */
-  resultBytes: z.number(),
-  /** Failure domain in which the pieces are best worked on. */
-  domain: z.string().optional(),
   /** Rank; 0 is the most urgent. */
   priority: z.number(),
-  /** Time until the latest start for an answer in time, in milliseconds. */
+  /** Time until the results are due for an answer in time, in milliseconds. */
   dueMs: z.number(),
   /** Time until the results are of no use, in milliseconds. */
   expiresMs: z.number(),
-  /** True on the first stage of a request: it may still be refused cheaply. */
-  isFirst: z.boolean(),
-  pieces: z.array(pieceSchema),
-  /** Inputs that nothing needs once all pieces have read them. */
-  spentInputs: z.array(freeSchema),
+  /** Key by which the first stages find the request's pieces. */
+  key: z.string().optional(),
+  /** Failure domain in which the results are likely to be read. */
+  resultDomain: z.string().optional(),
+  stages: z.array(z.object({
+    pool: z.string(),
+    /** Indexes of the stages whose results this one reads. */
+    after: z.array(z.number()),
+    /** Room that one result takes, in bytes. */
+    resultBytes: z.number(),
+    pieces: z.number(),
+  })),
+});
+
+/** All stages of one request, for the owner of their pools. */
+export type StageChain = z.infer<typeof chainSchema>;
+
+const resultsSchema = z.object({
+  pool: z.string(),
+  results: z.array(z.string()),
 });
 
-/** Pieces of one stage of one request, for the owner of a pool. */
-export type StageWork = z.infer<typeof stageWorkSchema>;
+/** Results of the stages of one pool. */
+export type ChainResults = z.infer<typeof resultsSchema>;
 
-/** What became of them. */
-export type StageWorkAnswer =
-  | { readonly kind: "done"; readonly results: readonly string[] }
-  /** Not worked on; `waitMs` is the time until a place is expected. */
+/** What became of a chain. */
+export type ChainAnswer =
+  /** Results that the request itself reads, in the order of the stages. */
+  | { readonly kind: "done"; readonly results: readonly ChainResults[] }
+  /** Not done; `waitMs` is the time until a place is expected. */
   | {
     readonly kind: "refused";
     readonly reason: string;
     readonly waitMs: number;
   }
-  /** An input of theirs is gone. */
-  | { readonly kind: "input-gone" }
-  /** This process takes no pieces any more. */
+  /** This process takes no chains any more. */
   | { readonly kind: "leaving" };
 
 /** What an entry serves to its peers. */
 export interface EntryPeerApi {
-  freeResults(work: FreeWork): void;
+  /** Frees results that nothing reads any more. */
+  freeResults(results: readonly ChainResults[]): void;
   sync(question: SyncQuestion): SyncAnswer;
-  runStage(work: StageWork, signal: AbortSignal): Promise<StageWorkAnswer>;
+  runChain(chain: StageChain, signal: AbortSignal): Promise<ChainAnswer>;
 }
 
 const trpc = initTRPC.create();
@@ -95,12 +91,11 @@
     sync: trpc.procedure.input(syncSchema).mutation(({ input }) =>
       api.sync(input)
     ),
-    freeResults: trpc.procedure.input(freeSchema).mutation(({ input }) =>
-      api.freeResults(input)
-    ),
-    runStage: trpc.procedure.input(stageWorkSchema).mutation((
+    freeResults: trpc.procedure.input(z.array(resultsSchema))
+      .mutation(({ input }) => api.freeResults(input)),
+    runChain: trpc.procedure.input(chainSchema).mutation((
       { input, signal },
-    ) => api.runStage(input, signal ?? new AbortController().signal)),
+    ) => api.runChain(input, signal ?? new AbortController().signal)),
   });
 }
 
@@ -134,24 +129,24 @@
     return await this.#of(url).sync.mutate(question, { signal }) as SyncAnswer;
   }
 
-  /** Has a peer work on pieces of a pool that it owns. */
-  async runStage(
+  /** Has a peer run a chain whose pools it owns. */
+  async runChain(
     url: string,
-    work: StageWork,
+    chain: StageChain,
     signal: AbortSignal,
-  ): Promise<StageWorkAnswer> {
-    return await this.#of(url).runStage
-      .mutate(work, { signal }) as StageWorkAnswer;
+  ): Promise<ChainAnswer> {
+    return await this.#of(url).runChain
+      .mutate(chain, { signal }) as ChainAnswer;
   }
 
-  /** Has the owner of a pool free results; rejects after `timeoutMs`. */
+  /** Has the owner of pools free results; rejects after `timeoutMs`. */
   async freeResults(
     url: string,
-    work: FreeWork,
+    results: readonly ChainResults[],
     timeoutMs: number,
   ): Promise<void> {
     const signal = timeoutSignal(timeoutMs);
-    await this.#of(url).freeResults.mutate(work, { signal });
+    await this.#of(url).freeResults.mutate([...results], { signal });
   }
 
   close(): Promise<void> {
