Limit the queue by what each rank can bear; measure calls; later returns

Change: RankSlack bounds the wait of a rank by that of the more urgent ones; call times are moving means; callers are told 1.5 to 4 s with jitter.

--- a/src/gateway/chain_runner.ts
+++ b/src/gateway/chain_runner.ts
@@ -12,11 +12,10 @@
 import { monotonicMs } from "../kernel/mod.ts";
 import {
   addressOf,
-  type Catalog,
-  expectedCallMs,
   type FleetState,
   type PlannedStage,
   type PoolResults,
+  RankSlack,
   type ResultHandle,
   StagePlan,
 } from "../serving/mod.ts";
@@ -24,11 +23,6 @@
 import type { ChainAnswer, StageChain } from "../wire/mod.ts";
 import type { StageBatcher, StageEnd, StageWork } from "./stage_batcher.ts";
 
-/**
- * Time by which a request of each lower rank has to be earlier to get a place,
- * in milliseconds: the more urgent requests fill the rest of the queue.
- */
-const RANK_RESERVE_MS = 100;
 /** Gain of the moving mean of errors of the expected time. */
 const ERROR_GAIN = 0.1;
 /** Bounds of the mean error that is counted, in milliseconds. */
@@ -43,7 +37,6 @@
 /** One chain that is being run. */
 interface Run {
   readonly chain: StageChain;
-  readonly catalog: Catalog;
   readonly signal: AbortSignal;
   readonly dueAt: number;
   readonly expiresAt: number;
@@ -59,6 +52,7 @@
   /** Pieces of admitted chains that are not made, by pool. */
   readonly #committed = new Map<string, number>();
   #meanErrorMs = 0;
+  #slack = new RankSlack();
 
   constructor(
     deps: { batcher: StageBatcher; state: () => FleetState; log: Logger },
@@ -70,20 +64,24 @@
 
   /** Runs all stages; frees what was made when it fails. */
   async run(chain: StageChain, signal: AbortSignal): Promise<ChainAnswer> {
-    const { catalog } = this.#state();
-    if (!catalog) return refused("no catalog is known", 0);
     const plan = planOf(chain);
-    const expectedMs = this.#expectedMs(catalog, plan);
-    const limitMs = chain.dueMs - RANK_RESERVE_MS * chain.priority;
+    const bareMs = this.#bareMs(plan);
+    const expectedMs = this.#expectedMs(plan);
+    const waitMs = expectedMs + this.#meanErrorMs - bareMs;
+    const rank = { priority: chain.priority, slackMs: chain.dueMs - bareMs };
+    this.#slack = this.#slack.note(rank, monotonicMs());
+    const limitMs = this.#slack.limitMs(rank, monotonicMs());
     this.#log.info("chain_admission", {
       request: chain.requestId,
-      expectedMs: Math.round(expectedMs),
-      errorMs: Math.round(this.#meanErrorMs),
+      waitMs: Math.round(waitMs),
       limitMs: Math.round(limitMs),
+      slackMs: Math.round(rank.slackMs),
+      bareMs: Math.round(bareMs),
+      errorMs: Math.round(this.#meanErrorMs),
       priority: chain.priority,
     });
-    if (expectedMs + this.#meanErrorMs > limitMs) {
-      return refused("the queue is too long", expectedMs - limitMs);
+    if (waitMs > limitMs) {
+      return refused("the queue is too long", waitMs - limitMs);
     }
     const startedAt = monotonicMs();
     const left = new Map(
@@ -93,7 +91,6 @@
     );
     left.forEach(({ pool, pieces }) => this.#commit(pool, pieces));
     const answer = await this.#runAdmitted(chain, plan, {
-      catalog,
       signal,
       stageDone: (index) => {
         const done = left.get(index);
@@ -118,18 +115,16 @@
     chain: StageChain,
     planned: StagePlan,
     opts: {
-      catalog: Catalog;
       signal: AbortSignal;
       stageDone: (index: number) => void;
     },
   ): Promise<ChainAnswer> {
-    const { catalog, signal, stageDone } = opts;
+    const { signal, stageDone } = opts;
     const abort = new AbortController();
     const now = monotonicMs();
     const freed = new Set<ResultHandle>();
     const run: Run = {
       chain,
-      catalog,
       signal: AbortSignal.any([signal, abort.signal]),
       dueAt: now + chain.dueMs,
       expiresAt: now + chain.expiresMs,
@@ -144,7 +139,7 @@
     let redos = 0;
     const running = new Map<number, Promise<[number, StageEnd]>>();
     while (!plan.isDone) {
-      startable(catalog, plan).forEach((stage) => {
+      startable(this.#callMs, plan).forEach((stage) => {
         running.set(stage.index, this.#stage(run, plan, stage));
         plan = plan.start(stage.index);
       });
@@ -199,7 +194,7 @@
   }
 
   #workOf(run: Run, plan: StagePlan, stage: PlannedStage): StageWork {
-    const aheadMs = chainMs(run.catalog, plan, stage);
+    const aheadMs = chainMs(this.#callMs, plan, stage);
     const inputs = plan.inputsOf(stage);
     const own = plan.inputsOnlyOf(stage);
     const segments = Array.from({ length: stage.pieces }, (_, i) => i);
@@ -227,7 +222,7 @@
    * Time until a plan's results are expected, in milliseconds: no sooner than
    * each pool has done the work that was admitted before.
    */
-  #expectedMs(catalog: Catalog, plan: StagePlan): number {
+  #expectedMs(plan: StagePlan): number {
     return Math.max(
       0,
       ...plan.stages.filter(({ pieces }) => pieces > 0).map((stage) => {
@@ -235,12 +230,21 @@
         const committed = this.#committed.get(pool) ?? 0;
         const rate = this.#batcher.rate(pool);
         if (rate === 0) return Number.POSITIVE_INFINITY;
-        return committed / rate + chainMs(catalog, plan, stage);
+        return committed / rate + chainMs(this.#callMs, plan, stage);
       }),
-      ...plan.stages.map((stage) => chainMs(catalog, plan, stage)),
     );
   }
 
+  /** Time that a plan takes when no other work waits, in milliseconds. */
+  #bareMs(plan: StagePlan): number {
+    return Math.max(
+      0,
+      ...plan.stages.map((stage) => chainMs(this.#callMs, plan, stage)),
+    );
+  }
+
+  readonly #callMs = (pool: string) => this.#batcher.callMs(pool);
+
   #learn(errorMs: number): void {
     const next = this.#meanErrorMs + ERROR_GAIN * (errorMs - this.#meanErrorMs);
     this.#meanErrorMs = Math.min(MAX_ERROR_MS, Math.max(-MAX_ERROR_MS, next));
@@ -286,22 +290,19 @@
   }
 }
 
-/**
- * Usual time from the start of a stage to the end of the last one, in
- * milliseconds, with full calls.
- */
+/** Usual time of a call of a pool, in milliseconds. */
+type CallTimes = (pool: string) => number;
+
+/** Usual time from the start of a stage to the end of the last one, in ms. */
 export function chainMs(
-  catalog: Catalog,
+  callMs: CallTimes,
   plan: StagePlan,
   stage: PlannedStage,
 ): number {
-  const limits = catalog.pool(stage.spec.pool)?.batch;
-  const ownMs = limits && stage.pieces > 0
-    ? expectedCallMs(limits, limits.maxPieces)
-    : 0;
+  const ownMs = stage.pieces > 0 ? callMs(stage.spec.pool) : 0;
   const next = plan.stages
     .filter(({ spec }) => spec.after.includes(stage.index))
-    .map((one) => chainMs(catalog, plan, one));
+    .map((one) => chainMs(callMs, plan, one));
   return ownMs + Math.max(0, ...next);
 }
 
@@ -311,10 +312,10 @@
  * do not hold room all the while.
  */
 function startable(
-  catalog: Catalog,
+  callMs: CallTimes,
   plan: StagePlan,
 ): readonly PlannedStage[] {
-  const leftMs = (stage: PlannedStage) => chainMs(catalog, plan, stage);
+  const leftMs = (stage: PlannedStage) => chainMs(callMs, plan, stage);
   const open = plan.stages.filter(({ results }) => results === undefined);
   const longestMs = Math.max(0, ...open.map(leftMs));
   return plan.ready().filter((stage) =>
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -56,6 +56,11 @@
 const NO_TARGET_RETRY_MS = 300;
 /** When callers may come back after a target refused, in milliseconds. */
 const TARGET_FULL_RETRY_MS = 200;
+/** Bounds of the time after which callers that met a queue come back, in ms. */
+const MIN_QUEUE_RETRY_MS = 1_500;
+const MAX_QUEUE_RETRY_MS = 4_000;
+/** Share by which that time differs between callers. */
+const RETRY_JITTER = 0.25;
 /** Shortest time that is worth sending a request for, in milliseconds. */
 const MIN_SEND_MS = 20;
 
@@ -137,7 +142,8 @@
       signal: this.#over.signal,
     });
     if (outcome.isOk()) return outcome.value;
-    this.#giveUp(outcome.error.reason, outcome.error.waitMs);
+    const { reason, waitMs } = outcome.error;
+    this.#giveUp(reason, queueRetryMs(waitMs));
     return undefined;
   }
 
@@ -322,6 +328,16 @@
   }
 }
 
+/**
+ * When callers may come back that met a long queue, in milliseconds. A burst
+ * lasts for seconds; callers that come back within it are refused again, and
+ * all that come back at once would be the next burst.
+ */
+function queueRetryMs(waitMs: number): number {
+  const ms = Math.min(MAX_QUEUE_RETRY_MS, MIN_QUEUE_RETRY_MS + 2 * waitMs);
+  return ms * (1 + RETRY_JITTER * (2 * Math.random() - 1));
+}
+
 /** Name of the shared part of the prompt that is the most specific one. */
 function affinityOf({ promptParts }: CallerRequest): string | undefined {
   return promptParts.at(-2) ?? promptParts.at(-1);
--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -42,6 +42,8 @@
 const MAX_RETRY_MS = 250;
 /** Gain of the moving mean of the pieces of calls under load. */
 const FILL_GAIN = 0.1;
+/** Gain of the moving mean of the times of calls. */
+const CALL_MS_GAIN = 0.1;
 /** Share of the largest call that is expected under load at first. */
 const INITIAL_FILL = 0.85;
 /**
@@ -108,6 +110,8 @@
   room: ResultRoom;
   /** Mean pieces of calls that could have been full. */
   fill?: number;
+  /** Mean time of calls, in milliseconds. */
+  callMs?: number;
   timer?: NodeJS.Timeout;
 }
 
@@ -146,6 +150,13 @@
       expectedCallMs(limits, fill);
   }
 
+  /** Usual time of a call of a pool, in milliseconds. */
+  callMs(name: string): number {
+    const limits = this.#limits(name);
+    if (!limits) return 0;
+    return this.#pool(name).callMs ?? expectedCallMs(limits, limits.maxPieces);
+  }
+
   /** True when pieces wait for room rather than for targets. */
   isRoomScarce(name: string): boolean {
     const limits = this.#limits(name);
@@ -343,6 +354,8 @@
     pool.room = pool.room
       .settle(target.id, bytes, made, monotonicMs() + limits.resultTtlMs);
     if (outcome.isOk()) {
+      pool.callMs ??= tookMs;
+      pool.callMs += CALL_MS_GAIN * (tookMs - pool.callMs);
       const ratio = tookMs / expectedMs;
       pool.servers = isSlow.value
         ? pool.servers
