Test the gateway's decisions; apply each change only above its own row's version

A property test found that changes of one row in one batch were all compared with the state before the batch, so an older one could replace a newer one.

--- a/src/launch/test_main.ts
+++ b/src/launch/test_main.ts
@@ -13,13 +13,15 @@
 import { judge, parseKnownRed } from "./known_red.ts";
 
 const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
-const TESTS = join(ROOT, "dist", "src");
+const TESTS = [join(ROOT, "dist", "src"), join(ROOT, "dist", "platform")];
 const KNOWN_RED = join(ROOT, "KNOWN-RED.txt");
 
-const files = (readdirSync(TESTS, { recursive: true }) as string[])
-  .filter((file) => file.endsWith("_test.js"))
-  .sort()
-  .map((file) => join(TESTS, file));
+const files = TESTS.flatMap((folder) =>
+  (readdirSync(folder, { recursive: true }) as string[])
+    .filter((file) => file.endsWith("_test.js"))
+    .sort()
+    .map((file) => join(folder, file))
+);
 
 const failed: string[] = [];
 const stream = run({ files, concurrency: true });
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -45,6 +45,29 @@
 
 const IMPORT_PATTERN = /from "(\.[^"]+)"|import\("(\.[^"]+)"\)/g;
 
+/**
+ * Folders that the adapter to the platform may import: it stands above the
+ * gateway and knows nothing of the product's own entries and agents.
+ */
+const ADAPTER_IMPORTS =
+  /^\.\.\/src\/(config|gateway|serving|standin|telemetry|testing|kernel)\/mod\.ts$/;
+
+/** Finds the imports of an adapter's file that break the layer rule. */
+export function checkAdapterImports(
+  file: string,
+  text: string,
+): LayerFinding[] {
+  return [...text.matchAll(IMPORT_PATTERN)]
+    .map((match) => match[1] ?? match[2] ?? "")
+    .filter((imported) => !imported.startsWith("./"))
+    .filter((imported) => !ADAPTER_IMPORTS.test(imported))
+    .map((imported) => ({
+      file,
+      imported,
+      message: "Import the mod.ts of a folder that adapters may use",
+    }));
+}
+
 /** Finds the imports of one file that break the layer rule. */
 export function checkImports(file: string, text: string): LayerFinding[] {
   const own = folderOf(file);
--- /dev/null
+++ b/src/serving/batch_queue_test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { BatchQueue, type QueuedPiece } from "./batch_queue.ts";
+
+function piece(
+  item: number,
+  over: Partial<QueuedPiece<number>> = {},
+): QueuedPiece<number> {
+  return {
+    item,
+    group: "g",
+    priority: 0,
+    dueAt: 1_000,
+    expiresAt: 5_000,
+    bytes: 1,
+    ...over,
+  };
+}
+
+const pieces = fc.array(
+  fc.record({
+    dueAt: fc.integer({ min: 0, max: 2_000 }),
+    priority: fc.integer({ min: 0, max: 3 }),
+    bytes: fc.integer({ min: 0, max: 50 }),
+    domain: fc.constantFrom("d1", "d2", undefined),
+  }),
+  { maxLength: 30 },
+).map((all) => all.map((over, i) => piece(i, over)));
+
+test("BatchQueue.take() takes each piece once and keeps to its bounds", () => {
+  fc.assert(fc.property(
+    pieces,
+    fc.integer({ min: 1, max: 8 }),
+    fc.integer({ min: 50, max: 120 }),
+    (all, maxPieces, roomBytes) => {
+      let queue = new BatchQueue<number>().add(all);
+      const taken: number[] = [];
+      while (queue.length > 0) {
+        const [rest, call] = queue.take({ maxPieces, roomBytes }, 500);
+        const bytes = call.reduce((sum, one) => sum + one.bytes, 0);
+        assert.ok(call.length > 0 && call.length <= maxPieces);
+        assert.ok(bytes <= roomBytes);
+        taken.push(...call.map(({ item }) => item));
+        queue = rest;
+      }
+      assert.deepEqual(taken.sort((a, b) => a - b), all.map((_, i) => i));
+    },
+  ));
+});
+
+test("BatchQueue.take() takes what is due first, late pieces last by rank", () => {
+  const queue = new BatchQueue<number>().add([
+    piece(1, { dueAt: 100, priority: 2 }),
+    piece(2, { dueAt: 200, priority: 0 }),
+    piece(3, { dueAt: 900 }),
+    piece(4, { dueAt: 800 }),
+  ]);
+  const [, call] = queue.take({ maxPieces: 4, roomBytes: 10 }, 500);
+  assert.deepEqual(call.map(({ item }) => item), [4, 3, 2, 1]);
+});
+
+test("BatchQueue.take() prefers pieces of the target's failure domain", () => {
+  const queue = new BatchQueue<number>().add([
+    piece(1, { dueAt: 900, domain: "d2" }),
+    piece(2, { dueAt: 950, domain: "d1" }),
+    piece(3, { dueAt: 990 }),
+  ]);
+  const bounds = { maxPieces: 2, roomBytes: 10, domain: "d1" };
+  const [rest, call] = queue.take(bounds, 0);
+  assert.deepEqual(call.map(({ item }) => item), [2, 3]);
+  assert.equal(rest.length, 1);
+});
+
+test("BatchQueue.shed() drops late pieces only while others are in time", () => {
+  const late = [piece(1, { dueAt: 100 }), piece(2, { dueAt: 600 })];
+  const onTime = [3, 4, 5].map((item) => piece(item, { dueAt: 2_000 }));
+  const opts = { graceMs: 300, enough: 2 };
+  const [, none] = new BatchQueue<number>().add(late).shed(1_000, opts);
+  assert.deepEqual(none, []);
+  const [kept, shed] = new BatchQueue<number>().add([...late, ...onTime])
+    .shed(1_000, opts);
+  assert.deepEqual(shed.map(({ item }) => item), [1, 2]);
+  assert.equal(kept.length, 3);
+});
+
+test("BatchQueue.expire() drops pieces whose results are of no use", () => {
+  const queue = new BatchQueue<number>()
+    .add([piece(1, { expiresAt: 100 }), piece(2)]);
+  const [kept, expired] = queue.expire(100);
+  assert.deepEqual(expired.map(({ item }) => item), [1]);
+  assert.equal(kept.length, 1);
+});
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -126,11 +126,14 @@
 
   /** State after changes that were learned at monotonic time `now`. */
   apply(changes: readonly StateChange[], now: number): FleetState {
-    const news = changes.filter((change) => this.#isNews(change));
-    if (news.length === 0) return this;
-    return new FleetState(
-      news.reduce((parts, change) => applyOne(parts, change, now), this.#parts),
+    const parts = changes.reduce(
+      (parts, change) =>
+        change.version > versionOf(parts, change)
+          ? applyOne(parts, change, now)
+          : parts,
+      this.#parts,
     );
+    return parts === this.#parts ? this : new FleetState(parts);
   }
 
   /** Changes that lead from an empty state to this one. */
@@ -191,23 +194,19 @@
     return now < belief.coldUntil ||
       (backAt !== undefined && now < backAt + coldMs);
   }
+}
 
-  #isNews(change: StateChange): boolean {
-    return change.version > this.#versionOf(change);
-  }
-
-  #versionOf(change: StateChange): number {
-    const { catalog, targets, domains, peers } = this.#parts;
-    switch (change.kind) {
-      case "catalog":
-        return catalog.version;
-      case "target":
-        return targets.get(change.id)?.version ?? 0;
-      case "domain":
-        return domains.get(change.failureDomain)?.version ?? 0;
-      case "peer":
-        return peers.get(change.name)?.version ?? 0;
-    }
+/** Version at which the row of a change is known; 0 when it is not. */
+function versionOf(parts: Parts, change: StateChange): number {
+  switch (change.kind) {
+    case "catalog":
+      return parts.catalog.version;
+    case "target":
+      return parts.targets.get(change.id)?.version ?? 0;
+    case "domain":
+      return parts.domains.get(change.failureDomain)?.version ?? 0;
+    case "peer":
+      return parts.peers.get(change.name)?.version ?? 0;
   }
 }
 
--- /dev/null
+++ b/src/serving/rank_slack_test.ts
@@ -0,0 +1,23 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RankSlack } from "./rank_slack.ts";
+
+test("RankSlack.limitMs() keeps lower ranks below what higher ones bear", () => {
+  const slack = new RankSlack().note({ priority: 0, slackMs: 400 }, 0);
+  const lower = { priority: 1, slackMs: 900 };
+  assert.ok(slack.limitMs(lower, 1_000) < 400);
+  assert.ok(
+    slack.limitMs({ priority: 2, slackMs: 900 }, 1_000) <
+      slack.limitMs(lower, 1_000),
+  );
+});
+
+test("RankSlack.limitMs() lets a rank without requests limit no other", () => {
+  const slack = new RankSlack().note({ priority: 0, slackMs: 400 }, 0);
+  assert.equal(slack.limitMs({ priority: 1, slackMs: 900 }, 6_000), 900);
+});
+
+test("RankSlack.limitMs() leaves the most urgent rank its own slack", () => {
+  const slack = new RankSlack().note({ priority: 1, slackMs: 100 }, 0);
+  assert.equal(slack.limitMs({ priority: 0, slackMs: 500 }, 0), 500);
+});
--- /dev/null
+++ b/src/serving/shares_test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { coldRate, ColdShare, RepeatShare } from "./shares.ts";
+
+test("coldRate() shares of all processes stay within the limit", () => {
+  fc.assert(fc.property(
+    fc.integer({ min: 1, max: 40 }),
+    fc.integer({ min: 1, max: 30 }),
+    fc.string(),
+    (count, perS, target) => {
+      const processes = Array.from({ length: count }, (_, i) => `p${i}`);
+      const sum = processes
+        .map((self) => coldRate({ self, processes, target, perS }))
+        .reduce((total, one) => total + one, 0);
+      assert.ok(sum <= perS);
+      assert.ok(sum > 0);
+    },
+  ));
+});
+
+test("ColdShare.spend() holds in every sliding second", () => {
+  fc.assert(fc.property(
+    fc.array(fc.integer({ min: 0, max: 400 }), { maxLength: 60 }),
+    fc.integer({ min: 0, max: 5 }),
+    (gaps, perS) => {
+      let share = new ColdShare();
+      let now = 0;
+      const sent: number[] = [];
+      gaps.forEach((gap) => {
+        now += gap;
+        const next = share.spend(now, perS);
+        if (!next) return;
+        share = next;
+        sent.push(now);
+      });
+      sent.forEach((from) => {
+        const count = sent.filter((at) => at >= from && at < from + 1_000);
+        assert.ok(count.length <= perS);
+      });
+    },
+  ));
+});
+
+test("RepeatShare.repeat() keeps to ratio and allowance in the window", () => {
+  const opts = { windowMs: 10_000, ratio: 0.2, allowance: 2 };
+  let share = new RepeatShare();
+  for (let i = 0; i < 10; i++) share = share.request(i, 10_000);
+  let repeats = 0;
+  for (
+    let next = share.repeat(100, opts);
+    next;
+    next = share.repeat(100, opts)
+  ) {
+    share = next;
+    repeats += 1;
+  }
+  assert.equal(repeats, 4);
+  assert.ok(share.repeat(10_101, opts) !== undefined);
+});
