--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -90,6 +90,8 @@
   readonly #tried = new Set<string>();
   #sent = 0;
   #unsent = 0;
+  /** True once a target may have begun to work on the request. */
+  #mayHaveRun = false;
   #call: RunningCall | undefined;
   #lastEventId: string | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -208,6 +210,9 @@
       !(end.kind === "not-run" && !end.counts);
     if (counts) this.#sent += 1;
     else this.#unsent += 1;
+    if (end.kind === "broken" || end.kind === "error-answer") {
+      this.#mayHaveRun = true;
+    }
     if (end.kind === "over") {
       if (!this.#over.signal.aborted) this.#finish("answered", { target });
       return;
@@ -266,7 +271,7 @@
   #giveUp(reason: string, retryAfterMs: number): void {
     if (this.#over.signal.aborted) return;
     if (this.#answer.hasBegun) return this.#cut(reason);
-    if (this.#sent > 0 && this.#admitted.route.kind !== RouteKind.Idempotent) {
+    if (this.#mayHaveRun) {
       return this.#refuse({ kind: RefusalKind.Unknown, reason });
     }
     this.#refuse({ kind: RefusalKind.NotRun, reason, retryAfterMs });
@@ -289,7 +294,7 @@
   #timeUp(): void {
     if (this.#over.signal.aborted) return;
     if (this.#answer.hasBegun) return this.#cut("its time has passed");
-    const isSent = this.#call !== undefined || this.#sent > 0;
+    const isSent = this.#call !== undefined || this.#mayHaveRun;
     this.#refuse({
       kind: isSent ? RefusalKind.TimedOut : RefusalKind.NotRun,
       reason: "its time has passed",
--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -134,7 +134,7 @@
       if (size <= this.#limits.maxBodyBytes) return;
       chunks.length = 0;
       req.removeAllListeners("data");
-      this.#refuseUnread(req, answer, tooLarge("body"));
+      this.#refuseUnread(req, answer, BODY_TOO_LARGE);
     });
     res.once("close", () => this.#heldBytes -= size);
     req.on("end", () => {
@@ -171,9 +171,11 @@
   #refusalOfHead(req: IncomingMessage): Refusal | undefined {
     const headBytes = req.rawHeaders
       .reduce((sum, text) => sum + text.length + 2, req.url?.length ?? 0);
-    if (headBytes > this.#limits.maxHeaderBytes) return tooLarge("head");
+    if (headBytes > this.#limits.maxHeaderBytes) {
+      return { kind: RefusalKind.HeadTooLarge, reason: "head is too large" };
+    }
     const length = Number(req.headers["content-length"] ?? 0);
-    if (length > this.#limits.maxBodyBytes) return tooLarge("body");
+    if (length > this.#limits.maxBodyBytes) return BODY_TOO_LARGE;
     if (this.#heldBytes + length <= MAX_HELD_BYTES) return undefined;
     return {
       kind: RefusalKind.NotRun,
@@ -202,9 +204,10 @@
   }
 }
 
-function tooLarge(what: string): Refusal {
-  return { kind: RefusalKind.TooLarge, reason: `${what} is too large` };
-}
+const BODY_TOO_LARGE: Refusal = {
+  kind: RefusalKind.TooLarge,
+  reason: "body is too large",
+};
 
 const CONNECTION_HEADER = "connection";
 
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -88,7 +88,10 @@
   UnknownKey: "unknown-key",
   /** The request is malformed. */
   Malformed: "malformed",
+  /** The body is larger than callers may send. */
   TooLarge: "too-large",
+  /** The headers are larger than callers may send. */
+  HeadTooLarge: "head-too-large",
   /** Not run and never will be; the caller may come back. */
   NotRun: "not-run",
   /** It may have run: the connection to the target failed. */
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -134,6 +134,7 @@
                 : runner.run(chain, gone),
           })),
           cfg.control,
+          signal,
         );
         peers.run(signal);
         return peers;
@@ -143,16 +144,16 @@
     }),
     service({
       key: serviceKey<Server>("metrics"),
-      start: async () => {
+      start: async ({ signal }) => {
         const server = createServer((_req, res) => res.end(metrics.text()));
-        if (cfg.metrics) await listen(server, cfg.metrics);
+        if (cfg.metrics) await listen(server, cfg.metrics, signal);
         return server;
       },
     }),
     service({ key: GATEWAY, start: () => gateway }),
     service({
       key: serviceKey<HttpFront>("front"),
-      start: async () => {
+      start: async ({ signal }) => {
         await front.listen(cfg.front);
         await listen(
           createServer((_req, res) => {
@@ -160,6 +161,7 @@
             res.end();
           }),
           cfg.ready,
+          signal,
         );
         log.info("started", { name: cfg.self.name });
         return front;
@@ -174,6 +176,7 @@
         await front.drain(cfg.graceMs - LINGER_MS - GRACE_RESERVE_MS);
       },
       end: async () => {
+        await front.drain(0);
         await targets.close();
         log.info("stopped", { inHand: front.inHand });
       },
@@ -196,7 +199,16 @@
   }
 }
 
-function listen(server: Server, { host, port }: ListenAddress): Promise<void> {
+/** Listens until `signal` aborts. */
+function listen(
+  server: Server,
+  { host, port }: ListenAddress,
+  signal: AbortSignal,
+): Promise<void> {
+  signal.addEventListener("abort", () => {
+    server.closeAllConnections();
+    server.close();
+  });
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, () => resolve());
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -96,6 +96,15 @@
     return this.#stopping;
   }
 
+  /** Ends every service at once, without announcing or draining. */
+  async abort(): Promise<void> {
+    const newestFirst = [...this.#running.values()].reverse();
+    newestFirst.forEach(({ abort }) => abort.abort());
+    await Promise.allSettled(
+      newestFirst.map(async ({ spec, instance }) => await spec.end?.(instance)),
+    );
+  }
+
   async #add(spec: ServiceSpec): Promise<void> {
     const { name } = spec.key;
     if (this.#running.has(name)) {
