--- a/src/gateway/chain_runner.ts
+++ b/src/gateway/chain_runner.ts
@@ -25,6 +25,8 @@
 
 /** Gain of the moving mean of errors of the expected time. */
 const ERROR_GAIN = 0.1;
+/** Share of the mean deviation of errors that is kept as a margin. */
+const MARGIN_SHARE = 0.7;
 /** Bounds of the mean error that is counted, in milliseconds. */
 const MAX_ERROR_MS = 500;
 /** Results of a stage that are worth placing, in bytes. */
@@ -52,6 +54,7 @@
   /** Pieces of admitted chains that are not made, by pool. */
   readonly #committed = new Map<string, number>();
   #meanErrorMs = 0;
+  #errorDeviationMs = 0;
   #slack = new RankSlack();
 
   constructor(
@@ -67,7 +70,8 @@
     const plan = planOf(chain);
     const bareMs = this.#bareMs(plan);
     const expectedMs = this.#expectedMs(plan);
-    const waitMs = expectedMs + this.#meanErrorMs - bareMs;
+    const errorMs = this.#meanErrorMs + MARGIN_SHARE * this.#errorDeviationMs;
+    const waitMs = expectedMs + errorMs - bareMs;
     const rank = { priority: chain.priority, slackMs: chain.dueMs - bareMs };
     this.#slack = this.#slack.note(rank, monotonicMs());
     const limitMs = this.#slack.limitMs(rank, monotonicMs());
@@ -77,7 +81,7 @@
       limitMs: Math.round(limitMs),
       slackMs: Math.round(rank.slackMs),
       bareMs: Math.round(bareMs),
-      errorMs: Math.round(this.#meanErrorMs),
+      errorMs: Math.round(errorMs),
       priority: chain.priority,
     });
     if (waitMs > limitMs) {
@@ -246,6 +250,9 @@
   readonly #callMs = (pool: string) => this.#batcher.callMs(pool);
 
   #learn(errorMs: number): void {
+    const deviationMs = Math.abs(errorMs - this.#meanErrorMs);
+    this.#errorDeviationMs += ERROR_GAIN *
+      (Math.min(MAX_ERROR_MS, deviationMs) - this.#errorDeviationMs);
     const next = this.#meanErrorMs + ERROR_GAIN * (errorMs - this.#meanErrorMs);
     this.#meanErrorMs = Math.min(MAX_ERROR_MS, Math.max(-MAX_ERROR_MS, next));
   }
