--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -106,8 +106,11 @@
     const chain = chainOf(request);
     if (!owner) return this.#runner.run(chain, request.signal);
     try {
-      const answer = await this.#clients
-        .runChain(owner.url, chain, request.signal);
+      const signal = AbortSignal.any([
+        request.signal,
+        this.#peers.lossOf(owner),
+      ]);
+      const answer = await this.#clients.runChain(owner.url, chain, signal);
       if (answer.kind !== "leaving") return answer;
     } catch (cause) {
       if (request.signal.aborted) {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -22,8 +22,14 @@
 const SYNC_TIMEOUT_MS = 350;
 /** Time without an answer after which a peer counts as silent, in ms. */
 const SILENT_AFTER_MS = 900;
-/** Likely owners of a group of pools that are asked in each round. */
-const CANDIDATE_OWNERS = 2;
+/** Gain of the moving mean of answer times. */
+const ANSWER_GAIN = 0.3;
+/** Answer time from which on a peer may count as slow, in milliseconds. */
+const SLOW_ANSWER_MS = 60;
+/** Multiple of the usual answer time at which it does. */
+const SLOW_RATIO = 4;
+/** Likely next owners of pools that are asked in each round. */
+const CANDIDATE_OWNERS = 1;
 /** Neighbours that are asked in each round besides the owners of pools. */
 const NEIGHBOURS = 2;
 
@@ -34,6 +40,10 @@
   askedAt?: number;
   isLeaving: boolean;
   isSilent: boolean;
+  /** Aborts when it is found to be silent. */
+  loss?: AbortController;
+  /** Mean time of its answers, in milliseconds. */
+  answerMs?: number;
 }
 
 /** Keeps in touch with the other entries. */
@@ -79,29 +89,37 @@
     this.#isLeaving = true;
   }
 
-  /** Owner of a group of pools; undefined when it is this process. */
+  /**
+   * Owner of a group of pools; undefined when it is this process. The entries
+   * that are registered longest own the groups, so that an owner changes only
+   * when it ends, and not once more when it is back.
+   */
   ownerOf(group: string): ListedPeer | undefined {
-    const all = this.#everyone().filter((peer) => this.#isUsable(peer));
-    const owner = rendezvousOrder(all, {
-      key: group,
-      idOf: ({ name }) => name,
-    })[0];
+    const usable = this.#bySeniority().filter((peer) => this.#isUsable(peer));
+    const groups = this.#view.state.catalog?.stageGroups ?? [];
+    const place = Math.max(0, groups.indexOf(group));
+    const owner = usable[place % Math.max(1, usable.length)];
     return owner?.name === this.#self.name ? undefined : owner;
   }
 
+  /** Aborts when a peer is found to be silent. */
+  lossOf({ name }: ListedPeer): AbortSignal {
+    const record = this.#record(name);
+    record.loss ??= new AbortController();
+    return record.loss.signal;
+  }
+
   /** A call to a peer failed: it counts as silent until it answers again. */
   suspect(peer: ListedPeer): void {
     this.#markSilent(peer.name, "call failed");
   }
 
-  /** True while no other entry answers although some are listed. */
+  /** True while none of the entries that are asked answers. */
   get isAlone(): boolean {
-    const others = this.#others();
-    return others.length > 0 &&
-      others.every(({ name }) => {
-        const record = this.#records.get(name);
-        return record !== undefined && record.isSilent;
-      });
+    const watched = this.#watched()
+      .flatMap(({ name }) => name === undefined ? [] : [name]);
+    return watched.length > 0 &&
+      watched.every((name) => this.#records.get(name)?.isSilent);
   }
 
   /** Asks peers in turn until `signal` aborts. */
@@ -137,13 +155,12 @@
     if (others.length === 0) {
       return this.#seeds.map((url) => ({ url }));
     }
-    const groups = this.#view.state.catalog?.stageGroups ?? [];
-    const owners = groups.flatMap((group) =>
-      rendezvousOrder(this.#everyone(), {
-        key: group,
-        idOf: ({ name }) => name,
-      }).slice(0, CANDIDATE_OWNERS)
-    );
+    const order = this.#bySeniority();
+    const wanted = CANDIDATE_OWNERS +
+      (this.#view.state.catalog?.stageGroups.length ?? 0);
+    const usable = order.filter((peer) => this.#isUsable(peer));
+    const last = usable[Math.min(wanted, usable.length) - 1];
+    const owners = order.slice(0, last ? order.indexOf(last) + 1 : 0);
     const near = rendezvousOrder(others, {
       key: this.#self.name,
       idOf: ({ name }) => name,
@@ -157,10 +174,13 @@
     const record = peer.name ? this.#record(peer.name) : undefined;
     if (record) record.askedAt ??= monotonicMs();
     const question = { from: this.#self.name, versions: this.#versions() };
+    const startedAt = monotonicMs();
     try {
       const answer = await this.#clients
         .sync(peer.url, question, SYNC_TIMEOUT_MS);
-      if (peer.name) this.#heard(peer.name, answer);
+      if (peer.name) {
+        this.#heard(peer.name, answer, monotonicMs() - startedAt);
+      }
       this.#view.learn(answer.changes, answer.versions);
     } catch (err) {
       this.#metrics.count("peer_failures_total");
@@ -171,8 +191,10 @@
     }
   }
 
-  #heard(name: string, answer: SyncAnswer): void {
+  #heard(name: string, answer: SyncAnswer, tookMs: number): void {
     const record = this.#record(name);
+    record.answerMs ??= tookMs;
+    record.answerMs += ANSWER_GAIN * (tookMs - record.answerMs);
     if (record.isSilent) this.#log.info("peer_regained", { peer: name });
     if (record.isLeaving !== answer.isLeaving) {
       this.#log.info("peer_leaving", { peer: name, on: answer.isLeaving });
@@ -187,6 +209,8 @@
     const record = this.#record(name);
     if (record.isSilent) return;
     record.isSilent = true;
+    record.loss?.abort();
+    record.loss = undefined;
     this.#log.warn("peer_lost", { peer: name, detail });
   }
 
@@ -205,7 +229,17 @@
   #isUsable({ name }: ListedPeer): boolean {
     if (name === this.#self.name) return !this.#isLeaving;
     const record = this.#records.get(name);
-    return !record?.isSilent && !record?.isLeaving;
+    if (!record) return true;
+    return !record.isSilent && !record.isLeaving && !this.#isSlow(record);
+  }
+
+  /** True when a peer answers much later than the others. */
+  #isSlow({ answerMs = 0 }: PeerRecord): boolean {
+    const times = [...this.#records.values()]
+      .flatMap(({ isSilent, answerMs }) => isSilent ? [] : answerMs ?? [])
+      .sort((a, b) => a - b);
+    const usualMs = times[Math.floor(times.length / 2)] ?? 0;
+    return answerMs > SLOW_ANSWER_MS && answerMs > SLOW_RATIO * usualMs;
   }
 
   #others(): readonly ListedPeer[] {
@@ -213,8 +247,11 @@
       .filter(({ name }) => name !== this.#self.name);
   }
 
-  #everyone(): readonly ListedPeer[] {
-    return [...this.#others(), this.#self];
+  /** All entries, those that are registered longest first. */
+  #bySeniority(): readonly ListedPeer[] {
+    const listed = this.#view.state.peers;
+    const isListed = listed.some(({ name }) => name === this.#self.name);
+    return isListed ? listed : [...listed, this.#self];
   }
 
   #versions(): Record<string, number> {
--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -54,6 +54,11 @@
 const WORTHWHILE_SHARE = 0.5;
 /** Longest such wait, in milliseconds. */
 const ROOM_WAIT_MS = 120;
+/**
+ * Time for which a piece waits for a target beside its data, in milliseconds:
+ * a third of a call, after which such a target is free as a rule.
+ */
+const NEAR_WAIT_MS = 130;
 
 /**
  * Time after which a call at an idle target has read its inputs, in
@@ -212,6 +217,9 @@
       expiresAt: task.submission.work.expiresAt,
       bytes: task.submission.work.resultBytes,
       domain: task.submission.work.domain,
+      anywhereAt: task.attempts > 0
+        ? 0
+        : task.submission.queuedAt + NEAR_WAIT_MS,
     })));
   }
 
@@ -223,36 +231,53 @@
     const now = monotonicMs();
     this.#refresh(pool, now);
     this.#expire(pool, limits, now);
-    while (pool.queue.length > 0) {
-      const nextBytes = pool.queue.nextBytes(now);
-      const server = pool.servers.pick(
-        limits,
-        now,
-        (id) => this.#isWorthCalling(pool, limits, { id, nextBytes, now }),
-      );
-      const target = server && this.#state().targets.get(server.id)?.target;
-      if (!target) break;
-      const wasFull = pool.queue.length >= limits.maxPieces;
+    while (this.#sendCall(pool, limits, now)) continue;
+    if (pool.queue.length === 0) return;
+    const waitMs = Math.min(
+      MAX_RETRY_MS,
+      Math.max(
+        MIN_RETRY_MS,
+        Math.min(pool.servers.nextFreeMs(now), pool.queue.nextAnywhereMs(now)),
+      ),
+    );
+    pool.timer = setTimeout(() => this.#pump(pool), waitMs);
+  }
+
+  /** Sends a call to one free target; false when there is none to send. */
+  #sendCall(pool: PoolWork, limits: BatchLimits, now: number): boolean {
+    if (pool.queue.length === 0) return false;
+    const nextBytes = pool.queue.nextBytes(now);
+    const targetOf = (id: string) => this.#state().targets.get(id)?.target;
+    const domains = new Set(
+      pool.servers.awake(now).flatMap(({ id }) =>
+        targetOf(id)?.failureDomain ?? []
+      ),
+    );
+    const wasFull = pool.queue.length >= limits.maxPieces;
+    return pool.servers.free(limits, now).some(({ id }) => {
+      const target = targetOf(id);
+      if (!target) return false;
+      if (!this.#isWorthCalling(pool, limits, { id, nextBytes, now })) {
+        return false;
+      }
       const [rest, taken] = pool.queue.take({
         maxPieces: limits.maxPieces,
-        roomBytes: this.#roomAt(pool, limits, target.id),
+        roomBytes: this.#roomAt(pool, limits, id),
         domain: target.failureDomain,
+        domains,
       }, now);
+      if (taken.length === 0) return false;
       pool.queue = rest;
-      if (taken.length === 0) break;
-      if (wasFull) {
-        const before = pool.fill ?? limits.maxPieces * INITIAL_FILL;
-        pool.fill = before + FILL_GAIN * (taken.length - before);
-      }
+      if (wasFull) this.#noteFill(pool, limits, taken.length);
       const tasks = taken.map(({ item }) => item).filter(isOpen);
       if (tasks.length > 0) this.#call(pool, limits, target, tasks);
-    }
-    if (pool.queue.length === 0) return;
-    const waitMs = Math.min(
-      MAX_RETRY_MS,
-      Math.max(MIN_RETRY_MS, pool.servers.nextFreeMs(now)),
-    );
-    pool.timer = setTimeout(() => this.#pump(pool), waitMs);
+      return true;
+    });
+  }
+
+  #noteFill(pool: PoolWork, limits: BatchLimits, pieces: number): void {
+    const before = pool.fill ?? limits.maxPieces * INITIAL_FILL;
+    pool.fill = before + FILL_GAIN * (pieces - before);
   }
 
   /**
--- a/src/serving/batch_queue.ts
+++ b/src/serving/batch_queue.ts
@@ -24,6 +24,8 @@
   readonly bytes: number;
   /** Failure domain in which it is best worked on. */
   readonly domain?: string;
+  /** Time from which on any target may work on it. */
+  readonly anywhereAt: number;
 }
 
 /**
@@ -40,6 +42,8 @@
   readonly roomBytes: number;
   /** Failure domain of the target. */
   readonly domain?: string;
+  /** Failure domains in which other targets of the pool take calls. */
+  readonly domains?: ReadonlySet<string>;
 }
 
 /** Pieces that wait, in the order in which they are taken. Immutable. */
@@ -92,11 +96,13 @@
    * due time, then the late ones, as long as there is room for their results.
    */
   take(
-    { maxPieces, roomBytes, domain }: CallBounds,
+    bounds: CallBounds,
     now: number,
   ): [BatchQueue<T>, readonly QueuedPiece<T>[]] {
+    const { maxPieces, roomBytes } = bounds;
     const ordered = this.#pieces
-      .map((one) => ({ one, rank: rankAt(one, domain, now) }))
+      .filter((one) => !isFar(one, bounds) || one.anywhereAt <= now)
+      .map((one) => ({ one, rank: rankAt(one, bounds, now) }))
       .sort((a, b) => compare(a.rank, b.rank, now))
       .map(({ one }) => one);
     let left = roomBytes;
@@ -106,10 +112,19 @@
       return isTaken;
     });
     const taken = new Set(fits);
-    const rest = ordered.filter((one) => !taken.has(one));
+    const rest = this.#pieces.filter((one) => !taken.has(one));
     return [new BatchQueue(rest), fits];
   }
 
+  /** Time until the next piece may go to any target, in milliseconds. */
+  nextAnywhereMs(now: number): number {
+    return this.#pieces.filter(({ anywhereAt }) => anywhereAt > now)
+      .reduce(
+        (least, { anywhereAt }) => Math.min(least, anywhereAt - now),
+        Number.POSITIVE_INFINITY,
+      );
+  }
+
   /** Size of the result of the piece that is taken next, in bytes. */
   nextBytes(now: number): number {
     const next = this.#pieces.reduce<QueuedPiece<T> | undefined>(
@@ -126,18 +141,25 @@
   }
 }
 
-/** Rank of a piece at a target in `domain`; a late piece yields no further. */
+/** Rank of a piece at a target; a far one yields unless it is late. */
 function rankAt<T>(
   piece: QueuedPiece<T>,
-  domain: string | undefined,
+  bounds: CallBounds,
   now: number,
 ): Rank {
-  const isFar = piece.domain !== undefined && domain !== undefined &&
-    piece.domain !== domain;
-  if (!isFar || piece.dueAt < now) return piece;
+  if (!isFar(piece, bounds) || piece.dueAt < now) return piece;
   return { priority: piece.priority, dueAt: piece.dueAt + FAR_PENALTY_MS };
 }
 
+/** True when a target elsewhere would be nearer to the piece's data. */
+function isFar<T>(
+  { domain: wanted }: QueuedPiece<T>,
+  { domain, domains }: CallBounds,
+): boolean {
+  if (wanted === undefined || domain === undefined) return false;
+  return wanted !== domain && (domains === undefined || domains.has(wanted));
+}
+
 type Rank = Pick<QueuedPiece<unknown>, "priority" | "dueAt">;
 
 function compare(a: Rank, b: Rank, now: number): number {
--- a/src/serving/batch_queue_test.ts
+++ b/src/serving/batch_queue_test.ts
@@ -14,6 +14,7 @@
     dueAt: 1_000,
     expiresAt: 5_000,
     bytes: 1,
+    anywhereAt: 0,
     ...over,
   };
 }
@@ -91,3 +92,17 @@
   assert.deepEqual(expired.map(({ item }) => item), [1]);
   assert.equal(kept.length, 1);
 });
+
+test("BatchQueue.take() keeps a piece for a near target for a while", () => {
+  const queue = new BatchQueue<number>()
+    .add([piece(1, { domain: "d2", anywhereAt: 100 })]);
+  const far = { maxPieces: 2, roomBytes: 10, domain: "d1" };
+  assert.equal(queue.take(far, 99)[1].length, 0);
+  assert.equal(queue.take(far, 100)[1].length, 1);
+  assert.equal(queue.take({ ...far, domain: "d2" }, 0)[1].length, 1);
+  assert.equal(
+    queue.take({ ...far, domains: new Set(["d1"]) }, 0)[1].length,
+    1,
+  );
+  assert.equal(queue.nextAnywhereMs(40), 60);
+});
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -118,9 +118,13 @@
     return this.#parts.targets;
   }
 
-  /** Other entries, and this one if it is registered. */
+  /**
+   * Entries, this one too if it is registered, in the order of their
+   * registrations: one that restarts goes to the end.
+   */
   get peers(): readonly ListedPeer[] {
     return [...this.#parts.peers.values()]
+      .sort((a, b) => a.version - b.version)
       .flatMap(({ peer }) => peer ? [peer] : []);
   }
 
--- a/src/serving/stage_servers.ts
+++ b/src/serving/stage_servers.ts
@@ -65,20 +65,16 @@
     return this.#servers.get(id);
   }
 
-  /**
-   * Free target that is expected to be the fastest among those that `hasRoom`
-   * holds for; undefined when there is none.
-   */
-  pick(
-    limits: BatchLimits,
-    now: number,
-    hasRoom: (id: string) => boolean,
-  ): StageServer | undefined {
-    const free = this.#awake(now)
-      .filter(({ id, calls }) => calls < limits.slots && hasRoom(id));
-    return [...free].sort((a, b) =>
-      a.slowness - b.slowness || a.freeAt - b.freeAt
-    )[0];
+  /** Free targets, those that are expected to be the fastest first. */
+  free(limits: BatchLimits, now: number): readonly StageServer[] {
+    return this.#awake(now)
+      .filter(({ calls }) => calls < limits.slots)
+      .sort((a, b) => a.slowness - b.slowness || a.freeAt - b.freeAt);
+  }
+
+  /** Targets that take calls. */
+  awake(now: number): readonly StageServer[] {
+    return this.#awake(now);
   }
 
   /** Work of the targets that take calls, in usual targets. */
