--- a/src/gateway/chain_runner.ts
+++ b/src/gateway/chain_runner.ts
@@ -18,7 +18,6 @@
   RankSlack,
   type ResultHandle,
   StagePlan,
-  WaitRatio,
 } from "../serving/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import type { ChainAnswer, StageChain } from "../wire/mod.ts";
@@ -54,7 +53,6 @@
   readonly #committed = new Map<string, number>();
   #meanErrorMs = 0;
   #slack = new RankSlack();
-  #ratio = new WaitRatio();
 
   constructor(
     deps: { batcher: StageBatcher; state: () => FleetState; log: Logger },
@@ -72,8 +70,7 @@
     const waitMs = expectedMs + this.#meanErrorMs - bareMs;
     const rank = { priority: chain.priority, slackMs: chain.dueMs - bareMs };
     this.#slack = this.#slack.note(rank, monotonicMs());
-    const limitMs = this.#ratio.value *
-      this.#slack.limitMs(rank, monotonicMs());
+    const limitMs = this.#slack.limitMs(rank, monotonicMs());
     this.#log.info("chain_admission", {
       request: chain.requestId,
       waitMs: Math.round(waitMs),
@@ -81,7 +78,6 @@
       slackMs: Math.round(rank.slackMs),
       bareMs: Math.round(bareMs),
       errorMs: Math.round(this.#meanErrorMs),
-      ratio: this.#ratio.value,
       priority: chain.priority,
     });
     if (waitMs > limitMs) {
@@ -104,12 +100,7 @@
     });
     left.forEach(({ pool, pieces }) => this.#commit(pool, -pieces));
     if (answer.kind === "done") {
-      const tookMs = monotonicMs() - startedAt;
-      this.#learn(tookMs - expectedMs);
-      this.#ratio = this.#ratio.learn({
-        waitShare: waitMs / limitMs,
-        isInTime: tookMs <= chain.dueMs,
-      });
+      this.#learn(monotonicMs() - startedAt - expectedMs);
     }
     return answer;
   }
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -16,4 +16,3 @@
 export * from "./stage_plan.ts";
 export * from "./stage_servers.ts";
 export * from "./event_splitter.ts";
-export * from "./wait_ratio.ts";
