--- a/src/layers.ts
+++ b/src/layers.ts
@@ -59,7 +59,7 @@
 ): LayerFinding[] {
   return [...text.matchAll(IMPORT_PATTERN)]
     .map((match) => match[1] ?? match[2] ?? "")
-    .filter((imported) => !imported.startsWith("./"))
+    .filter((imported) => imported.includes("/src/"))
     .filter((imported) => !ADAPTER_IMPORTS.test(imported))
     .map((imported) => ({
       file,
