--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -4,16 +4,16 @@
  *
  * The estimate of a request is the sum over its stages of the measured service
  * time and of the wait at the gates, which both ride on answers. Waits and the
- * share of calls that the gates accept are kept by customer, so that a
- * customer that sends too much is refused early and the others are not.
+ * share of calls that the gates accept are kept by organisation, so that a
+ * organisation that sends too much is refused early and the others are not.
  *
  * @module
  */
 
 import { invariant } from "../kernel/mod.ts";
 import {
-  type CustomerId,
   notRun,
+  type OrganisationId,
   type PipelineSpec,
   type PoolName,
   Priority,
@@ -27,11 +27,11 @@
 export interface AdmissionState {
   /** Service times by pipeline and stage. */
   readonly service: ReadonlyMap<string, Estimate>;
-  /** Waits and acceptance by pool, customer and priority. */
+  /** Waits and acceptance by pool, organisation and priority. */
   readonly flows: ReadonlyMap<string, Flow>;
 }
 
-/** What the gates of a pool did with one customer's calls. */
+/** What the gates of a pool did with one organisation's calls. */
 interface Flow {
   readonly wait?: Estimate;
   /** Decayed count of the calls sent. */
@@ -44,7 +44,7 @@
 
 /** A request that asks to be let in. */
 export interface AdmissionRequest {
-  readonly customer: CustomerId;
+  readonly organisation: OrganisationId;
   readonly spec: PipelineSpec;
   /** Stages that are still to run. */
   readonly stages: readonly StageSpec[];
@@ -54,7 +54,7 @@
 
 /** How the gates answered a stage call. */
 export interface StageReport {
-  readonly customer: CustomerId;
+  readonly organisation: OrganisationId;
   readonly spec: PipelineSpec;
   readonly stage: StageSpec;
   readonly outcome:
@@ -114,7 +114,7 @@
   return opts.random < refused
     ? notRun(
       RefusalReason.OverLimit,
-      "The targets have no capacity left for the customer",
+      "The targets have no capacity left for the organisation",
       RETRY_MS,
     )
     : undefined;
@@ -123,7 +123,7 @@
 /** Expected time of the stages of a request, waits included, in ms. */
 export function pipelineMs(
   state: AdmissionState,
-  req: Pick<AdmissionRequest, "customer" | "spec" | "stages">,
+  req: Pick<AdmissionRequest, "organisation" | "spec" | "stages">,
   now: number,
 ): number {
   return req.stages.reduce((sum, stage) => {
@@ -169,16 +169,16 @@
 }
 
 /**
- * True when a customer's calls wait at the gates of a pool. A second call to
+ * True when an organisation's calls wait at the gates of a pool. A second call to
  * save time would then only take the place of another one.
  */
 export function isCrowded(
   state: AdmissionState,
-  call: { pool: PoolName; customer: CustomerId; priority: Priority },
+  call: { pool: PoolName; organisation: OrganisationId; priority: Priority },
   now: number,
 ): boolean {
-  const { pool, customer, priority } = call;
-  const wait = state.flows.get(flowName(pool, customer, priority))?.wait;
+  const { pool, organisation, priority } = call;
+  const wait = state.flows.get(flowName(pool, organisation, priority))?.wait;
   return meanMs(wait, now) > CROWDED_WAIT_MS;
 }
 
@@ -212,18 +212,18 @@
 }
 
 function flowKey(
-  req: { customer: CustomerId; spec: PipelineSpec },
+  req: { organisation: OrganisationId; spec: PipelineSpec },
   stage: StageSpec,
 ): string {
-  return flowName(stage.pool, req.customer, req.spec.priority);
+  return flowName(stage.pool, req.organisation, req.spec.priority);
 }
 
 function flowName(
   pool: PoolName,
-  customer: CustomerId,
+  organisation: OrganisationId,
   priority: Priority,
 ): string {
-  return `${pool}/${customer}/${priority}`;
+  return `${pool}/${organisation}/${priority}`;
 }
 
 function decayed(
--- a/src/admission/admission_test.ts
+++ b/src/admission/admission_test.ts
@@ -38,7 +38,7 @@
 };
 
 interface Ask {
-  customer?: string;
+  organisation?: string;
   remainingMs?: number;
   now?: number;
   random?: number;
@@ -46,20 +46,20 @@
 
 const ask = (state: AdmissionState, opts: Ask = {}) =>
   decideAdmission(state, {
-    customer: opts.customer ?? "c",
+    organisation: opts.organisation ?? "c",
     spec: SPEC,
     stages: SPEC.stages,
     remainingMs: opts.remainingMs ?? 1_000,
   }, { now: opts.now ?? 0, random: opts.random ?? 0.5 });
 
 const ran = (i: number, serviceMs: number, queuedMs = 0): StageReport => ({
-  customer: "c",
+  organisation: "c",
   spec: SPEC,
   stage: SPEC.stages[i] as StageSpec,
   outcome: { kind: "ran", serviceMs, queuedMs },
 });
-const crowded = (customer = "c"): StageReport => ({
-  customer,
+const crowded = (organisation = "c"): StageReport => ({
+  organisation,
   spec: SPEC,
   stage: SPEC.stages[1] as StageSpec,
   outcome: { kind: "crowded" },
@@ -99,20 +99,20 @@
   assert.equal(ask(state, { random: 0.5, now: 10_000 }), undefined);
 });
 
-test("decideAdmission() lets a modest customer in beside a greedy one", () => {
-  // Fails when flowKey() leaves the customer out.
+test("decideAdmission() lets a modest organisation in beside a greedy one", () => {
+  // Fails when flowKey() leaves the organisation out.
   const state = play(times(100, crowded("greedy")));
-  assert.ok(ask(state, { customer: "greedy" }));
-  assert.equal(ask(state, { customer: "modest", random: 0 }), undefined);
+  assert.ok(ask(state, { organisation: "greedy" }));
+  assert.equal(ask(state, { organisation: "modest", random: 0 }), undefined);
 });
 
-test("isCrowded() tells of waits at the gates, by customer, until they are stale", () => {
+test("isCrowded() tells of waits at the gates, by organisation, until they are stale", () => {
   // Fails when isCrowded() is always false or looks at the whole pool.
   const state = play(times(20, ran(1, 10, 500)));
   const call = { pool: "two-pool", priority: Priority.Interactive };
-  assert.equal(isCrowded(state, { ...call, customer: "c" }, 0), true);
-  assert.equal(isCrowded(state, { ...call, customer: "d" }, 0), false);
-  assert.equal(isCrowded(state, { ...call, customer: "c" }, 20_000), false);
+  assert.equal(isCrowded(state, { ...call, organisation: "c" }, 0), true);
+  assert.equal(isCrowded(state, { ...call, organisation: "d" }, 0), false);
+  assert.equal(isCrowded(state, { ...call, organisation: "c" }, 20_000), false);
 });
 
 test("applyReport() remembers the flows that changed last", () => {
@@ -122,7 +122,7 @@
   const kept = play([...greedy, ...others.slice(1), ...greedy, ...others]);
   assert.equal(kept.flows.size, MAX_FLOWS);
   const again = play([...greedy, ...others.slice(1), ...greedy, crowded("x")]);
-  assert.ok(ask(again, { customer: "greedy" }));
+  assert.ok(ask(again, { organisation: "greedy" }));
 });
 
 test("laterMs() sums the stages after a stage", () => {
--- a/src/admission/usage.ts
+++ b/src/admission/usage.ts
@@ -1,5 +1,5 @@
 /**
- * Requests that each customer has in hand across the fleet, as far as an entry
+ * Requests that each organisation has in hand across the fleet, as far as an entry
  * can tell: its own, and what the gates report on answers to its calls.
  *
  * @module
@@ -7,15 +7,15 @@
 
 import { invariant } from "../kernel/mod.ts";
 import {
-  type CustomerId,
   notRun,
+  type OrganisationId,
   type Refusal,
   RefusalReason,
   type TargetId,
 } from "../model/mod.ts";
 
-/** What is known of one customer. */
-interface CustomerUsage {
+/** What is known of one organisation. */
+interface OrganisationUsage {
   /** Requests in hand at this entry. */
   readonly own: number;
   /** Calls in hand by target, from all entries. */
@@ -27,15 +27,15 @@
   readonly at: number;
 }
 
-/** Usage by customer. Customers without any are absent. */
-export type UsageState = ReadonlyMap<CustomerId, CustomerUsage>;
+/** Usage by organisation. Organisations without any are absent. */
+export type UsageState = ReadonlyMap<OrganisationId, OrganisationUsage>;
 
 /** Something that changes the usage. */
 export type UsageEvent =
-  | { readonly kind: "enter" | "leave"; readonly customer: CustomerId }
+  | { readonly kind: "enter" | "leave"; readonly organisation: OrganisationId }
   | {
     readonly kind: "report";
-    readonly customer: CustomerId;
+    readonly organisation: OrganisationId;
     readonly target: TargetId;
     readonly inHand: number;
   };
@@ -54,24 +54,25 @@
   now: number,
 ): UsageState {
   const usage = changed(
-    state.get(event.customer) ?? { own: 0, reported: new Map() },
+    state.get(event.organisation) ?? { own: 0, reported: new Map() },
     event,
     now,
   );
-  invariant(usage.own >= 0, "usage-not-negative", event.customer);
+  invariant(usage.own >= 0, "usage-not-negative", event.organisation);
   const next = new Map(state);
-  if (usage.own === 0 && usage.reported.size === 0) next.delete(event.customer);
-  else next.set(event.customer, usage);
+  if (usage.own === 0 && usage.reported.size === 0) {
+    next.delete(event.organisation);
+  } else next.set(event.organisation, usage);
   return next;
 }
 
-/** Requests of a customer in hand across the fleet, as far as known. */
+/** Requests of an organisation in hand across the fleet, as far as known. */
 export function fleetUsage(
   state: UsageState,
-  customer: CustomerId,
+  organisation: OrganisationId,
   now: number,
 ): number {
-  const usage = state.get(customer);
+  const usage = state.get(organisation);
   if (!usage) return 0;
   const reported = [...usage.reported.values()]
     .filter(({ at }) => now - at < REPORT_AGE_MS)
@@ -82,10 +83,10 @@
 /** Refusal of a further request beyond the plan, or undefined. */
 export function decideShare(
   state: UsageState,
-  req: { customer: CustomerId; maxConcurrent: number },
+  req: { organisation: OrganisationId; maxConcurrent: number },
   now: number,
 ): Refusal | undefined {
-  return fleetUsage(state, req.customer, now) < req.maxConcurrent
+  return fleetUsage(state, req.organisation, now) < req.maxConcurrent
     ? undefined
     : notRun(
       RefusalReason.OverShare,
@@ -95,10 +96,10 @@
 }
 
 function changed(
-  usage: CustomerUsage,
+  usage: OrganisationUsage,
   event: UsageEvent,
   now: number,
-): CustomerUsage {
+): OrganisationUsage {
   switch (event.kind) {
     case "enter":
       return { ...usage, own: usage.own + 1 };
--- a/src/admission/usage_test.ts
+++ b/src/admission/usage_test.ts
@@ -16,18 +16,18 @@
 
 const play = (events: readonly UsageEvent[], now = 0): UsageState =>
   events.reduce((state, event) => applyUsage(state, event, now), NO_USAGE);
-const enter: UsageEvent = { kind: "enter", customer: "c" };
-const leave: UsageEvent = { kind: "leave", customer: "c" };
+const enter: UsageEvent = { kind: "enter", organisation: "c" };
+const leave: UsageEvent = { kind: "leave", organisation: "c" };
 const report = (target: string, inHand: number): UsageEvent => ({
   kind: "report",
-  customer: "c",
+  organisation: "c",
   target,
   inHand,
 });
 
 test("decideShare() refuses beyond the plan as not run", () => {
   const ask = (state: UsageState) =>
-    decideShare(state, { customer: "c", maxConcurrent: 2 }, 0);
+    decideShare(state, { organisation: "c", maxConcurrent: 2 }, 0);
   assert.equal(ask(play([enter])), undefined);
   const refusal = ask(play([enter, enter]));
   assert.equal(refusal?.reason, RefusalReason.OverShare);
@@ -47,7 +47,7 @@
   assert.equal(fleetUsage(play([enter, report("t1", 9)]), "c", 5_000), 1);
 });
 
-test("applyUsage() keeps nothing of a customer without requests and reports", () => {
+test("applyUsage() keeps nothing of an organisation without requests and reports", () => {
   assert.equal(play([enter, report("t", 1), report("t", 0), leave]).size, 0);
 });
 
@@ -74,7 +74,7 @@
           own[entry] = (own[entry] ?? 0) - 1;
           apply(leave)(entry);
         } else if (
-          !decideShare(state, { customer: "c", maxConcurrent: MAX }, now)
+          !decideShare(state, { organisation: "c", maxConcurrent: MAX }, now)
         ) {
           own[entry] = (own[entry] ?? 0) + 1;
           apply(enter)(entry);
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -126,7 +126,10 @@
     const stream: AnswerStream = { events, chunks: 0 };
     const timer = setInterval(
       () =>
-        events.push({ kind: "heartbeat", load: gate.loadFor(call.customer) }),
+        events.push({
+          kind: "heartbeat",
+          load: gate.loadFor(call.organisation),
+        }),
       HEARTBEAT_MS,
     );
     const work = this.#settle(call, stream, signal);
@@ -223,7 +226,7 @@
   ): CallEvent {
     const report = {
       load: {
-        ...this.#parts.gate.loadFor(call.customer),
+        ...this.#parts.gate.loadFor(call.organisation),
         cache: this.#parts.cache?.changes,
       },
       listsVersion: this.#parts.lists.current.version,
--- a/src/agent/claim_service.ts
+++ b/src/agent/claim_service.ts
@@ -155,11 +155,11 @@
 
   #reportUnknown(claim: Claim, detail: string): void {
     this.#metrics?.count("outcomes_unknown_total", {
-      customer: claim.customer,
+      organisation: claim.organisation,
     });
     this.#log?.error("outcome_unknown", {
       call: claim.callId,
-      customer: claim.customer,
+      organisation: claim.organisation,
       idempotency_key: claim.key,
       detail,
     });
--- a/src/agent/claim_service_test.ts
+++ b/src/agent/claim_service_test.ts
@@ -22,7 +22,7 @@
 const CALL = {
   callId: "r/file/1",
   requestId: "r",
-  customer: "c",
+  organisation: "c",
   target: "t",
   idempotencyKey: "k",
   fingerprint: "f",
--- a/src/agent/claim_sweeper.ts
+++ b/src/agent/claim_sweeper.ts
@@ -139,11 +139,11 @@
 
   #report(claim: Claim): void {
     this.#metrics.count("outcomes_unknown_total", {
-      customer: claim.customer,
+      organisation: claim.organisation,
     });
     this.#log.error("outcome_unknown", {
       call: claim.callId,
-      customer: claim.customer,
+      organisation: claim.organisation,
       idempotency_key: claim.key,
       detail: "The agent that held the claim recorded no outcome in time",
     });
--- a/src/agent/claim_sweeper_test.ts
+++ b/src/agent/claim_sweeper_test.ts
@@ -50,7 +50,7 @@
   }
 
   claim(key: string, state: ClaimState, claimedAt = Date.now()): void {
-    const call = { customer: "c", idempotencyKey: key, remainingMs: 4_000 };
+    const call = { organisation: "c", idempotencyKey: key, remainingMs: 4_000 };
     const own = createClaim(call as StageCall, { token: key, now: claimedAt });
     this.put(claimKey("c", key), { ...own, state });
   }
--- a/src/agent/gate_service.ts
+++ b/src/agent/gate_service.ts
@@ -18,8 +18,8 @@
 } from "../limits/mod.ts";
 import {
   type CallId,
-  type CustomerId,
   notRun,
+  type OrganisationId,
   type Refusal,
   RefusalReason,
   type StageCall,
@@ -63,13 +63,13 @@
     };
   }
 
-  /** Load with the number of calls that one customer has at this gate. */
-  loadFor(customer: CustomerId): TargetLoad {
+  /** Load with the number of calls that one organisation has at this gate. */
+  loadFor(organisation: OrganisationId): TargetLoad {
     const { running, queue } = this.#state;
-    const isOwn = (call: GateCall) => call.customer === customer;
+    const isOwn = (call: GateCall) => call.organisation === organisation;
     const inHand = [...running.values()].filter(isOwn).length +
       queue.calls.filter(isOwn).length;
-    return { ...this.load, customerInHand: inHand };
+    return { ...this.load, organisationInHand: inHand };
   }
 
   /** Marks the target as leaving in its load reports. */
@@ -138,7 +138,7 @@
 function gateCallOf(call: StageCall, arrivedAt: number): GateCall {
   return {
     callId: call.callId,
-    customer: call.customer,
+    organisation: call.organisation,
     weight: call.weight,
     priority: call.priority,
     workClass: `${call.pipeline}/${call.stage}`,
--- a/src/agent/leave_test.ts
+++ b/src/agent/leave_test.ts
@@ -38,7 +38,7 @@
 const callOf = (callId: string): StageCall => ({
   callId,
   requestId: callId,
-  customer: "c",
+  organisation: "c",
   pipeline: "p",
   stage: "s",
   kind: StageKind.LookUp,
--- a/src/bench/baseline_side.ts
+++ b/src/bench/baseline_side.ts
@@ -182,7 +182,7 @@
   return {
     callId: "",
     requestId,
-    customer: "",
+    organisation: "",
     pipeline: req.spec.name,
     stage: stage.name,
     kind: stage.kind,
--- a/src/bench/claims.ts
+++ b/src/bench/claims.ts
@@ -153,7 +153,7 @@
   return {
     callId: RESULT.callId,
     requestId: "r",
-    customer: "c",
+    organisation: "c",
     stage: "file",
     target: "t",
     idempotencyKey: key,
--- a/src/bench/cold_start.ts
+++ b/src/bench/cold_start.ts
@@ -133,7 +133,7 @@
           ratePerS: burstsPerS ?? RATE_PER_S,
           bursts: burstsPerS === undefined ? undefined : BURSTS,
           durationS: DURATION_S,
-          customers: [{ id: "c", weight: 1, plan: "standard" }],
+          organisations: [{ id: "c", weight: 1, plan: "standard" }],
           mix: [{ pipeline: DRAFT.name, weight: 1 }],
         },
         during: (lab) => turnCold(lab, { seed, inHand: signals.inHand }),
--- a/src/bench/control_cost.ts
+++ b/src/bench/control_cost.ts
@@ -1,6 +1,6 @@
 /**
  * Experiment: what an idle entry and an idle agent spend on control, by the
- * number of targets and of customers, and what one change of the lists costs.
+ * number of targets and of organisations, and what one change of the lists costs.
  *
  * @module
  */
@@ -15,12 +15,12 @@
 import type { Experiment } from "./experiment.ts";
 
 const TARGET_STEPS = [50, 200, 600] as const;
-const CUSTOMER_STEPS = [5, 500, 4_500] as const;
+const ORGANISATION_STEPS = [5, 500, 4_500] as const;
 const SMALLEST: RigSize = {
   targets: TARGET_STEPS[0],
-  customers: CUSTOMER_STEPS[0],
+  organisations: ORGANISATION_STEPS[0],
 };
-const LARGEST: RigSize = { targets: 600, customers: 4_500 };
+const LARGEST: RigSize = { targets: 600, organisations: 4_500 };
 const ROLES: readonly Role[] = ["entry", "agent"];
 
 const DEFAULT_BASE_PORT = 30_000;
@@ -51,7 +51,8 @@
 /** The experiment `control-cost`. */
 export const controlCost: Experiment = {
   name: "control-cost",
-  summary: "CPU, memory and bytes of idle processes by targets and customers",
+  summary:
+    "CPU, memory and bytes of idle processes by targets and organisations",
   run: async ({ seed }) => {
     const points = await measureAll(sizes());
     return {
@@ -66,7 +67,10 @@
 function sizes(): readonly RigSize[] {
   return [
     ...TARGET_STEPS.map((targets) => ({ ...SMALLEST, targets })),
-    ...CUSTOMER_STEPS.slice(1).map((customers) => ({ ...SMALLEST, customers })),
+    ...ORGANISATION_STEPS.slice(1).map((organisations) => ({
+      ...SMALLEST,
+      organisations,
+    })),
     LARGEST,
   ];
 }
@@ -132,15 +136,20 @@
   };
 }
 
-/** Least-squares slopes of a role over targets and over customers. */
+/** Least-squares slopes of a role over targets and over organisations. */
 function slopesOf(role: Role, points: readonly CostPoint[]) {
   const own = points.filter((point) => point.role === role);
-  const byTargets = own.filter((p) => p.customers === SMALLEST.customers);
-  const byCustomers = own.filter((p) => p.targets === SMALLEST.targets);
+  const byTargets = own.filter((p) =>
+    p.organisations === SMALLEST.organisations
+  );
+  const byOrganisations = own.filter((p) => p.targets === SMALLEST.targets);
   return {
     role,
     per_100_targets: slopes(byTargets, (p) => p.targets / 100),
-    per_1000_customers: slopes(byCustomers, (p) => p.customers / 1_000),
+    per_1000_organisations: slopes(
+      byOrganisations,
+      (p) => p.organisations / 1_000,
+    ),
   };
 }
 
--- a/src/bench/control_rig.ts
+++ b/src/bench/control_rig.ts
@@ -73,7 +73,7 @@
 /** Size at which a process is measured. */
 export interface RigSize {
   readonly targets: number;
-  readonly customers: number;
+  readonly organisations: number;
 }
 
 /** Readings of the counters of the measured process. */
@@ -310,12 +310,12 @@
   return `domain-${i % DOMAINS}`;
 }
 
-function listsOf({ customers }: RigSize): Omit<Lists, "version"> {
+function listsOf({ organisations }: RigSize): Omit<Lists, "version"> {
   const names = Array.from({ length: PIPELINES }, (_, i) => `pipeline-${i}`);
   return {
-    customers: {
-      customers: Array.from({ length: customers }, (_, i) => ({
-        id: `customer-${i}`,
+    organisations: {
+      organisations: Array.from({ length: organisations }, (_, i) => ({
+        id: `organisation-${i}`,
         plan: "plan",
         keySha256: sha256(`key-${i}`),
       })),
--- a/src/bench/domain_out.ts
+++ b/src/bench/domain_out.ts
@@ -11,7 +11,7 @@
 import type { Experiment, ExperimentReport } from "./experiment.ts";
 import {
   attainmentBetween,
-  loadCustomers,
+  loadOrganisations,
   type RunningSide,
   runSides,
   type SideRun,
@@ -46,13 +46,13 @@
     const sides = await runSides({
       plan: SMALL_WORLD,
       load: {
-        customers: loadCustomers(SMALL_WORLD),
+        organisations: loadOrganisations(SMALL_WORLD),
         mix: MIX,
         ratePerS: RATE_PER_S,
         durationS: DURATION_S,
       },
       warmUp: {
-        customers: loadCustomers(SMALL_WORLD),
+        organisations: loadOrganisations(SMALL_WORLD),
         mix: MIX,
         ratePerS: RATE_PER_S,
         durationS: WARM_UP_S,
--- a/src/bench/harness.ts
+++ b/src/bench/harness.ts
@@ -19,7 +19,7 @@
 import type { Side } from "./experiment.ts";
 import { startBaselineSide } from "./baseline_side.ts";
 import { type PolicySide, startPolicySide } from "./policy_side.ts";
-import { keyOfCustomer } from "./workload.ts";
+import { keyOfOrganisation } from "./workload.ts";
 import { World, type WorldPlan } from "./world.ts";
 
 /** Names of the two sides. */
@@ -116,14 +116,14 @@
   return { ...load, entryUrls: [...served.entryUrls], seed };
 }
 
-/** Customers of a plan in the form of the load tool. */
-export function loadCustomers(
+/** Organisations of a plan in the form of the load tool. */
+export function loadOrganisations(
   plan: WorldPlan,
   weights: Readonly<Record<string, number>> = {},
-): LoadSettings["customers"] {
-  return plan.customers.map(({ id }) => ({
+): LoadSettings["organisations"] {
+  return plan.organisations.map(({ id }) => ({
     id,
-    key: keyOfCustomer(id),
+    key: keyOfOrganisation(id),
     weight: weights[id] ?? 1,
   }));
 }
--- a/src/bench/lab.ts
+++ b/src/bench/lab.ts
@@ -106,7 +106,7 @@
   /** Starts agents and entries of the project; gives the entries' runners. */
   async startEntries(): Promise<readonly Runner[]> {
     const platform = this.#platform();
-    const change = { customers: { customers: [] }, use: this.plan.use };
+    const change = { organisations: { organisations: [] }, use: this.plan.use };
     (await changeLists(this.#table, EMPTY_LISTS, change))._unsafeUnwrap();
     for (const one of this.targets) {
       this.#agents.set(one.target.agentUrl, this.#startAgent(one));
--- a/src/bench/lab_load.ts
+++ b/src/bench/lab_load.ts
@@ -26,8 +26,8 @@
   readonly durationS: number;
   /** Requests come in bursts: all of a period within a part of it. */
   readonly bursts?: { readonly periodMs: number; readonly part: number };
-  /** Customers with their share of the requests and their plans. */
-  readonly customers: readonly {
+  /** Organisations with their share of the requests and their plans. */
+  readonly organisations: readonly {
     readonly id: string;
     readonly weight: number;
     readonly plan: string;
@@ -73,7 +73,11 @@
     const runner = runners[i % runners.length] as Runner;
     const outcome = await runner.run({
       requestId: randomUUID(),
-      customer: { id: arrival.customer.id, plan: plan.name, keySha256: "" },
+      organisation: {
+        id: arrival.organisation.id,
+        plan: plan.name,
+        keySha256: "",
+      },
       plan,
       spec,
       key: arrival.key,
@@ -103,7 +107,7 @@
 ): Promise<readonly LabOutcome[]> {
   const arrivals = planArrivals({
     entryUrls: [],
-    customers: load.customers.map(({ id, weight }) => ({
+    organisations: load.organisations.map(({ id, weight }) => ({
       id,
       key: "",
       weight,
@@ -114,13 +118,13 @@
     seed: opts.seed,
   });
   const startedAt = monotonicMs();
-  const planOf = new Map(load.customers.map(({ id, plan }) => [id, plan]));
+  const planOf = new Map(load.organisations.map(({ id, plan }) => [id, plan]));
   return await Promise.all(arrivals.map(async (arrival, i) => {
     await sleep(burstAt(arrival.atMs, load));
     const spec = opts.use.pipelines
       .find(({ name }) => name === arrival.work.pipeline) as PipelineSpec;
     const plan = opts.use.plans
-      .find(({ name }) => name === planOf.get(arrival.customer.id)) as Plan;
+      .find(({ name }) => name === planOf.get(arrival.organisation.id)) as Plan;
     const begunAt = monotonicMs();
     const deadlineAt = begunAt + spec.deadlineMs;
     const answer = await opts.serve({ arrival, spec, plan, deadlineAt }, i);
--- a/src/bench/lab_plan.ts
+++ b/src/bench/lab_plan.ts
@@ -62,7 +62,7 @@
   deadlineMs: DOSSIER_DEADLINE_MS,
 });
 
-/** One plan for all customers and one with three times its share. */
+/** One plan for all organisations and one with three times its share. */
 export const LAB_USE: UseList = {
   plans: [
     {
--- a/src/bench/lists_scale.ts
+++ b/src/bench/lists_scale.ts
@@ -1,5 +1,5 @@
 /**
- * Experiment: what one changed customer costs by the size of the customer list,
+ * Experiment: what one changed organisation costs by the size of the organisation list,
  * beside a list kept in one row that every reader reads whole.
  *
  * @module
@@ -7,7 +7,7 @@
 
 import { monotonicMs } from "../kernel/mod.ts";
 import { applyUpdate, EMPTY_HISTORY, type History } from "../lists/mod.ts";
-import { type Customer, EMPTY_LISTS, type Lists } from "../model/mod.ts";
+import { EMPTY_LISTS, type Lists, type Organisation } from "../model/mod.ts";
 import type { Table } from "../store/mod.ts";
 import {
   acceptLists,
@@ -26,10 +26,13 @@
 /** The experiment `lists-scale`. */
 export const listsScale: Experiment = {
   name: "lists-scale",
-  summary: "Bytes and time of one changed customer by the number of customers",
+  summary:
+    "Bytes and time of one changed organisation by the number of organisations",
   run: async ({ seed }) => {
     const points = [];
-    for (const customers of SIZES) points.push(await measure(customers));
+    for (const organisations of SIZES) {
+      points.push(await measure(organisations));
+    }
     return { experiment: "lists-scale", seed, changes: CHANGES, points };
   },
 };
@@ -39,7 +42,7 @@
   const sizes: number[] = [];
   const measured = measuring(table, sizes);
   const startedAt = monotonicMs();
-  let lists = await accept(measured, EMPTY_LISTS, customersOf(count));
+  let lists = await accept(measured, EMPTY_LISTS, organisationsOf(count));
   const fullAcceptMs = monotonicMs() - startedAt;
   let history = applyUpdate(EMPTY_HISTORY, { kind: "lists", lists });
   const accepts = new Durations();
@@ -47,9 +50,12 @@
   const read: number[] = [];
   sizes.length = 0;
   for (let i = 0; i < CHANGES; i += 1) {
-    const { customers } = lists.customers;
-    const one = customers[i % count] as Customer;
-    const changed = customers.with(i % count, { ...one, plan: `plan-${i}` });
+    const { organisations } = lists.organisations;
+    const one = organisations[i % count] as Organisation;
+    const changed = organisations.with(i % count, {
+      ...one,
+      plan: `plan-${i}`,
+    });
     lists = await timed(accepts, () => accept(measured, lists, changed));
     history = await timed(
       applies,
@@ -57,13 +63,13 @@
     );
   }
   return {
-    customers: count,
+    organisations: count,
     full_accept_ms: round(fullAcceptMs),
     accept_p50_ms: round(accepts.quantile(0.5)),
     apply_p50_ms: round(applies.quantile(0.5)),
     write_bytes: mean(sizes),
     read_bytes: mean(read),
-    one_row_write_bytes: JSON.stringify(lists.customers).length,
+    one_row_write_bytes: JSON.stringify(lists.organisations).length,
     one_row_read_bytes: JSON.stringify(lists).length,
   };
 }
@@ -71,9 +77,9 @@
 async function accept(
   table: Table,
   standing: Lists,
-  customers: readonly Customer[],
+  organisations: readonly Organisation[],
 ): Promise<Lists> {
-  const change = { customers: { customers } };
+  const change = { organisations: { organisations } };
   const outcome = await acceptLists(table, standing, change);
   if (outcome.kind === "accepted") return outcome.lists;
   throw new Error(`The change was ${outcome.kind}`);
@@ -115,9 +121,9 @@
   return value;
 }
 
-function customersOf(count: number): readonly Customer[] {
+function organisationsOf(count: number): readonly Organisation[] {
   return Array.from({ length: count }, (_, i) => ({
-    id: `customer-${String(i).padStart(ID_DIGITS, "0")}`,
+    id: `organisation-${String(i).padStart(ID_DIGITS, "0")}`,
     plan: "plan",
     keySha256: String(i).padStart(KEY_DIGITS, "0"),
   }));
--- a/src/bench/overhead.ts
+++ b/src/bench/overhead.ts
@@ -31,7 +31,7 @@
 import { Durations, type DurationSummary } from "../telemetry/mod.ts";
 import type { Experiment, ExperimentReport } from "./experiment.ts";
 import { cpuSecondsOf } from "./cpu.ts";
-import { customerOf, keyOfCustomer } from "./workload.ts";
+import { keyOfOrganisation, organisationOf } from "./workload.ts";
 
 const DEFAULT_BASE_PORT = 26_000;
 const MS_PER_S = 1000;
@@ -49,7 +49,7 @@
 /** Pairs that run at the same time. */
 const LANES = 8;
 const ENGINE_DOMAINS = 4;
-const CUSTOMER = { id: "c1", plan: "p" };
+const ORGANISATION = { id: "c1", plan: "p" };
 
 const GENERATE: PipelineSpec = {
   name: "generate",
@@ -120,10 +120,10 @@
   fleet.startStandIns(topology);
   await waitReady(`${topology.tableUrl}/healthz`);
   const change = {
-    customers: { customers: [customerOf(CUSTOMER)] },
+    organisations: { organisations: [organisationOf(ORGANISATION)] },
     use: {
       plans: [{
-        name: CUSTOMER.plan,
+        name: ORGANISATION.plan,
         weight: 1,
         maxConcurrent: 10_000,
         pipelines: [GENERATE.name],
@@ -148,9 +148,9 @@
 ): LoadSettings {
   return {
     entryUrls: [...topology.entryUrls],
-    customers: [{
-      id: CUSTOMER.id,
-      key: keyOfCustomer(CUSTOMER.id),
+    organisations: [{
+      id: ORGANISATION.id,
+      key: keyOfOrganisation(ORGANISATION.id),
       weight: 1,
     }],
     mix: [{
@@ -230,7 +230,7 @@
     headers: {
       "content-type": "application/json",
       "accept": "text/event-stream",
-      "authorization": `Bearer ${keyOfCustomer(CUSTOMER.id)}`,
+      "authorization": `Bearer ${keyOfOrganisation(ORGANISATION.id)}`,
     },
     body: JSON.stringify({ input }),
     dispatcher,
--- a/src/bench/overload.ts
+++ b/src/bench/overload.ts
@@ -31,7 +31,7 @@
 const MS_PER_S = 1000;
 /** Start of the measured part; before it, limits and estimates settle. */
 const SETTLED_AT_MS = 8_000;
-const CUSTOMERS = ["c1", "c2", "c3", "c4"].map((id) => ({
+const ORGANISATIONS = ["c1", "c2", "c3", "c4"].map((id) => ({
   id,
   weight: 1,
   plan: "standard",
@@ -91,7 +91,7 @@
   const load: LabLoad = {
     ratePerS: capacity * factor,
     durationS: DURATION_S,
-    customers: CUSTOMERS,
+    organisations: ORGANISATIONS,
     mix: [{ pipeline: DRAFT.name, weight: 1 }],
   };
   const policy = await runLabSide({ plan: PLAN, load, seed, policy: true });
@@ -116,7 +116,7 @@
   const load: LabLoad = {
     ratePerS: capacity * (DRAFTS_LOAD + DOSSIERS_LOAD / 4),
     durationS: DOSSIERS_S,
-    customers: CUSTOMERS,
+    organisations: ORGANISATIONS,
     mix: [
       { pipeline: DRAFT.name, weight: DRAFTS_LOAD },
       { pipeline: DOSSIER.name, weight: DOSSIERS_LOAD / 4 },
--- a/src/bench/prefix.ts
+++ b/src/bench/prefix.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Experiment, ExperimentReport } from "./experiment.ts";
-import { loadCustomers, runSides, type SideRun } from "./harness.ts";
+import { loadOrganisations, runSides, type SideRun } from "./harness.ts";
 import { ASK, POOLS, SMALL_WORLD } from "./workload.ts";
 import type { WorldPlan } from "./world.ts";
 
@@ -35,7 +35,7 @@
 };
 
 const LOAD = {
-  customers: loadCustomers(PLAN),
+  organisations: loadOrganisations(PLAN),
   mix: [{ pipeline: ASK.name, weight: 1, deadlineMs: 4_000, files: false }],
   ratePerS: RATE_PER_S,
   durationS: DURATION_S,
--- a/src/bench/round_robin.ts
+++ b/src/bench/round_robin.ts
@@ -86,7 +86,7 @@
   return {
     callId: `${req.arrival.key}/${stage.name}`,
     requestId: req.arrival.key,
-    customer: req.arrival.customer.id,
+    organisation: req.arrival.organisation.id,
     pipeline: req.spec.name,
     stage: stage.name,
     kind: stage.kind,
--- a/src/bench/shares.ts
+++ b/src/bench/shares.ts
@@ -1,5 +1,5 @@
 /**
- * Experiment: a greedy customer sends ten times its share beside modest ones.
+ * Experiment: a greedy organisation sends ten times its share beside modest ones.
  *
  * @module
  */
@@ -13,18 +13,19 @@
 
 const DURATION_S = 30;
 const MS_PER_S = 1000;
-/** Share of their own share that the modest customers use. */
+/** Share of their own share that the modest organisations use. */
 const MODEST_USE = 0.8;
 const GREEDY_FACTOR = 10;
 const MODEST = ["m1", "m2", "m3"] as const;
 const GREEDY = "greedy";
-const CUSTOMERS = MODEST.length + 1;
+const ORGANISATIONS = MODEST.length + 1;
 const PLAN = { ...LAB_PLAN, engine: { ...LAB_PLAN.engine, warmAfter: 0 } };
 
-/** Attainment of the modest customers with and without the greedy one. */
+/** Attainment of the modest organisations with and without the greedy one. */
 export const shares: Experiment = {
   name: "shares",
-  summary: "attainment of modest customers beside one at ten times its share",
+  summary:
+    "attainment of modest organisations beside one at ten times its share",
   async run({ seed }): Promise<ExperimentReport> {
     const capacity = await underPausedClock(
       () =>
@@ -34,7 +35,7 @@
         }),
       { seed },
     );
-    const share = capacity / CUSTOMERS;
+    const share = capacity / ORGANISATIONS;
     const run = (policy: boolean, greedyFactor: number) =>
       runLabSide({
         plan: PLAN,
@@ -59,22 +60,22 @@
 };
 
 function loadOf(share: number, greedyFactor: number) {
-  const customers = [
+  const organisations = [
     ...MODEST.map((id) => ({ id, weight: MODEST_USE, plan: "standard" })),
     { id: GREEDY, weight: greedyFactor, plan: "standard" },
   ];
-  const weights = customers.reduce((sum, { weight }) => sum + weight, 0);
+  const weights = organisations.reduce((sum, { weight }) => sum + weight, 0);
   return {
     ratePerS: share * weights,
     durationS: DURATION_S,
-    customers,
+    organisations,
     mix: [{ pipeline: DRAFT.name, weight: 1 }],
   };
 }
 
 function figuresOf(alone: LabRun, beside: LabRun, share: number) {
   const modest = ({ outcomes }: LabRun) =>
-    outcomes.filter(({ arrival }) => arrival.customer.id !== GREEDY);
+    outcomes.filter(({ arrival }) => arrival.organisation.id !== GREEDY);
   const before = attainmentOf(modest(alone));
   const after = attainmentOf(modest(beside));
   return {
@@ -85,10 +86,13 @@
   };
 }
 
-/** Requests of a customer that ended in time, per second. */
-function perSecond(outcomes: readonly LabOutcome[], customer: string): number {
+/** Requests of an organisation that ended in time, per second. */
+function perSecond(
+  outcomes: readonly LabOutcome[],
+  organisation: string,
+): number {
   const good = outcomes.filter(({ inTime, arrival, endedAtMs }) =>
-    inTime && arrival.customer.id === customer &&
+    inTime && arrival.organisation.id === organisation &&
     endedAtMs < DURATION_S * MS_PER_S
   );
   return good.length / DURATION_S;
--- a/src/bench/silent_connections.ts
+++ b/src/bench/silent_connections.ts
@@ -9,7 +9,7 @@
 import type { Experiment, ExperimentReport } from "./experiment.ts";
 import {
   attainmentBetween,
-  loadCustomers,
+  loadOrganisations,
   runSides,
   type SideRun,
 } from "./harness.ts";
@@ -24,7 +24,7 @@
 
 const PLAN = { ...SMALL_WORLD, relayed: true };
 const LOAD = {
-  customers: loadCustomers(PLAN),
+  organisations: loadOrganisations(PLAN),
   mix: MIX,
   ratePerS: RATE_PER_S,
   durationS: DURATION_S,
--- a/src/bench/store_outage.ts
+++ b/src/bench/store_outage.ts
@@ -9,7 +9,7 @@
 import type { Experiment, ExperimentReport } from "./experiment.ts";
 import {
   attainmentBetween,
-  loadCustomers,
+  loadOrganisations,
   runSides,
   type SideRun,
 } from "./harness.ts";
@@ -23,7 +23,7 @@
 const END_MS = 24_000;
 
 const LOAD = {
-  customers: loadCustomers(SMALL_WORLD),
+  organisations: loadOrganisations(SMALL_WORLD),
   mix: MIX,
   ratePerS: RATE_PER_S,
   durationS: DURATION_S,
--- a/src/bench/workload.ts
+++ b/src/bench/workload.ts
@@ -1,11 +1,11 @@
 /**
- * Pipelines, plans and customers that the experiments share.
+ * Pipelines, plans and organisations that the experiments share.
  *
  * @module
  */
 
 import {
-  type Customer,
+  type Organisation,
   type PipelineSpec,
   Priority,
   sha256,
@@ -16,20 +16,20 @@
 } from "../model/mod.ts";
 import type { PoolPlan, WorldPlan } from "./world.ts";
 
-/** A customer of an experiment; its key follows from its name. */
-export interface CustomerPlan {
+/** An organisation of an experiment; its key follows from its name. */
+export interface OrganisationPlan {
   readonly id: string;
   readonly plan: string;
 }
 
-/** Key by which a customer of an experiment authenticates. */
-export function keyOfCustomer(id: string): string {
+/** Key by which an organisation of an experiment authenticates. */
+export function keyOfOrganisation(id: string): string {
   return `bench-key-${id}`;
 }
 
-/** Row of the customer list. */
-export function customerOf({ id, plan }: CustomerPlan): Customer {
-  return { id, plan, keySha256: sha256(keyOfCustomer(id)) };
+/** Row of the organisation list. */
+export function organisationOf({ id, plan }: OrganisationPlan): Organisation {
+  return { id, plan, keySha256: sha256(keyOfOrganisation(id)) };
 }
 
 const DRAFT_TOKENS = 32;
@@ -88,7 +88,7 @@
   deadlineMs: DEADLINE_MS,
 };
 
-/** Two plans; a customer on `large` has three times the share. */
+/** Two plans; an organisation on `large` has three times the share. */
 export const USE: UseList = {
   plans: [
     {
@@ -120,13 +120,13 @@
   { pipeline: FILING.name, weight: 1, deadlineMs: DEADLINE_MS, files: true },
 ];
 
-/** Three domains with one entry each, six engines and three customers. */
+/** Three domains with one entry each, six engines and three organisations. */
 export const SMALL_WORLD: WorldPlan = {
   domains: ["d1", "d2", "d3"],
   entriesPerDomain: 1,
   pools: POOLS,
   use: USE,
-  customers: [
+  organisations: [
     { id: "c1", plan: "large" },
     { id: "c2", plan: "standard" },
     { id: "c3", plan: "standard" },
--- a/src/bench/world.ts
+++ b/src/bench/world.ts
@@ -34,7 +34,7 @@
   type ServiceConfig,
 } from "../standin/mod.ts";
 import { Relay } from "./relay.ts";
-import { customerOf, type CustomerPlan } from "./workload.ts";
+import { organisationOf, type OrganisationPlan } from "./workload.ts";
 
 const ADDRESS = "127.0.0.1";
 const MODEL_BYTES = 16_000_000_000;
@@ -56,7 +56,7 @@
   readonly entriesPerDomain: number;
   readonly pools: readonly PoolPlan[];
   readonly use: UseList;
-  readonly customers: readonly CustomerPlan[];
+  readonly organisations: readonly OrganisationPlan[];
   /** True to put a relay before every target. */
   readonly relayed?: boolean;
   /** Concurrent calls that the agents assume a cold target to bear. */
@@ -118,7 +118,7 @@
     await world.#startPlatform();
     await world.#startTargets();
     const change = {
-      customers: { customers: plan.customers.map(customerOf) },
+      organisations: { organisations: plan.organisations.map(organisationOf) },
       use: plan.use,
     };
     (await changeLists(world.table, EMPTY_LISTS, change))._unsafeUnwrap();
--- a/src/cli/costs_commands.ts
+++ b/src/cli/costs_commands.ts
@@ -20,9 +20,13 @@
 
 /** What rows can be summed by. */
 const GROUPINGS: Readonly<Record<string, (row: CostRow) => CostKey>> = {
-  stage: ({ pipeline, stage }) => ({ customer: "", pipeline, stage }),
-  pipeline: ({ pipeline }) => ({ customer: "", pipeline, stage: "" }),
-  customer: ({ customer }) => ({ customer, pipeline: "", stage: "" }),
+  stage: ({ pipeline, stage }) => ({ organisation: "", pipeline, stage }),
+  pipeline: ({ pipeline }) => ({ organisation: "", pipeline, stage: "" }),
+  organisation: ({ organisation }) => ({
+    organisation,
+    pipeline: "",
+    stage: "",
+  }),
   all: (row) => row,
 };
 
@@ -30,7 +34,7 @@
 export function costsCommands(cli: CAC): void {
   cli.command("costs", "Show cost by stage, summed over the entries")
     .option("--table <url>", "Base URL of the table service")
-    .option("--by <what>", "stage, pipeline, customer or all", {
+    .option("--by <what>", "stage, pipeline, organisation or all", {
       default: "stage",
     })
     .option("--json", "Print JSON")
@@ -80,7 +84,7 @@
 
 /** Row as key=value pairs; times are in milliseconds. */
 export function lineOf(row: CostRow): string {
-  const names = (["customer", "pipeline", "stage"] as const)
+  const names = (["organisation", "pipeline", "stage"] as const)
     .filter((name) => row[name] !== "")
     .map((name) => `${name}=${row[name]}`);
   const wasted = row.workMs === 0 ? 0 : row.wastedMs / row.workMs;
--- a/src/cli/lists.ts
+++ b/src/cli/lists.ts
@@ -148,10 +148,10 @@
   }
 }
 
-function withChange(standing: Lists, { customers, use }: ListsFile): Lists {
+function withChange(standing: Lists, { organisations, use }: ListsFile): Lists {
   return {
     ...standing,
-    customers: customers ?? standing.customers,
+    organisations: organisations ?? standing.organisations,
     use: use ?? standing.use,
   };
 }
--- a/src/cli/lists_commands.ts
+++ b/src/cli/lists_commands.ts
@@ -162,8 +162,8 @@
 
 function showLists(lists: Lists, flags: ListsFlags): void {
   if (flags.json) {
-    const { version, customers, use, availability } = lists;
-    const file = { version, ...customers, ...use };
+    const { version, organisations, use, availability } = lists;
+    const file = { version, ...organisations, ...use };
     return console.log(JSON.stringify({ ...file, availability }, null, 2));
   }
   describeLists(lists).forEach((line) => console.log(line));
--- a/src/cli/lists_fleet_test.ts
+++ b/src/cli/lists_fleet_test.ts
@@ -282,7 +282,9 @@
   const standing: Lists = read.value;
   const added = { id: marker, plan: "p", keySha256: marker };
   const outcome = await acceptLists(world.store(), standing, {
-    customers: { customers: [...standing.customers.customers, added] },
+    organisations: {
+      organisations: [...standing.organisations.organisations, added],
+    },
   });
   world.acceptances.push({ marker, outcome });
 }
--- a/src/cli/lists_test.ts
+++ b/src/cli/lists_test.ts
@@ -19,7 +19,7 @@
   maxConcurrent: 1,
   pipelines: [] as string[],
 }];
-const customers = [{ id: "a", plan: "p", keySha256: KEY }];
+const organisations = [{ id: "a", plan: "p", keySha256: KEY }];
 
 const standing = async (table: Table): Promise<Lists> =>
   (await readLists(table))._unsafeUnwrap();
@@ -47,7 +47,7 @@
 
 test("checkListsFile() reports the findings of both lists at once", () => {
   const checked = checkListsFile({
-    customers: [...customers, { id: "a", plan: "q", keySha256: KEY }, {
+    organisations: [...organisations, { id: "a", plan: "q", keySha256: KEY }, {
       id: "B",
       plan: "p",
     }],
@@ -57,12 +57,12 @@
   }, EMPTY_LISTS);
   const paths = checked.isErr() ? checked.error.map(({ path }) => path) : [];
   assert.deepEqual(paths.toSorted(), [
-    "$.customers[1]",
-    "$.customers[1]",
-    "$.customers[1].plan",
-    "$.customers[2].id",
-    "$.customers[2].keySha256",
     "$.extra",
+    "$.organisations[1]",
+    "$.organisations[1]",
+    "$.organisations[1].plan",
+    "$.organisations[2].id",
+    "$.organisations[2].keySha256",
     "$.plans[0].pipelines[0]",
     "$.plans[0].weight",
   ]);
@@ -74,9 +74,9 @@
     const file = join(dir, "lists.json");
     const table = new MemoryTable();
     const { availability } = EMPTY_LISTS;
-    writeFileSync(file, JSON.stringify({ customers, plans, availability }));
+    writeFileSync(file, JSON.stringify({ organisations, plans, availability }));
     const read = readListsFile(file, await standing(table));
-    assert.deepEqual(read.customers, { customers });
+    assert.deepEqual(read.organisations, { organisations });
     writeFileSync(file, "{");
     assert.throws(() => readListsFile(file, EMPTY_LISTS), { code: 2 });
   } finally {
@@ -89,20 +89,20 @@
   const table = new MemoryTable();
   const before = await standing(table);
   await applyFile(table, {
-    file: { customers: { customers }, use: { plans, pipelines: [] } },
+    file: { organisations: { organisations }, use: { plans, pipelines: [] } },
     standing: before,
   });
   const late = [{ id: "b", plan: "p", keySha256: OTHER_KEY }];
   await assert.rejects(
     applyFile(table, {
-      file: { customers: { customers: late } },
+      file: { organisations: { organisations: late } },
       standing: before,
     }),
-    { code: 1, message: /nothing of this one was.*\+ customer a plan=p/s },
+    { code: 1, message: /nothing of this one was.*\+ organisation a plan=p/s },
   );
   const after = await standing(table);
   assert.equal(after.version, 1);
-  assert.deepEqual(after.customers, { customers });
+  assert.deepEqual(after.organisations, { organisations });
 });
 
 test("applyFile() refuses a file that starts from another version", async () => {
@@ -110,10 +110,10 @@
   await giveOrder(table, order("north", true), quiet);
   await assert.rejects(
     applyFile(table, {
-      file: { version: 0, customers: { customers } },
+      file: { version: 0, organisations: { organisations } },
       standing: await standing(table),
     }),
-    { code: 1, message: /starts from version 0.*\+ customer a/s },
+    { code: 1, message: /starts from version 0.*\+ organisation a/s },
   );
 });
 
@@ -124,7 +124,7 @@
   await giveOrder(table, order("north", true), quiet);
   const now = await standing(table);
   const checked = checkListsFile(
-    { version, availability, customers, plans },
+    { version, availability, organisations, plans },
     now,
   );
   const file = checked.unwrap();
@@ -135,11 +135,11 @@
   // Fails when a conflict after a lost answer is reported as a lost race.
   const table = new MemoryTable();
   const accepted = await applyFile(losing(table), {
-    file: { customers: { customers } },
+    file: { organisations: { organisations } },
     standing: await standing(table),
   });
   assert.equal(accepted.lists.version, 1);
-  assert.deepEqual((await standing(table)).customers, { customers });
+  assert.deepEqual((await standing(table)).organisations, { organisations });
 });
 
 test("giveOrder() is given again on top of another change", async () => {
--- a/src/cli/outcomes.ts
+++ b/src/cli/outcomes.ts
@@ -16,7 +16,7 @@
 
 /** One record as operators see it. */
 export interface ClaimRecord {
-  /** Customer and idempotency key, `CUSTOMER/KEY`. */
+  /** Organisation and idempotency key, `ORGANISATION/KEY`. */
   readonly key: string;
   readonly state: string;
   readonly requestId: string;
@@ -39,7 +39,7 @@
 }
 
 /**
- * Records of a request, by its identifier or by `CUSTOMER/KEY` as the caller
+ * Records of a request, by its identifier or by `ORGANISATION/KEY` as the caller
  * chose it.
  */
 export async function requestRecords(
@@ -50,7 +50,7 @@
     table,
     (claim) =>
       claim.requestId === id ||
-      `${claim.customer}/${claim.key}`.startsWith(`${id}/`),
+      `${claim.organisation}/${claim.key}`.startsWith(`${id}/`),
   );
 }
 
@@ -100,7 +100,7 @@
 
 function recordOf(claim: Claim): ClaimRecord {
   return {
-    key: `${claim.customer}/${claim.key}`,
+    key: `${claim.organisation}/${claim.key}`,
     state: claim.state,
     requestId: claim.requestId,
     callId: claim.callId,
--- a/src/cli/outcomes_commands.ts
+++ b/src/cli/outcomes_commands.ts
@@ -27,7 +27,7 @@
 export function outcomesCommands(cli: CAC): void {
   cli.command(
     "outcomes [action] [key]",
-    "List unknown outcomes, or resolve CUSTOMER/KEY",
+    "List unknown outcomes, or resolve ORGANISATION/KEY",
   )
     .option("--table <url>", "Base URL of the table service")
     .option("--as <what>", "What happened: run or not-run")
@@ -35,7 +35,7 @@
     .action(runOutcomes);
   cli.command(
     "requests <id>",
-    "Show what is recorded of a request, by its id or by CUSTOMER/KEY",
+    "Show what is recorded of a request, by its id or by ORGANISATION/KEY",
   )
     .option("--table <url>", "Base URL of the table service")
     .option("--json", "Print JSON")
@@ -55,7 +55,7 @@
   if (action !== "resolve" || !key) {
     throw new CommandError(
       ExitCode.Usage,
-      "Usage: outcomes | outcomes resolve CUSTOMER/KEY --as run|not-run",
+      "Usage: outcomes | outcomes resolve ORGANISATION/KEY --as run|not-run",
     );
   }
   const as = resolutionOf(flags);
--- a/src/cli/outcomes_test.ts
+++ b/src/cli/outcomes_test.ts
@@ -14,7 +14,7 @@
 };
 const put = async (table: MemoryTable, key: string, state: Claim["state"]) => {
   const call = {
-    customer: "c",
+    organisation: "c",
     idempotencyKey: key,
     requestId: `r-${key}`,
     callId: `r-${key}/file/1`,
--- a/src/config/finding_test.ts
+++ b/src/config/finding_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import type { Checked } from "./finding.ts";
 import { check, checkJson, formatFindings } from "./finding.ts";
-import { checkCustomerList, checkTogether, checkUseList } from "./lists.ts";
+import { checkOrganisationList, checkTogether, checkUseList } from "./lists.ts";
 import { agentSettingsSchema, entrySettingsSchema } from "./settings.ts";
 
 const PLATFORM = {
@@ -64,16 +64,18 @@
 
 test("checkTogether() finds repeated and unknown names with their place", () => {
   const hash = "0".repeat(64);
-  const customer = { id: "c", plan: "none", keySha256: hash };
-  const customers = checkCustomerList({ customers: [customer, customer] })
+  const organisation = { id: "c", plan: "none", keySha256: hash };
+  const organisations = checkOrganisationList({
+    organisations: [organisation, organisation],
+  })
     .unwrap();
   const plan = { name: "p", weight: 1, maxConcurrent: 1, pipelines: ["x"] };
   const use = checkUseList({ plans: [plan], pipelines: [] }).unwrap();
-  assert.deepEqual(findings(checkTogether(customers, use)), [
-    "$.customers[1]: c stands here twice",
-    `$.customers[1]: ${hash} stands here twice`,
-    "$.customers[0].plan: No plan is called none",
-    "$.customers[1].plan: No plan is called none",
+  assert.deepEqual(findings(checkTogether(organisations, use)), [
+    "$.organisations[1]: c stands here twice",
+    `$.organisations[1]: ${hash} stands here twice`,
+    "$.organisations[0].plan: No plan is called none",
+    "$.organisations[1].plan: No plan is called none",
     "$.plans[0].pipelines[0]: No pipeline is called x",
   ]);
 });
--- a/src/config/lists.ts
+++ b/src/config/lists.ts
@@ -9,9 +9,9 @@
 import {
   type Availability,
   canonicalJson,
-  type CustomerList,
   EMPTY_LISTS,
   type Lists,
+  type OrganisationList,
   Priority,
   StageKind,
   type UseList,
@@ -23,12 +23,12 @@
   "Use lower-case letters, digits and dashes",
 );
 
-const customerListSchema = z.strictObject({
-  customers: z.array(z.strictObject({
-    id: name.describe("Name of the customer"),
-    plan: name.describe("Plan that the customer is on"),
+const organisationListSchema = z.strictObject({
+  organisations: z.array(z.strictObject({
+    id: name.describe("Name of the organisation"),
+    plan: name.describe("Plan that the organisation is on"),
     keySha256: z.string().regex(/^[0-9a-f]{64}$/, "Use a SHA-256 in hex")
-      .describe("SHA-256 of the customer's key"),
+      .describe("SHA-256 of the organisation's key"),
   })),
 });
 
@@ -50,9 +50,9 @@
   plans: z.array(z.strictObject({
     name: name.describe("Name of the plan"),
     weight: z.number().positive()
-      .describe("Weight of each customer on the plan in the fair shares"),
+      .describe("Weight of each organisation on the plan in the fair shares"),
     maxConcurrent: z.int().positive()
-      .describe("Most requests of one customer in hand across the fleet"),
+      .describe("Most requests of one organisation in hand across the fleet"),
     pipelines: z.array(name).describe("Pipelines that the plan may use"),
   })),
   pipelines: z.array(z.strictObject({
@@ -67,9 +67,11 @@
   })),
 });
 
-/** Checks the form of the customer list. */
-export function checkCustomerList(value: unknown): Checked<CustomerList> {
-  return check(customerListSchema, value);
+/** Checks the form of the organisation list. */
+export function checkOrganisationList(
+  value: unknown,
+): Checked<OrganisationList> {
+  return check(organisationListSchema, value);
 }
 
 /** Checks the form of the list of what each plan may use. */
@@ -81,8 +83,8 @@
 export const listsFileSchema = z.strictObject({
   version: z.int().nonnegative().optional()
     .describe("Version that the file was made from; refused when it is old"),
-  customers: customerListSchema.shape.customers.optional()
-    .describe("First list: the customers and their plans"),
+  organisations: organisationListSchema.shape.organisations.optional()
+    .describe("First list: the organisations and their plans"),
   plans: useListSchema.shape.plans.optional()
     .describe("Second list: what each plan may use"),
   pipelines: useListSchema.shape.pipelines.optional()
@@ -98,7 +100,7 @@
 export interface ListsFile {
   /** Version that the operator started from. */
   readonly version?: number;
-  readonly customers?: CustomerList;
+  readonly organisations?: OrganisationList;
   readonly use?: UseList;
 }
 
@@ -117,25 +119,25 @@
     ...(form.isOk() ? changedAvailability(form.value, standing) : []),
   ];
   if (findings.length > 0 || form.isErr()) return Err(findings);
-  const { version, customers, plans, pipelines } = form.value;
+  const { version, organisations, plans, pipelines } = form.value;
   const use = {
     plans: plans ?? standing.use.plans,
     pipelines: pipelines ?? standing.use.pipelines,
   };
   return Ok({
     version,
-    customers: customers ? { customers } : undefined,
+    organisations: organisations ? { organisations } : undefined,
     use: plans || pipelines ? use : undefined,
   });
 }
 
 /** Checks that the two lists agree with each other. */
 export function checkTogether(
-  customers: CustomerList,
+  organisations: OrganisationList,
   use: UseList,
 ): Checked<true> {
   const findings = findTogether(
-    looseLists({ ...customers, ...use }, EMPTY_LISTS),
+    looseLists({ ...organisations, ...use }, EMPTY_LISTS),
   );
   return findings.length === 0 ? Ok(true) : Err(findings);
 }
@@ -160,12 +162,12 @@
 
 /** Lists whose members may have faults; a faulty name is undefined. */
 interface LooseLists {
-  readonly customers: readonly LooseCustomer[];
+  readonly organisations: readonly LooseOrganisation[];
   readonly plans: readonly LoosePlan[];
   readonly pipelines: readonly LoosePipeline[];
 }
 
-interface LooseCustomer {
+interface LooseOrganisation {
   readonly id?: string;
   readonly plan?: string;
   readonly keySha256?: string;
@@ -187,7 +189,7 @@
   const listed = (name: string, otherwise: readonly unknown[]) =>
     file[name] === undefined ? otherwise : itemsOf(file[name]);
   return {
-    customers: listed("customers", standing.customers.customers)
+    organisations: listed("organisations", standing.organisations.organisations)
       .map(membersOf)
       .map((one) => ({
         id: textOf(one.id),
@@ -222,10 +224,10 @@
 
 /** Findings that the form of each member alone does not show. */
 function findTogether(lists: LooseLists): Finding[] {
-  const { customers, plans, pipelines } = lists;
+  const { organisations, plans, pipelines } = lists;
   return [
-    ...repeated(customers.map(({ id }) => id), "$.customers"),
-    ...repeated(customers.map((one) => one.keySha256), "$.customers"),
+    ...repeated(organisations.map(({ id }) => id), "$.organisations"),
+    ...repeated(organisations.map((one) => one.keySha256), "$.organisations"),
     ...repeated(plans.map(({ name }) => name), "$.plans"),
     ...repeated(pipelines.map(({ name }) => name), "$.pipelines"),
     ...unknownPlans(lists),
@@ -236,11 +238,11 @@
   ];
 }
 
-function unknownPlans({ customers, plans }: LooseLists): Finding[] {
+function unknownPlans({ organisations, plans }: LooseLists): Finding[] {
   const known = new Set(plans.map(({ name }) => name));
-  return customers.flatMap(({ plan }, i) =>
+  return organisations.flatMap(({ plan }, i) =>
     plan === undefined || known.has(plan) ? [] : [{
-      path: `$.customers[${i}].plan`,
+      path: `$.organisations[${i}].plan`,
       message: `No plan is called ${plan}`,
     }]
   );
--- a/src/entry/admission_service.ts
+++ b/src/entry/admission_service.ts
@@ -19,8 +19,8 @@
 } from "../admission/mod.ts";
 import { monotonicMs } from "../kernel/mod.ts";
 import {
-  type Customer,
-  type CustomerId,
+  type Organisation,
+  type OrganisationId,
   type PipelineSpec,
   type Plan,
   type PoolName,
@@ -36,7 +36,7 @@
 
 /** What of a request the admission looks at. */
 export interface AdmittedRequest {
-  readonly customer: Customer;
+  readonly organisation: Organisation;
   readonly plan: Plan;
   readonly spec: PipelineSpec;
   /** Monotonic time at which the answer is due, in milliseconds. */
@@ -68,12 +68,12 @@
    */
   enter(req: AdmittedRequest, done = 0): Result<() => void, Refusal> {
     const now = monotonicMs();
-    const customer = req.customer.id;
+    const organisation = req.organisation.id;
     const { maxConcurrent } = req.plan;
     const refusal =
-      decideShare(this.#usage, { customer, maxConcurrent }, now) ??
+      decideShare(this.#usage, { organisation, maxConcurrent }, now) ??
         decideAdmission(this.#state, {
-          customer,
+          organisation,
           spec: req.spec,
           stages: req.spec.stages.slice(done),
           remainingMs: req.deadlineAt - now,
@@ -85,8 +85,8 @@
       });
       return err(refusal);
     }
-    this.#usage = applyUsage(this.#usage, { kind: "enter", customer }, now);
-    return ok(() => this.#leave(customer));
+    this.#usage = applyUsage(this.#usage, { kind: "enter", organisation }, now);
+    return ok(() => this.#leave(organisation));
   }
 
   /** Expected time of the stages after `stage`, in milliseconds. */
@@ -94,9 +94,9 @@
     return laterMs(this.#state, spec, stage);
   }
 
-  /** True when the calls of a customer wait at the gates of a pool. */
+  /** True when the calls of an organisation wait at the gates of a pool. */
   isCrowded(
-    call: { pool: PoolName; customer: CustomerId; priority: Priority },
+    call: { pool: PoolName; organisation: OrganisationId; priority: Priority },
   ): boolean {
     return isCrowded(this.#state, call, monotonicMs());
   }
@@ -114,7 +114,7 @@
     );
     if (!seen) return;
     this.#state = applyReport(this.#state, {
-      customer: req.customer.id,
+      organisation: req.organisation.id,
       spec: req.spec,
       stage,
       outcome: seen,
@@ -122,19 +122,23 @@
   }
 
   /** Takes notice of the load that rides on an answer. */
-  reportLoad(customer: CustomerId, target: TargetId, load: TargetLoad): void {
-    if (load.customerInHand === undefined) return;
+  reportLoad(
+    organisation: OrganisationId,
+    target: TargetId,
+    load: TargetLoad,
+  ): void {
+    if (load.organisationInHand === undefined) return;
     this.#usage = applyUsage(this.#usage, {
       kind: "report",
-      customer,
+      organisation,
       target,
-      inHand: load.customerInHand,
+      inHand: load.organisationInHand,
     }, monotonicMs());
   }
 
-  #leave(customer: CustomerId): void {
+  #leave(organisation: OrganisationId): void {
     const now = monotonicMs();
-    this.#usage = applyUsage(this.#usage, { kind: "leave", customer }, now);
+    this.#usage = applyUsage(this.#usage, { kind: "leave", organisation }, now);
   }
 }
 
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -95,7 +95,7 @@
   #reportLoad(load: TargetLoad): void {
     const { directory, admission } = this.#parts;
     directory.report(this.#target, load);
-    admission?.reportLoad(this.#call.customer, this.#target.id, load);
+    admission?.reportLoad(this.#call.organisation, this.#target.id, load);
   }
 
   async #follow(
--- a/src/entry/checkpoints.ts
+++ b/src/entry/checkpoints.ts
@@ -7,9 +7,9 @@
 
 import { sleep, timeoutSignal } from "../kernel/mod.ts";
 import {
-  type CustomerId,
   digest,
   type IdempotencyKey,
+  type OrganisationId,
   type PipelineSpec,
   sha256,
   type StageName,
@@ -23,7 +23,7 @@
 
 /** A request as its checkpoints know it. */
 export interface CheckpointedRequest {
-  readonly customer: CustomerId;
+  readonly organisation: OrganisationId;
   readonly key: IdempotencyKey;
   readonly fingerprint: string;
   readonly spec: PipelineSpec;
@@ -117,5 +117,5 @@
 
 function objectKey(req: CheckpointedRequest, stage: StageName): string {
   const id = sha256(`${req.key}\n${req.fingerprint}`);
-  return `checkpoint/${req.customer}/${id}/${stage}`;
+  return `checkpoint/${req.organisation}/${id}/${stage}`;
 }
--- a/src/entry/cost_book.ts
+++ b/src/entry/cost_book.ts
@@ -1,9 +1,9 @@
 /**
- * Cost by customer, pipeline and stage at one entry.
+ * Cost by organisation, pipeline and stage at one entry.
  *
- * The rows are bounded: past the bound, costs are accounted to the customer
- * {@linkcode OTHER_CUSTOMERS}. Metrics carry pipeline and stage alone, since a
- * series for each customer would outgrow any collector.
+ * The rows are bounded: past the bound, costs are accounted to the organisation
+ * {@linkcode OTHER_ORGANISATIONS}. Metrics carry pipeline and stage alone, since a
+ * series for each organisation would outgrow any collector.
  *
  * @module
  */
@@ -17,8 +17,8 @@
 } from "../model/mod.ts";
 import type { Metrics } from "../telemetry/mod.ts";
 
-/** Customer that stands for those beyond the bound. */
-export const OTHER_CUSTOMERS = "(other)";
+/** Organisation that stands for those beyond the bound. */
+export const OTHER_ORGANISATIONS = "(other)";
 /** Most rows kept. */
 export const MAX_ROWS = 20_000;
 
@@ -54,11 +54,11 @@
   add(key: CostKey, cost: Partial<Cost>): void {
     const at = this.#rows.has(idOf(key)) || this.#rows.size < this.#maxRows
       ? key
-      : { ...key, customer: OTHER_CUSTOMERS };
-    const { customer, pipeline, stage } = at;
+      : { ...key, organisation: OTHER_ORGANISATIONS };
+    const { organisation, pipeline, stage } = at;
     const before = this.#rows.get(idOf(at)) ?? NO_COST;
     this.#rows.set(idOf(at), {
-      customer,
+      organisation,
       pipeline,
       stage,
       ...addCost(before, cost),
@@ -70,6 +70,6 @@
   }
 }
 
-function idOf({ customer, pipeline, stage }: CostKey): string {
-  return JSON.stringify([customer, pipeline, stage]);
+function idOf({ organisation, pipeline, stage }: CostKey): string {
+  return JSON.stringify([organisation, pipeline, stage]);
 }
--- a/src/entry/cost_book_test.ts
+++ b/src/entry/cost_book_test.ts
@@ -3,20 +3,20 @@
 import fc from "fast-check";
 import { type CostKey, sumCosts } from "../model/mod.ts";
 import { Metrics } from "../telemetry/mod.ts";
-import { CostBook, OTHER_CUSTOMERS } from "./cost_book.ts";
+import { CostBook, OTHER_ORGANISATIONS } from "./cost_book.ts";
 
 const SEED = 61;
 const MAX_ROWS = 6;
 
-const key = (customer: string, stage = "s"): CostKey => ({
-  customer,
+const key = (organisation: string, stage = "s"): CostKey => ({
+  organisation,
   pipeline: "p",
   stage,
 });
 
 const additions = fc.array(
   fc.record({
-    customer: fc.integer({ min: 0, max: 20 }).map((n) => `c${n}`),
+    organisation: fc.integer({ min: 0, max: 20 }).map((n) => `c${n}`),
     stage: fc.constantFrom("s", "t"),
     workMs: fc.integer({ min: 1, max: 100 }),
     tokens: fc.integer({ min: 0, max: 50 }),
@@ -29,8 +29,8 @@
   fc.assert(
     fc.property(additions, (all) => {
       const book = new CostBook({ metrics: new Metrics(), maxRows: MAX_ROWS });
-      all.forEach(({ customer, stage, ...cost }) =>
-        book.add(key(customer, stage), cost)
+      all.forEach(({ organisation, stage, ...cost }) =>
+        book.add(key(organisation, stage), cost)
       );
       const total = (
         read: (one: { workMs: number; tokens: number }) => number,
@@ -43,8 +43,8 @@
         total(({ tokens }) => tokens),
         all.reduce((sum, { tokens }) => sum + tokens, 0),
       );
-      const named = book.rows.filter(({ customer }) =>
-        customer !== OTHER_CUSTOMERS
+      const named = book.rows.filter(({ organisation }) =>
+        organisation !== OTHER_ORGANISATIONS
       );
       assert.ok(named.length <= MAX_ROWS);
       assert.ok(book.rows.length <= MAX_ROWS + 2);
@@ -53,7 +53,7 @@
   );
 });
 
-test("CostBook exposes costs by pipeline and stage, not by customer", () => {
+test("CostBook exposes costs by pipeline and stage, not by organisation", () => {
   const metrics = new Metrics();
   const book = new CostBook({ metrics });
   book.add(key("c1"), { workMs: 5, wastedMs: 2 });
@@ -68,7 +68,7 @@
   book.add(key("c1", "s"), { workMs: 5 });
   book.add(key("c2", "t"), { workMs: 30 });
   book.add(key("c2", "s"), { workMs: 7 });
-  const sums = sumCosts(book.rows, (row) => ({ ...row, customer: "" }));
+  const sums = sumCosts(book.rows, (row) => ({ ...row, organisation: "" }));
   assert.deepEqual(
     sums.map(({ stage, workMs }) => [stage, workMs]),
     [["t", 30], ["s", 12]],
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -37,8 +37,8 @@
 import { type CallVerdict, verdictOf } from "./pool_router.ts";
 import { firstSuccess, type Sent } from "./race.ts";
 import {
-  customerBudget,
   type DispatchOptions,
+  organisationBudget,
   StageDispatch,
   type StageRequest,
   targetBudget,
@@ -141,11 +141,11 @@
   /** Before a retry, takes over the version that an agent's answer left. */
   async #refreshVersion(stage: StageDispatch): Promise<Result<void, Refusal>> {
     const { record } = this.#parts;
-    const { customer, idempotencyKey: key, requestId } = stage.req;
+    const { organisation, idempotencyKey: key, requestId } = stage.req;
     if (!record || !key || stage.attempts === 0 || stage.hasFreshVersion) {
       return ok(undefined);
     }
-    const read = await record.read(customer, [key]);
+    const read = await record.read(organisation, [key]);
     if (read.isErr()) return err(read.error);
     const { claim, version } = read.value[0] ?? { version: 0 };
     if (version === stage.claimVersion) return ok(undefined);
@@ -277,7 +277,7 @@
     stage.won = true;
     this.#latency(stage).record(ms);
     this.#budgets = earnFor(this.#budgets, [
-      customerBudget(stage.req),
+      organisationBudget(stage.req),
       targetBudget(target.id),
     ]);
   }
--- a/src/entry/front_fuzz_test.ts
+++ b/src/entry/front_fuzz_test.ts
@@ -13,7 +13,9 @@
 const LISTS: Lists = {
   ...EMPTY_LISTS,
   version: 1,
-  customers: { customers: [{ id: "c", plan: "p", keySha256: sha256("k") }] },
+  organisations: {
+    organisations: [{ id: "c", plan: "p", keySha256: sha256("k") }],
+  },
   use: {
     plans: [{ name: "p", weight: 1, maxConcurrent: 9, pipelines: ["tags"] }],
     pipelines: [{
--- a/src/entry/front_test.ts
+++ b/src/entry/front_test.ts
@@ -18,8 +18,8 @@
 const LISTS: Lists = {
   ...EMPTY_LISTS,
   version: 1,
-  customers: {
-    customers: [{ id: "c", plan: "p", keySha256: sha256("secret") }],
+  organisations: {
+    organisations: [{ id: "c", plan: "p", keySha256: sha256("secret") }],
   },
   use: {
     plans: [{ name: "p", weight: 1, maxConcurrent: 9, pipelines: ["tags"] }],
--- a/src/entry/intake.ts
+++ b/src/entry/intake.ts
@@ -9,9 +9,9 @@
 import { randomUUID } from "node:crypto";
 import { monotonicMs } from "../kernel/mod.ts";
 import {
-  type Customer,
   type Lists,
   notRun,
+  type Organisation,
   type PipelineSpec,
   type Plan,
   type Refusal,
@@ -28,9 +28,9 @@
 /** Lists as the intake needs them. */
 export type IntakeLists = Pick<ListsSync, "current" | "isConfirmed">;
 
-/** A customer with its plan. */
+/** An organisation with its plan. */
 interface Caller {
-  readonly customer: Customer;
+  readonly organisation: Organisation;
   readonly plan: Plan;
 }
 
@@ -94,7 +94,7 @@
     const caller = this.#index.find(sha256(header.replace(/^Bearer /, "")));
     return caller ? ok(caller) : err(notRun(
       RefusalReason.Unauthenticated,
-      "The authorization header holds no known customer key",
+      "The authorization header holds no known organisation key",
     ));
   }
 }
@@ -102,20 +102,22 @@
 /** Finds callers by the hash of their key in one version of the lists. */
 class CallerIndex {
   readonly lists: Lists;
-  readonly #customers: ReadonlyMap<string, Customer>;
+  readonly #organisations: ReadonlyMap<string, Organisation>;
   readonly #plans: ReadonlyMap<string, Plan>;
 
   constructor(lists: Lists) {
-    const { customers: { customers }, use: { plans } } = lists;
+    const { organisations: { organisations }, use: { plans } } = lists;
     this.lists = lists;
-    this.#customers = new Map(customers.map((one) => [one.keySha256, one]));
+    this.#organisations = new Map(
+      organisations.map((one) => [one.keySha256, one]),
+    );
     this.#plans = new Map(plans.map((plan) => [plan.name, plan]));
   }
 
   find(keySha256: string): Caller | undefined {
-    const customer = this.#customers.get(keySha256);
-    const plan = this.#plans.get(customer?.plan ?? "");
-    return customer && plan ? { customer, plan } : undefined;
+    const organisation = this.#organisations.get(keySha256);
+    const plan = this.#plans.get(organisation?.plan ?? "");
+    return organisation && plan ? { organisation, plan } : undefined;
   }
 }
 
--- a/src/entry/key_record.ts
+++ b/src/entry/key_record.ts
@@ -17,9 +17,9 @@
   notRunClaim,
 } from "../ledger/mod.ts";
 import {
-  type CustomerId,
   type IdempotencyKey,
   notRun,
+  type OrganisationId,
   outcomeUnknown,
   type Refusal,
   RefusalReason,
@@ -52,13 +52,13 @@
     this.#ledger = ledger;
   }
 
-  /** Reads what stands for each of a customer's keys. */
+  /** Reads what stands for each of an organisation's keys. */
   read(
-    customer: CustomerId,
+    organisation: OrganisationId,
     keys: readonly IdempotencyKey[],
   ): Promise<Result<readonly StandingClaim[], Refusal>> {
     return Promise.resolve(
-      this.#ledger.read(customer, keys).mapErr(() => recordUnreadable()),
+      this.#ledger.read(organisation, keys).mapErr(() => recordUnreadable()),
     );
   }
 
@@ -81,7 +81,7 @@
       isRunning(standing, call) && monotonicMs() < until && !opts.signal.aborted
     ) {
       await sleep(SETTLE_POLL_MS, opts.signal);
-      const again = await this.#ledger.read(call.customer, [keyOf(call)]);
+      const again = await this.#ledger.read(call.organisation, [keyOf(call)]);
       standing = again.isOk() ? again.value[0] ?? standing : standing;
     }
     return settledBy(standing, call);
--- a/src/entry/key_record_test.ts
+++ b/src/entry/key_record_test.ts
@@ -23,7 +23,7 @@
 const CALL = {
   callId: "r/file/1",
   requestId: "r",
-  customer: "c",
+  organisation: "c",
   stage: "file",
   target: "t",
   idempotencyKey: "k/file",
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -7,9 +7,9 @@
 import { err, ok, type Result } from "neverthrow";
 import { ClaimState } from "../ledger/mod.ts";
 import {
-  type Customer,
   digest,
   type IdempotencyKey,
+  type Organisation,
   type PipelineSpec,
   type Plan,
   Proof,
@@ -36,7 +36,7 @@
 /** What of a request its stage calls carry. */
 export interface RequestIdentity {
   readonly requestId: RequestId;
-  readonly customer: Customer;
+  readonly organisation: Organisation;
   readonly plan: Plan;
   readonly spec: PipelineSpec;
   readonly key: IdempotencyKey;
@@ -182,7 +182,7 @@
       return ok({ run, versions: new Map() });
     }
     const keys = stages.map((stage) => stageKey(req, stage));
-    const read = await record.read(req.customer.id, keys);
+    const read = await record.read(req.organisation.id, keys);
     if (read.isErr()) return err(read.error);
     const fingerprint = fingerprintOf(req);
     const results: StageResult[] = [];
@@ -252,7 +252,7 @@
 
 function checkpointed(req: RequestIdentity): CheckpointedRequest {
   return {
-    customer: req.customer.id,
+    organisation: req.organisation.id,
     key: req.key,
     fingerprint: fingerprintOf(req),
     spec: req.spec,
@@ -277,7 +277,7 @@
 ): StageRequest {
   return {
     requestId: req.requestId,
-    customer: req.customer.id,
+    organisation: req.organisation.id,
     pipeline: req.spec.name,
     stage: stage.name,
     kind: stage.kind,
--- a/src/entry/stage_dispatch.ts
+++ b/src/entry/stage_dispatch.ts
@@ -75,7 +75,7 @@
 
   /** Budgets that pay for the next retry. */
   get budgetNames(): readonly string[] {
-    return [customerBudget(this.req), targetBudget(this.#lastTarget)];
+    return [organisationBudget(this.req), targetBudget(this.#lastTarget)];
   }
 
   /** Notes a new attempt; gives its number. */
@@ -103,9 +103,9 @@
   }
 }
 
-/** Name of a customer's retry budget. */
-export function customerBudget({ customer }: StageRequest): string {
-  return `customer/${customer}`;
+/** Name of an organisation's retry budget. */
+export function organisationBudget({ organisation }: StageRequest): string {
+  return `organisation/${organisation}`;
 }
 
 /** Name of a target's retry budget. */
--- a/src/launch/chaos_callers.ts
+++ b/src/launch/chaos_callers.ts
@@ -67,13 +67,13 @@
   }
 
   async #ask(url: string, arrival: Arrival): Promise<Answer> {
-    const { work, customer, marker, key } = arrival;
+    const { work, organisation, marker, key } = arrival;
     try {
       const res = await request(`${url}/v1/pipelines/${work.pipeline}`, {
         method: "POST",
         headers: {
           "content-type": "application/json",
-          "authorization": `Bearer ${customer.key}`,
+          "authorization": `Bearer ${organisation.key}`,
           "idempotency-key": key,
           "deadline-ms": String(work.deadlineMs),
         },
--- a/src/launch/deployment.ts
+++ b/src/launch/deployment.ts
@@ -85,13 +85,15 @@
 
   /** Load settings that use every pipeline of the deployment. */
   load(opts: Pick<LoadSettings, "ratePerS" | "durationS" | "seed">) {
-    const { customers } = readJson(join(this.#samples, "customers.json")) as {
-      customers: { id: string }[];
+    const { organisations } = readJson(
+      join(this.#samples, "organisations.json"),
+    ) as {
+      organisations: { id: string }[];
     };
     return {
       ...opts,
       entryUrls: [...this.topology.entryUrls],
-      customers: customers.map(({ id }) => ({
+      organisations: organisations.map(({ id }) => ({
         id,
         key: `sample-key-${id}`,
         weight: 1,
@@ -137,9 +139,9 @@
 
   async #applyLists(): Promise<void> {
     const table = new HttpTable(this.topology.tableUrl);
-    const customers = readJson(join(this.#samples, "customers.json"));
+    const organisations = readJson(join(this.#samples, "organisations.json"));
     const change = {
-      customers: customers as typeof EMPTY_LISTS.customers,
+      organisations: organisations as typeof EMPTY_LISTS.organisations,
       use: this.#use(),
     };
     (await changeLists(table, EMPTY_LISTS, change))._unsafeUnwrap();
--- a/src/launch/ops.ts
+++ b/src/launch/ops.ts
@@ -209,13 +209,13 @@
 /** Operators who race: one file is accepted, the others are told. */
 async function raceRound(): Promise<void> {
   const shown = await runCommand(deployment, ["lists", "show", "--json"]);
-  const lists = JSON.parse(shown.stdout) as { customers: object[] };
+  const lists = JSON.parse(shown.stdout) as { organisations: object[] };
   const files = ["a", "b", "c"].map((name, i) => {
     const file = join(dir, `${name}.json`);
     const keySha256 = String(i).repeat(64);
     const added = { id: `raced-${name}`, plan: "member", keySha256 };
-    const customers = [...lists.customers, added];
-    writeFileSync(file, JSON.stringify({ ...lists, customers }));
+    const organisations = [...lists.organisations, added];
+    writeFileSync(file, JSON.stringify({ ...lists, organisations }));
     return file;
   });
   const ends = await Promise.all([
@@ -236,14 +236,14 @@
       losers.map(({ stderr }) => stderr).join("")
     }`,
   );
-  const { customers } = (await probe.standing()).customers;
-  const raced = customers.filter(({ id }) => id.startsWith("raced-"));
+  const { organisations } = (await probe.standing()).organisations;
+  const raced = organisations.filter(({ id }) => id.startsWith("raced-"));
   probe.expect(
     raced.length === winners.length,
     `race: ${raced.length} of the files stand`,
   );
   const bad = join(dir, "bad.json");
-  const faulty = { customers: [{ id: "A" }, { id: "A" }], plans: 1 };
+  const faulty = { organisations: [{ id: "A" }, { id: "A" }], plans: 1 };
   writeFileSync(bad, JSON.stringify(faulty));
   const refused = await runCommand(deployment, ["lists", "apply", bad]);
   const found = refused.stderr.split("\n").filter((l) => l.startsWith("$."));
--- a/src/ledger/claim.ts
+++ b/src/ledger/claim.ts
@@ -12,10 +12,10 @@
 
 import {
   type CallId,
-  type CustomerId,
   digest,
   type IdempotencyKey,
   notRun,
+  type OrganisationId,
   outcomeUnknown,
   type Refusal,
   RefusalReason,
@@ -46,7 +46,7 @@
   readonly requestId: RequestId;
   readonly callId: CallId;
   readonly fingerprint: string;
-  readonly customer: CustomerId;
+  readonly organisation: OrganisationId;
   readonly key: IdempotencyKey;
   readonly target: TargetId;
   /** Wall-clock time of the write, in milliseconds since the epoch. */
@@ -79,8 +79,11 @@
 const RUNNING_RETRY_MS = 1_000;
 
 /** Key of the row that holds the claim of a call. */
-export function claimKey(customer: CustomerId, key: IdempotencyKey): string {
-  return `${CLAIM_PREFIX}${customer}/${key}`;
+export function claimKey(
+  organisation: OrganisationId,
+  key: IdempotencyKey,
+): string {
+  return `${CLAIM_PREFIX}${organisation}/${key}`;
 }
 
 /** New claim of an attempt. */
@@ -94,7 +97,7 @@
     requestId: call.requestId,
     callId: call.callId,
     fingerprint: call.fingerprint,
-    customer: call.customer,
+    organisation: call.organisation,
     key: call.idempotencyKey ?? "",
     target: call.target,
     claimedAt: opts.now,
--- a/src/ledger/claim_test.ts
+++ b/src/ledger/claim_test.ts
@@ -25,7 +25,7 @@
     {
       requestId: "r",
       callId: "r/file/1",
-      customer: "c",
+      organisation: "c",
       fingerprint: "f",
       target: "t",
       remainingMs: 4_000,
--- a/src/limits/fair_queue.ts
+++ b/src/limits/fair_queue.ts
@@ -1,10 +1,10 @@
 /**
- * Queue of waiting calls in weighted fair shares of the customers.
+ * Queue of waiting calls in weighted fair shares of the organisations.
  *
- * Start-time fair queueing: each flow, a customer's calls of one priority, has
+ * Start-time fair queueing: each flow, an organisation's calls of one priority, has
  * a virtual finish time that grows by cost over weight with every call that
  * starts; the flow with the lowest start time is next, with its call of the
- * earliest deadline. A customer that was idle keeps no credit, so an idle share
+ * earliest deadline. An organisation that was idle keeps no credit, so an idle share
  * is lent to the others and given back with the next start. Interactive calls go first; a batch call that has
  * waited for {@linkcode AGEING_MS} competes with them at a lower weight.
  *
@@ -12,12 +12,12 @@
  */
 
 import { invariant } from "../kernel/mod.ts";
-import { type CallId, type CustomerId, Priority } from "../model/mod.ts";
+import { type CallId, type OrganisationId, Priority } from "../model/mod.ts";
 
 /** A call at the gate. Times are monotonic, in milliseconds. */
 export interface GateCall {
   readonly callId: CallId;
-  readonly customer: CustomerId;
+  readonly organisation: OrganisationId;
   readonly weight: number;
   readonly priority: Priority;
   /** Calls of one class have similar costs: a stage of a pipeline. */
@@ -38,7 +38,7 @@
 
 /** Wait after which a batch call counts as interactive, in milliseconds. */
 export const AGEING_MS = 1_000;
-/** Weight of a customer's aged batch calls against its interactive ones. */
+/** Weight of an organisation's aged batch calls against its interactive ones. */
 const BATCH_WEIGHT = 0.25;
 /** Cost of a call of unknown cost, in milliseconds. */
 const UNKNOWN_COST_MS = 1;
@@ -73,7 +73,7 @@
   );
 }
 
-/** Takes a call out of the queue and charges its cost to its customer. */
+/** Takes a call out of the queue and charges its cost to its organisation. */
 export function startCall(
   queue: FairQueue,
   call: GateCall,
@@ -112,9 +112,9 @@
     now - call.arrivedAt >= AGEING_MS;
 }
 
-/** Name of the flow of a call: its customer's calls of its priority. */
-export function flowOf({ customer, priority }: GateCall): string {
-  return `${customer}/${priority}`;
+/** Name of the flow of a call: its organisation's calls of its priority. */
+export function flowOf({ organisation, priority }: GateCall): string {
+  return `${organisation}/${priority}`;
 }
 
 function flowWeight({ weight, priority }: GateCall): number {
--- a/src/limits/gate.ts
+++ b/src/limits/gate.ts
@@ -32,7 +32,7 @@
 } from "./gate_state.ts";
 import { finish, onSign, releaseHeld, withEvidence } from "./gate_running.ts";
 import { createLimit } from "./limit.ts";
-import { isHopeless, overfullCustomerCall, retryAfterMs } from "./wait.ts";
+import { isHopeless, overfullOrganisationCall, retryAfterMs } from "./wait.ts";
 
 /** State of a gate whose target counts as cold. */
 export function createGate(cfg: GateConfig, now: number): GateState {
@@ -90,7 +90,7 @@
   if (joined.queue.calls.length <= state.cfg.maxQueued) {
     return unchanged(joined);
   }
-  const dropped = overfullCustomerCall(joined.queue);
+  const dropped = overfullOrganisationCall(joined.queue);
   return {
     state: {
       ...joined,
--- a/src/limits/gate_test.ts
+++ b/src/limits/gate_test.ts
@@ -76,7 +76,7 @@
 ): GateCall {
   return {
     callId,
-    customer: "a",
+    organisation: "a",
     weight: 1,
     priority: Priority.Interactive,
     workClass: "p/s",
@@ -96,7 +96,7 @@
   assert.deepEqual(gate.started, ["1", "2"]);
 });
 
-test("applyGate() starts calls by deadline within a customer", () => {
+test("applyGate() starts calls by deadline within an organisation", () => {
   const gate = new Driver();
   ["1", "2"].forEach((id) => gate.arrive(id));
   gate.arrive("late", { deadlineAt: 3_000 });
@@ -122,11 +122,13 @@
   assert.deepEqual(gate.started, ["probe"]);
 });
 
-test("applyGate() drops from the customer with the longest queue", () => {
+test("applyGate() drops from the organisation with the longest queue", () => {
   // Fails when arrive() refuses the arriving call instead.
   const gate = new Driver();
-  for (let i = 0; i < 8; i += 1) gate.arrive(`g${i}`, { customer: "greedy" });
-  gate.arrive("m", { customer: "modest" });
+  for (let i = 0; i < 8; i += 1) {
+    gate.arrive(`g${i}`, { organisation: "greedy" });
+  }
+  gate.arrive("m", { organisation: "modest" });
   assert.equal(gate.refused.length, 1);
   assert.ok(gate.refused[0]?.startsWith("g"));
 });
@@ -146,7 +148,7 @@
   // Fails when isUrgent() ignores the age of a call.
   const gate = new Driver({ coldLimit: 1, maxLimit: 1 });
   gate.arrive("first");
-  gate.arrive("batch", { customer: "b", priority: Priority.Batch });
+  gate.arrive("batch", { organisation: "b", priority: Priority.Batch });
   let previous = "first";
   for (let i = 0; i < 200 && !gate.started.includes("batch"); i += 1) {
     gate.arrive(`i${i}`);
@@ -178,7 +180,7 @@
 });
 
 test("applyGate() drops batch calls first from a full queue", () => {
-  // Fails when overfullCustomerCall() looks at deadlines only.
+  // Fails when overfullOrganisationCall() looks at deadlines only.
   const gate = new Driver();
   const batch = { priority: Priority.Batch, deadlineAt: 1_000 };
   for (let i = 0; i < 8; i += 1) gate.arrive(`b${i}`, batch);
@@ -191,14 +193,14 @@
   // Fails when startTime() ignores finish times (first come, first served).
   const gate = new Driver({ coldLimit: 1, maxLimit: 1, maxQueued: 40 });
   const weights = { heavy: 3, light: 1 };
-  const count = (customer: string, from = 0) =>
-    gate.started.slice(from).filter((id) => id.startsWith(customer)).length;
-  const drive = (customers: readonly (keyof typeof weights)[]) => {
+  const count = (organisation: string, from = 0) =>
+    gate.started.slice(from).filter((id) => id.startsWith(organisation)).length;
+  const drive = (organisations: readonly (keyof typeof weights)[]) => {
     for (let i = 0; i < 80; i += 1) {
-      customers.forEach((customer) =>
-        gate.arrive(`${customer}-${gate.now}`, {
-          customer,
-          weight: weights[customer],
+      organisations.forEach((organisation) =>
+        gate.arrive(`${organisation}-${gate.now}`, {
+          organisation,
+          weight: weights[organisation],
         })
       );
       const running = [...gate.state.running.keys()][0] ?? "";
@@ -376,7 +378,7 @@
   const arb = fc.array(
     fc.record({
       waitMs: fc.integer({ min: 0, max: 60 }),
-      customer: fc.constantFrom("a", "b", "c"),
+      organisation: fc.constantFrom("a", "b", "c"),
       batch: fc.boolean(),
       deadlineMs: fc.integer({ min: 1, max: 1_500 }),
       end: fc.constantFrom(
@@ -397,7 +399,7 @@
         gate.now += step.waitMs;
         gate.apply({ kind: "tick" });
         gate.arrive(`c${i}`, {
-          customer: step.customer,
+          organisation: step.organisation,
           priority: step.batch ? Priority.Batch : Priority.Interactive,
           deadlineAt: gate.now + step.deadlineMs,
         });
--- a/src/limits/wait.ts
+++ b/src/limits/wait.ts
@@ -64,18 +64,18 @@
 }
 
 /**
- * The call to give up when the queue is too long: of the customer that waits
+ * The call to give up when the queue is too long: of the organisation that waits
  * with most calls for its weight a batch call, or else any, with the latest
  * deadline.
  */
-export function overfullCustomerCall(queue: FairQueue): GateCall {
+export function overfullOrganisationCall(queue: FairQueue): GateCall {
   const backlog = new Map<string, number>();
-  queue.calls.forEach(({ customer, weight }) =>
-    backlog.set(customer, (backlog.get(customer) ?? 0) + 1 / weight)
+  queue.calls.forEach(({ organisation, weight }) =>
+    backlog.set(organisation, (backlog.get(organisation) ?? 0) + 1 / weight)
   );
   return queue.calls.reduce((worst, call) => {
-    const more = (backlog.get(call.customer) ?? 0) -
-      (backlog.get(worst.customer) ?? 0);
+    const more = (backlog.get(call.organisation) ?? 0) -
+      (backlog.get(worst.organisation) ?? 0);
     if (more !== 0) return more > 0 ? call : worst;
     if (call.priority !== worst.priority) {
       return call.priority === Priority.Batch ? call : worst;
--- a/src/lists/change.ts
+++ b/src/lists/change.ts
@@ -6,14 +6,14 @@
 
 import type {
   Availability,
-  CustomerList,
   Lists,
+  OrganisationList,
   UseList,
 } from "../model/mod.ts";
 
 /** Parts of the lists that one change replaces. */
 export interface ListsChange {
-  readonly customers?: CustomerList;
+  readonly organisations?: OrganisationList;
   readonly use?: UseList;
   readonly availability?: Availability;
 }
@@ -29,7 +29,7 @@
 export function applyChange(before: Lists, change: ListsChange): Lists {
   return {
     version: before.version + 1,
-    customers: change.customers ?? before.customers,
+    organisations: change.organisations ?? before.organisations,
     use: change.use ?? before.use,
     availability: change.availability ?? before.availability,
   };
--- a/src/lists/delta.ts
+++ b/src/lists/delta.ts
@@ -1,7 +1,7 @@
 /**
  * Differences between two versions of the lists.
  *
- * A delta is small where a change is small: it names the customers that a
+ * A delta is small where a change is small: it names the organisations that a
  * change touched and carries the other lists only when they differ.
  *
  * @module
@@ -11,9 +11,9 @@
 import {
   type Availability,
   canonicalJson,
-  type Customer,
-  type CustomerId,
   type Lists,
+  type Organisation,
+  type OrganisationId,
   type UseList,
 } from "../model/mod.ts";
 
@@ -21,9 +21,9 @@
 export interface ListsDelta {
   readonly from: number;
   readonly to: number;
-  /** Customers that are new or differ. */
-  readonly set: readonly Customer[];
-  readonly removed: readonly CustomerId[];
+  /** Organisations that are new or differ. */
+  readonly set: readonly Organisation[];
+  readonly removed: readonly OrganisationId[];
   readonly use?: UseList;
   readonly availability?: Availability;
 }
@@ -35,14 +35,16 @@
 
 /** Difference between two versions of the lists. */
 export function diffLists(before: Lists, after: Lists): ListsDelta {
-  const old = byId(before.customers.customers);
-  const kept = byId(after.customers.customers);
+  const old = byId(before.organisations.organisations);
+  const kept = byId(after.organisations.organisations);
   return {
     from: before.version,
     to: after.version,
-    set: after.customers.customers
-      .filter((customer) => !isSame(old.get(customer.id), customer)),
-    removed: before.customers.customers
+    set: after.organisations.organisations
+      .filter((organisation) =>
+        !isSame(old.get(organisation.id), organisation)
+      ),
+    removed: before.organisations.organisations
       .map(({ id }) => id)
       .filter((id) => !kept.has(id)),
     use: isSame(before.use, after.use) ? undefined : after.use,
@@ -66,8 +68,11 @@
   }
   return ok({
     version: delta.to,
-    customers: {
-      customers: withCustomers(lists.customers.customers, delta),
+    organisations: {
+      organisations: withOrganisations(
+        lists.organisations.organisations,
+        delta,
+      ),
     },
     use: delta.use ?? lists.use,
     availability: delta.availability ?? lists.availability,
@@ -94,27 +99,33 @@
   };
 }
 
-/** Customers in the order of their names, with a delta applied. */
-function withCustomers(
-  customers: readonly Customer[],
+/** Organisations in the order of their names, with a delta applied. */
+function withOrganisations(
+  organisations: readonly Organisation[],
   { set, removed }: ListsDelta,
-): readonly Customer[] {
-  if (set.length === 0 && removed.length === 0) return customers;
-  const after = byId(customers);
+): readonly Organisation[] {
+  if (set.length === 0 && removed.length === 0) return organisations;
+  const after = byId(organisations);
   removed.forEach((id) => after.delete(id));
-  set.forEach((customer) => after.set(customer.id, customer));
-  return sortCustomers([...after.values()]);
+  set.forEach((organisation) => after.set(organisation.id, organisation));
+  return sortOrganisations([...after.values()]);
 }
 
-/** Customers in the order of their names. */
-export function sortCustomers(
-  customers: readonly Customer[],
-): readonly Customer[] {
-  return customers.toSorted((a, b) => a.id < b.id ? -1 : a.id > b.id ? 1 : 0);
+/** Organisations in the order of their names. */
+export function sortOrganisations(
+  organisations: readonly Organisation[],
+): readonly Organisation[] {
+  return organisations.toSorted((a, b) =>
+    a.id < b.id ? -1 : a.id > b.id ? 1 : 0
+  );
 }
 
-function byId(customers: readonly Customer[]): Map<CustomerId, Customer> {
-  return new Map(customers.map((customer) => [customer.id, customer]));
+function byId(
+  organisations: readonly Organisation[],
+): Map<OrganisationId, Organisation> {
+  return new Map(
+    organisations.map((organisation) => [organisation.id, organisation]),
+  );
 }
 
 function isSame(a: unknown, b: unknown): boolean {
--- a/src/lists/describe.ts
+++ b/src/lists/describe.ts
@@ -10,12 +10,12 @@
 /** One line for each thing that differs: `+` new, `-` gone, `~` changed. */
 export function describeDiff(before: Lists, after: Lists): readonly string[] {
   const delta = diffLists(before, after);
-  const known = new Set(before.customers.customers.map(({ id }) => id));
+  const known = new Set(before.organisations.organisations.map(({ id }) => id));
   return [
     ...delta.set.map(({ id, plan }) =>
-      `${known.has(id) ? "~" : "+"} customer ${id} plan=${plan}`
+      `${known.has(id) ? "~" : "+"} organisation ${id} plan=${plan}`
     ),
-    ...delta.removed.map((id) => `- customer ${id}`),
+    ...delta.removed.map((id) => `- organisation ${id}`),
     ...named("plan", before.use.plans, after.use.plans),
     ...named("pipeline", before.use.pipelines, after.use.pipelines),
     ...orders(
--- a/src/lists/lists_test.ts
+++ b/src/lists/lists_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { type Customer, EMPTY_LISTS, type Lists } from "../model/mod.ts";
+import { EMPTY_LISTS, type Lists, type Organisation } from "../model/mod.ts";
 import {
   applyChange,
   applyDelta,
@@ -18,12 +18,12 @@
 const SEED = 61;
 
 const name = fc.constantFrom("a", "b", "c", "d", "e");
-const customers = fc.uniqueArray(
+const organisations = fc.uniqueArray(
   fc.record({ id: name, plan: fc.constantFrom("p", "q") }),
   { selector: ({ id }) => id },
 ).map((some) => ({
-  customers: some
-    .map((one): Customer => ({ ...one, keySha256: one.id }))
+  organisations: some
+    .map((one): Organisation => ({ ...one, keySha256: one.id }))
     .toSorted((a, b) => a.id < b.id ? -1 : 1),
 }));
 const availability = fc.record({
@@ -31,7 +31,7 @@
   hostsOut: fc.uniqueArray(name),
 });
 const change: fc.Arbitrary<ListsChange> = fc.record(
-  { customers, availability },
+  { organisations, availability },
   { requiredKeys: [] },
 );
 
@@ -42,7 +42,7 @@
   );
 
 test("mergeDeltas() gives the same lists as the deltas one by one", () => {
-  // Fails when `mergeDeltas` keeps a customer that the second delta removes.
+  // Fails when `mergeDeltas` keeps an organisation that the second delta removes.
   fc.assert(
     fc.property(fc.array(change, { minLength: 1, maxLength: 8 }), (changes) => {
       const all = versions(changes);
@@ -89,16 +89,20 @@
   );
 });
 
-test("updateSince() sends one changed customer, not the list", () => {
-  const many = Array.from({ length: 4_500 }, (_, i): Customer => ({
-    id: `customer-${String(i).padStart(5, "0")}`,
+test("updateSince() sends one changed organisation, not the list", () => {
+  const many = Array.from({ length: 4_500 }, (_, i): Organisation => ({
+    id: `organisation-${String(i).padStart(5, "0")}`,
     plan: "p",
     keySha256: "0".repeat(64),
   }));
-  const lists = { ...EMPTY_LISTS, version: 1, customers: { customers: many } };
-  const [first] = many as [Customer];
+  const lists = {
+    ...EMPTY_LISTS,
+    version: 1,
+    organisations: { organisations: many },
+  };
+  const [first] = many as [Organisation];
   const after = applyChange(lists, {
-    customers: { customers: many.with(0, { ...first, plan: "q" }) },
+    organisations: { organisations: many.with(0, { ...first, plan: "q" }) },
   });
   const history = applyUpdate(
     applyUpdate(EMPTY_HISTORY, { kind: "lists", lists }),
@@ -111,16 +115,16 @@
 
 test("describeDiff() names what differs", () => {
   const before = applyChange(EMPTY_LISTS, {
-    customers: { customers: [{ id: "a", plan: "p", keySha256: "1" }] },
+    organisations: { organisations: [{ id: "a", plan: "p", keySha256: "1" }] },
   });
   const order = { what: "domain", name: "north", out: true } as const;
   const after = applyChange(before, {
-    customers: { customers: [{ id: "b", plan: "p", keySha256: "2" }] },
+    organisations: { organisations: [{ id: "b", plan: "p", keySha256: "2" }] },
     availability: applyOrder(before.availability, order),
   });
   assert.deepEqual(describeDiff(before, after), [
-    "+ customer b plan=p",
-    "- customer a",
+    "+ organisation b plan=p",
+    "- organisation a",
     "~ domain north out",
   ]);
 });
--- a/src/load/arrivals.ts
+++ b/src/load/arrivals.ts
@@ -14,7 +14,7 @@
   readonly atMs: number;
   readonly marker: string;
   readonly key: string;
-  readonly customer: LoadSettings["customers"][number];
+  readonly organisation: LoadSettings["organisations"][number];
   readonly work: LoadSettings["mix"][number];
   /** Text that the request shares with others. */
   readonly document?: string;
@@ -38,7 +38,7 @@
       atMs,
       marker,
       key: `k-${marker}`,
-      customer: pickWeighted(cfg.customers, random()),
+      organisation: pickWeighted(cfg.organisations, random()),
       work: pickWeighted(cfg.mix, random()),
       document: documentAt(cfg, random),
     });
--- a/src/load/arrivals_test.ts
+++ b/src/load/arrivals_test.ts
@@ -5,7 +5,7 @@
 
 const settings = (over: Partial<LoadSettings> = {}): LoadSettings => ({
   entryUrls: ["http://127.0.0.1:1"],
-  customers: [{ id: "c", key: "k", weight: 1 }],
+  organisations: [{ id: "c", key: "k", weight: 1 }],
   mix: [{ pipeline: "p", weight: 1, deadlineMs: 1_000, files: false }],
   ratePerS: 100,
   durationS: 60,
--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -118,13 +118,13 @@
   arrival: Arrival,
   opts: CallerOptions,
 ): Promise<Exchange> {
-  const { work, customer, marker, key, document = "" } = arrival;
+  const { work, organisation, marker, key, document = "" } = arrival;
   const leftMs = Math.max(1, remainingMs(arrival, opts));
   const res = await request(`${url}/v1/pipelines/${work.pipeline}`, {
     method: "POST",
     headers: {
       "content-type": "application/json",
-      "authorization": `Bearer ${customer.key}`,
+      "authorization": `Bearer ${organisation.key}`,
       "idempotency-key": key,
       "deadline-ms": String(leftMs),
       ...(opts.streaming ? { accept: "text/event-stream" } : {}),
--- a/src/load/caller_test.ts
+++ b/src/load/caller_test.ts
@@ -23,7 +23,7 @@
   atMs: 0,
   marker: MARKER,
   key: "k",
-  customer: { id: "c", key: "secret", weight: 1 },
+  organisation: { id: "c", key: "secret", weight: 1 },
   work: { pipeline: "p", weight: 1, deadlineMs: 60_000, files: false },
 };
 
--- a/src/load/settings.ts
+++ b/src/load/settings.ts
@@ -10,9 +10,9 @@
 export const loadSettingsSchema = z.strictObject({
   entryUrls: z.array(z.url()).min(1)
     .describe("Base URLs of the entries; requests take them in turn"),
-  customers: z.array(z.strictObject({
-    id: z.string().describe("Name of the customer"),
-    key: z.string().describe("Key of the customer"),
+  organisations: z.array(z.strictObject({
+    id: z.string().describe("Name of the organisation"),
+    key: z.string().describe("Key of the organisation"),
     weight: z.number().positive().default(1)
       .describe("Share of the requests"),
   })).min(1),
--- a/src/model/call.ts
+++ b/src/model/call.ts
@@ -6,8 +6,8 @@
 
 import type {
   CallId,
-  CustomerId,
   IdempotencyKey,
+  OrganisationId,
   PipelineName,
   RequestId,
   StageName,
@@ -21,7 +21,7 @@
 export interface StageCall {
   readonly callId: CallId;
   readonly requestId: RequestId;
-  readonly customer: CustomerId;
+  readonly organisation: OrganisationId;
   readonly pipeline: PipelineName;
   readonly stage: StageName;
   readonly kind: StageKind;
@@ -38,7 +38,7 @@
   /** Digest of the caller's request; a repeat of a key must carry the same. */
   readonly fingerprint: string;
   readonly priority: Priority;
-  /** Weight of the customer's plan. */
+  /** Weight of the organisation's plan. */
   readonly weight: number;
   /** Time left before the whole answer is due, in milliseconds. */
   readonly remainingMs: number;
--- a/src/model/cost.ts
+++ b/src/model/cost.ts
@@ -4,11 +4,11 @@
  * @module
  */
 
-import type { CustomerId, PipelineName, StageName } from "./ids.ts";
+import type { OrganisationId, PipelineName, StageName } from "./ids.ts";
 
 /** What a cost is accounted to. */
 export interface CostKey {
-  readonly customer: CustomerId;
+  readonly organisation: OrganisationId;
   readonly pipeline: PipelineName;
   readonly stage: StageName;
 }
@@ -72,7 +72,7 @@
   const sums = new Map<string, CostRow>();
   rows.forEach((row) => {
     const key = keyOf(row);
-    const id = JSON.stringify([key.customer, key.pipeline, key.stage]);
+    const id = JSON.stringify([key.organisation, key.pipeline, key.stage]);
     sums.set(id, { ...key, ...addCost(sums.get(id) ?? NO_COST, row) });
   });
   return [...sums.values()].sort((a, b) => b.workMs - a.workMs);
--- a/src/model/ids.ts
+++ b/src/model/ids.ts
@@ -5,8 +5,8 @@
  * @module
  */
 
-/** Name of a customer, unique in the operators' lists. */
-export type CustomerId = string;
+/** Name of an organisation, unique in the operators' lists. */
+export type OrganisationId = string;
 
 /** Name of a failure domain. */
 export type DomainName = string;
--- a/src/model/lists.ts
+++ b/src/model/lists.ts
@@ -5,9 +5,9 @@
  */
 
 import type {
-  CustomerId,
   DomainName,
   HostId,
+  OrganisationId,
   PipelineName,
   PoolName,
   StageName,
@@ -57,27 +57,27 @@
   readonly deadlineMs: number;
 }
 
-/** A customer and the plan that it is on. */
-export interface Customer {
-  readonly id: CustomerId;
+/** An organisation and the plan that it is on. */
+export interface Organisation {
+  readonly id: OrganisationId;
   readonly plan: string;
-  /** SHA-256 of the customer's key, in lower-case hexadecimal. */
+  /** SHA-256 of the organisation's key, in lower-case hexadecimal. */
   readonly keySha256: string;
 }
 
-/** What the customers on a plan may use. */
+/** What the organisations on a plan may use. */
 export interface Plan {
   readonly name: string;
-  /** Weight of each customer on the plan in the fair shares of a gate. */
+  /** Weight of each organisation on the plan in the fair shares of a gate. */
   readonly weight: number;
-  /** Most requests that one customer may have in hand across the fleet. */
+  /** Most requests that one organisation may have in hand across the fleet. */
   readonly maxConcurrent: number;
   readonly pipelines: readonly PipelineName[];
 }
 
-/** First list: the customers and their plans. */
-export interface CustomerList {
-  readonly customers: readonly Customer[];
+/** First list: the organisations and their plans. */
+export interface OrganisationList {
+  readonly organisations: readonly Organisation[];
 }
 
 /** Second list: what each plan may use. */
@@ -96,7 +96,7 @@
 export interface Lists {
   /** Grows by one with every accepted change. */
   readonly version: number;
-  readonly customers: CustomerList;
+  readonly organisations: OrganisationList;
   readonly use: UseList;
   readonly availability: Availability;
 }
@@ -104,7 +104,7 @@
 /** Lists before the first accepted change. */
 export const EMPTY_LISTS: Lists = {
   version: 0,
-  customers: { customers: [] },
+  organisations: { organisations: [] },
   use: { plans: [], pipelines: [] },
   availability: { domainsOut: [], hostsOut: [] },
 };
--- a/src/model/target.ts
+++ b/src/model/target.ts
@@ -40,8 +40,8 @@
   readonly leaving: boolean;
   /** Newest changes of the engine's prefix cache; on final events only. */
   readonly cache?: readonly CacheChange[];
-  /** Calls of the answered customer at the gate; on answers to calls only. */
-  readonly customerInHand?: number;
+  /** Calls of the answered organisation at the gate; on answers to calls only. */
+  readonly organisationInHand?: number;
 }
 
 /** A prompt prefix that an engine began or ceased to hold. */
--- a/src/process/gossip.ts
+++ b/src/process/gossip.ts
@@ -27,7 +27,7 @@
 const OFFERS = 3;
 /** Longest wait for a peer's answer, in milliseconds. */
 const ANSWER_MS = 1_000;
-/** Largest update that is offered unasked, in customers. */
+/** Largest update that is offered unasked, in organisations. */
 const MAX_OFFERED = 100;
 
 /** What the exchange needs to know of its process. */
--- a/src/process/ledger.ts
+++ b/src/process/ledger.ts
@@ -7,7 +7,7 @@
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { sleep } from "../kernel/mod.ts";
 import { type Claim, claimKey } from "../ledger/mod.ts";
-import type { CustomerId, IdempotencyKey } from "../model/mod.ts";
+import type { IdempotencyKey, OrganisationId } from "../model/mod.ts";
 import type { PlatformError, Row, Table } from "../store/mod.ts";
 import { GroupCommit, type GroupCommitOptions } from "./group_commit.ts";
 
@@ -38,12 +38,12 @@
     this.#commits = new GroupCommit(table, opts);
   }
 
-  /** Reads the claims of a customer's keys, in their order. */
+  /** Reads the claims of an organisation's keys, in their order. */
   read(
-    customer: CustomerId,
+    organisation: OrganisationId,
     keys: readonly IdempotencyKey[],
   ): ResultAsync<readonly StandingClaim[], PlatformError> {
-    return this.#table.read(keys.map((key) => claimKey(customer, key)))
+    return this.#table.read(keys.map((key) => claimKey(organisation, key)))
       .map((rows) => rows.map(standingOf));
   }
 
@@ -52,7 +52,7 @@
     claim: Claim,
     version: number,
   ): ResultAsync<ClaimWrite, PlatformError> {
-    const key = claimKey(claim.customer, claim.key);
+    const key = claimKey(claim.organisation, claim.key);
     return new ResultAsync(this.#commits.write({ key, version, value: claim }))
       .map(({ written, row }) => ({ written, standing: standingOf(row) }));
   }
--- a/src/process/lists_rows.ts
+++ b/src/process/lists_rows.ts
@@ -3,7 +3,7 @@
  *
  * The head row is written by every change, so that a check of its version
  * orders the changes. Each change has a row of its own with its delta. The
- * customers are spread over several rows, so that a change of one customer
+ * organisations are spread over several rows, so that a change of one organisation
  * rewrites a small part.
  *
  * @module
@@ -12,13 +12,13 @@
 import {
   type ListsChange,
   type ListsDelta,
-  sortCustomers,
+  sortOrganisations,
 } from "../lists/mod.ts";
 import {
-  type Customer,
-  type CustomerId,
   EMPTY_LISTS,
   type Lists,
+  type Organisation,
+  type OrganisationId,
   sha256,
 } from "../model/mod.ts";
 import type { Row, RowPut } from "../store/mod.ts";
@@ -27,10 +27,10 @@
 export const HEAD_KEY = "lists/head";
 const USE_KEY = "lists/use";
 const AVAILABILITY_KEY = "lists/availability";
-const CUSTOMERS_PREFIX = "lists/customers/";
+const ORGANISATIONS_PREFIX = "lists/organisations/";
 const CHANGE_PREFIX = "lists/change/";
 
-/** Rows over which the customers are spread. */
+/** Rows over which the organisations are spread. */
 const SHARDS = 64;
 /** Change rows that are kept for readers who are behind. */
 export const KEPT_CHANGES = 500;
@@ -65,12 +65,12 @@
 export function listsOf(rows: readonly Row[]): Lists {
   const value = <T>(key: string, otherwise: T): T =>
     (rows.find((row) => row.key === key)?.value as T | null) ?? otherwise;
-  const customers = rows
-    .filter(({ key, value }) => key.startsWith(CUSTOMERS_PREFIX) && value)
-    .flatMap((row) => row.value as readonly Customer[]);
+  const organisations = rows
+    .filter(({ key, value }) => key.startsWith(ORGANISATIONS_PREFIX) && value)
+    .flatMap((row) => row.value as readonly Organisation[]);
   return {
     version: headVersion(rows.find(({ key }) => key === HEAD_KEY)),
-    customers: { customers: sortCustomers(customers) },
+    organisations: { organisations: sortOrganisations(organisations) },
     use: value(USE_KEY, EMPTY_LISTS.use),
     availability: value(AVAILABILITY_KEY, EMPTY_LISTS.availability),
   };
@@ -95,22 +95,22 @@
   ];
 }
 
-/** Rows of the shards in which some customers differ. */
-function shardPuts(after: Lists, touched: readonly CustomerId[]): RowPut[] {
-  const shards = new Map<number, Customer[]>(
+/** Rows of the shards in which some organisations differ. */
+function shardPuts(after: Lists, touched: readonly OrganisationId[]): RowPut[] {
+  const shards = new Map<number, Organisation[]>(
     touched.map((id) => [shardOf(id), []]),
   );
   if (shards.size === 0) return [];
-  after.customers.customers.forEach((customer) =>
-    shards.get(shardOf(customer.id))?.push(customer)
+  after.organisations.organisations.forEach((organisation) =>
+    shards.get(shardOf(organisation.id))?.push(organisation)
   );
   return [...shards].map(([shard, value]) => ({ key: shardKey(shard), value }));
 }
 
 function shardKey(shard: number): string {
-  return CUSTOMERS_PREFIX + String(shard).padStart(2, "0");
+  return ORGANISATIONS_PREFIX + String(shard).padStart(2, "0");
 }
 
-function shardOf(id: CustomerId): number {
+function shardOf(id: OrganisationId): number {
   return parseInt(sha256(id).slice(0, 8), 16) % SHARDS;
 }
--- a/src/retry/budget.ts
+++ b/src/retry/budget.ts
@@ -1,6 +1,6 @@
 /**
  * Retry budgets: retries and hedges are a bounded share of the successes, for
- * each customer and for each target.
+ * each organisation and for each target.
  *
  * @module
  */
--- a/src/retry/retry_test.ts
+++ b/src/retry/retry_test.ts
@@ -6,7 +6,7 @@
 import { finalRefusal, hedgeAfterMs, mayRetry } from "./policy.ts";
 
 const CFG = { ratio: 0.1, max: 3 };
-const NAMES = ["customer/a", "customer/b", "target/1"];
+const NAMES = ["organisation/a", "organisation/b", "target/1"];
 const RUNS = 2_000;
 
 const over = notRun(RefusalReason.OverLimit, "Full");
--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -9,7 +9,7 @@
 import type { PipelineRequest } from "../entry/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import {
-  type Customer,
+  type Organisation,
   type PipelineSpec,
   type Plan,
   Proof,
@@ -50,7 +50,7 @@
 const KEYED_SHARE = 0.8;
 /** Share of those that send their key twice at once. */
 const TWICE_SHARE = 0.1;
-const CUSTOMER: Customer = { id: "c", plan: "p", keySha256: "" };
+const ORGANISATION: Organisation = { id: "c", plan: "p", keySha256: "" };
 const PLAN: Plan = {
   name: "p",
   weight: 1,
@@ -155,7 +155,7 @@
     const { pauses, isPaused } = shell;
     const req: PipelineRequest = {
       requestId: randomUUID(),
-      customer: CUSTOMER,
+      organisation: ORGANISATION,
       plan: PLAN,
       spec,
       key: `k-${marker}`,
--- a/src/soak/failures_test.ts
+++ b/src/soak/failures_test.ts
@@ -30,7 +30,7 @@
   const { runner, shell } = fleet.entries[entry] as typeof fleet.entries[0];
   return runner.run({
     requestId: `r${fleet.log.next()}`,
-    customer: { id: "c", plan: "p", keySha256: "" },
+    organisation: { id: "c", plan: "p", keySha256: "" },
     plan: { name: "p", weight: 1, maxConcurrent: 9, pipelines: [] },
     spec: PIPELINES.find(({ name }) => name === pipeline) ?? assert.fail(),
     key: key ?? `own-${fleet.log.next()}`,
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -12,7 +12,7 @@
 export const stageCallSchema = z.object({
   callId: z.string().min(1),
   requestId: z.string().min(1),
-  customer: z.string().min(1),
+  organisation: z.string().min(1),
   pipeline: z.string().min(1),
   stage: z.string().min(1),
   kind: z.enum(StageKind),
