--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -52,6 +52,10 @@
 const MAX_UNSENT_TRIES = 3;
 /** Multiple of the longest pause after which a stream counts as silent. */
 const SILENT_PAUSES = 2;
+/** Multiple of the usual time after which a target without answer is overdue. */
+const OVERDUE_RATIO = 3;
+/** Shortest time after which a target is overdue, in milliseconds. */
+const MIN_OVERDUE_MS = 800;
 /** When callers may come back if no target is open, in milliseconds. */
 const NO_TARGET_RETRY_MS = 300;
 /** When callers may come back after a target refused, in milliseconds. */
@@ -179,6 +183,7 @@
         answer: this.#answer,
         reservation,
         inputs,
+        usualMs: this.#deps.ownTimes.of(route.name),
         isResumed: this.#answer.hasBegun,
         isOver: () => this.#over.signal.aborted,
         onEvent: (id) => this.#lastEventId = id ?? this.#lastEventId,
@@ -353,6 +358,8 @@
   readonly answer: CallerAnswer;
   readonly reservation: Reservation;
   readonly inputs: StagedInputs;
+  /** Usual time until the first bytes of an answer, in milliseconds. */
+  readonly usualMs: number;
   /** True when the answer goes on behind events of another target. */
   readonly isResumed: boolean;
   /** True once the exchange has ended for another reason. */
@@ -376,20 +383,34 @@
   #isEnded = false;
   #verdict: AttemptEnd | undefined;
   #silence: Watchdog | undefined;
+  #overdue: NodeJS.Timeout | undefined;
 
   constructor(deps: RelayDeps) {
     this.#deps = deps;
   }
 
   attach(call: RunningCall): void {
+    if (this.#isEnded) return;
     this.#call = call;
     const { route } = this.#deps.admitted;
+    const overdueMs = Math.max(
+      MIN_OVERDUE_MS,
+      OVERDUE_RATIO * this.#deps.usualMs,
+    );
     if (route.kind === RouteKind.Idempotent && route.maxAttempts > 1) {
       this.#watch(route.latencyGoalMs);
+    } else if (route.kind === RouteKind.Stream && route.isResumable) {
+      this.#watch(overdueMs);
+    } else {
+      this.#overdue = setTimeout(
+        () => this.#deps.reservation.overdue(),
+        overdueMs,
+      );
     }
   }
 
   head(head: AnswerHead): void {
+    clearTimeout(this.#overdue);
     this.#deps.reservation.head(head);
     const isSuccess = head.status >= 200 && head.status < 300;
     if (head.isOtherTarget) {
@@ -496,6 +517,7 @@
   #end(end: AttemptEnd): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    clearTimeout(this.#overdue);
     this.#silence?.end();
     const { reservation } = this.#deps;
     const serviceMs = monotonicMs() - this.#startedAt;
--- a/src/gateway/target_book.ts
+++ b/src/gateway/target_book.ts
@@ -35,6 +35,9 @@
   own: number;
   reported: number;
   reportedAt: number;
+  /** Moving share of requests that failed, and the time of the newest one. */
+  failureShare: number;
+  failureAt: number;
   cold: ColdShare;
 }
 
@@ -47,12 +50,19 @@
 /** Fewest connections of one process to a target. */
 const MIN_CONNECTIONS = 2;
 
+/** Gain of the moving share of failures. */
+const FAILURE_GAIN = 0.15;
+/** Time in which a share of failures halves without requests, in ms. */
+const FAILURE_HALF_LIFE_MS = 2_000;
+
 /** A target that was chosen, until the call to it has ended. */
 export interface Reservation {
   readonly target: ListedTarget;
   readonly maxConnections: number;
   /** Takes the head of its answer into account. */
   head(head: AnswerHead): void;
+  /** The target has not answered for long; the call goes on. */
+  overdue(): void;
   /** The call ended well, after `serviceMs` milliseconds. */
   done(serviceMs: number): void;
   /** The call failed by the target's fault. */
@@ -167,6 +177,7 @@
         own: record.own,
         reported: isFresh ? record.reported : 0,
         slots: pool.engineSlots ?? DEFAULT_SLOTS,
+        failureShare: failureShareAt(record, now),
         weight: health ? weightOf(health, target.id, now) : 1,
         isOpen: record.own < this.#maxConnections(pool) &&
           this.#coldShare(pool, target, now) !== undefined,
@@ -213,8 +224,13 @@
         record.reported = load;
         record.reportedAt = monotonicMs();
       },
+      overdue: () => {
+        noteFailure(record, 1);
+        this.#event(pool.name, { kind: "failed", target: target.id });
+      },
       done: (serviceMs) => {
         if (!end()) return;
+        noteFailure(record, 0);
         const stage = pool.name;
         this.#event(pool.name, {
           kind: "done",
@@ -225,6 +241,7 @@
       },
       failed: () => {
         if (!end()) return;
+        noteFailure(record, 1);
         this.#event(pool.name, { kind: "failed", target: target.id });
       },
       dropped: () => {
@@ -259,8 +276,28 @@
   #record(id: string): Record {
     const found = this.#records.get(id);
     if (found) return found;
-    const fresh = { own: 0, reported: 0, reportedAt: 0, cold: new ColdShare() };
+    const fresh = {
+      own: 0,
+      reported: 0,
+      reportedAt: 0,
+      failureShare: 0,
+      failureAt: 0,
+      cold: new ColdShare(),
+    };
     this.#records.set(id, fresh);
     return fresh;
   }
 }
+
+/** Takes one request into account: 1 when it failed, 0 when it did not. */
+function noteFailure(record: Record, failed: 0 | 1): void {
+  const now = monotonicMs();
+  const share = failureShareAt(record, now);
+  record.failureShare = share + FAILURE_GAIN * (failed - share);
+  record.failureAt = now;
+}
+
+function failureShareAt(record: Record, now: number): number {
+  const halves = (now - record.failureAt) / FAILURE_HALF_LIFE_MS;
+  return record.failureShare * 0.5 ** halves;
+}
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -19,6 +19,8 @@
   readonly slots: number;
   /** Between 0 while it is ejected and 1. */
   readonly weight: number;
+  /** Share of the newest requests that it failed. */
+  readonly failureShare: number;
   /** False when this process may not send to it now. */
   readonly isOpen: boolean;
 }
@@ -29,6 +31,8 @@
   readonly load: TargetLoad;
 }
 
+/** Weight of failures against load: a failing target is taken when all fail. */
+const FAILURE_WEIGHT = 2;
 /** Share of the slots by which a preferred target may be ahead of the mean. */
 const AFFINITY_SLACK = 0.12;
 
@@ -85,6 +89,8 @@
   return open.reduce((sum, one) => sum + busyShare(one), 0) / open.length;
 }
 
+/** Load by slots, with failures counted as load. */
 function busyShare({ load }: ServingCandidate): number {
-  return Math.max(load.own, load.reported) / Math.max(1, load.slots);
+  return Math.max(load.own, load.reported) / Math.max(1, load.slots) +
+    FAILURE_WEIGHT * load.failureShare;
 }
