Judge slow peers later; try slow stage servers with small calls; log owners

Slow stage servers were tried with full calls, 41 times. Ruled out: silent peers (no such line in the logs). Change: a peer is slow from 0.2 s on; a target that was slow or failed gets two pieces until it works as usual; each change of an owner is logged with its reason; pieces wait for near targets only while few wait.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -23,9 +23,9 @@
 /** Time without an answer after which a peer counts as silent, in ms. */
 const SILENT_AFTER_MS = 900;
 /** Gain of the moving mean of answer times. */
-const ANSWER_GAIN = 0.3;
+const ANSWER_GAIN = 0.2;
 /** Answer time from which on a peer may count as slow, in milliseconds. */
-const SLOW_ANSWER_MS = 60;
+const SLOW_ANSWER_MS = 200;
 /** Multiple of the usual answer time at which it does. */
 const SLOW_RATIO = 4;
 /** Likely next owners of pools that are asked in each round. */
@@ -55,6 +55,8 @@
   readonly #log: Logger;
   readonly #metrics: Metrics;
   readonly #records = new Map<string, PeerRecord>();
+  /** Owner of each group as it was last found. */
+  readonly #owners = new Map<string, string>();
   #isLeaving = false;
 
   constructor(
@@ -99,9 +101,27 @@
     const groups = this.#view.state.catalog?.stageGroups ?? [];
     const place = Math.max(0, groups.indexOf(group));
     const owner = usable[place % Math.max(1, usable.length)];
+    this.#noteOwner(group, owner?.name ?? this.#self.name);
     return owner?.name === this.#self.name ? undefined : owner;
   }
 
+  #noteOwner(group: string, owner: string): void {
+    if (this.#owners.get(group) === owner) return;
+    this.#owners.set(group, owner);
+    this.#log.info("stage_owner_changed", {
+      group,
+      owner,
+      silent: this.#namesOf(({ isSilent }) => isSilent),
+      leaving: this.#namesOf(({ isLeaving }) => isLeaving),
+      slow: this.#namesOf((record) => this.#isSlow(record)),
+    });
+  }
+
+  #namesOf(holds: (record: PeerRecord) => boolean): string {
+    return [...this.#records].filter(([, record]) => holds(record))
+      .map(([name]) => name).join(",");
+  }
+
   /** Aborts when a peer is found to be silent. */
   lossOf({ name }: ListedPeer): AbortSignal {
     const record = this.#record(name);
--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -32,6 +32,8 @@
 const SLOW_CALL_RATIO = 2;
 /** Multiple of the expected time after which a call is given up. */
 const CALL_TIMEOUT_RATIO = 8;
+/** Pieces of a call to a target that was slow or failed before. */
+const TRIAL_PIECES = 2;
 /** Pause for a target that is full, in milliseconds. */
 const FULL_PAUSE_MS = 60;
 /** Time behind its due time at which a piece leaves a full queue, in ms. */
@@ -261,7 +263,7 @@
         return false;
       }
       const [rest, taken] = pool.queue.take({
-        maxPieces: limits.maxPieces,
+        maxPieces: pool.servers.isOnTrial(id) ? TRIAL_PIECES : limits.maxPieces,
         roomBytes: this.#roomAt(pool, limits, id),
         domain: target.failureDomain,
         domains,
--- a/src/serving/batch_queue.ts
+++ b/src/serving/batch_queue.ts
@@ -28,6 +28,8 @@
   readonly anywhereAt: number;
 }
 
+/** Share of a full call from which on no piece waits for a near target. */
+const BUSY_SHARE = 0.4;
 /**
  * Time by which a piece yields at a target outside its failure domain, in
  * milliseconds: about half of a call, so that it waits for a near target only
@@ -100,8 +102,10 @@
     now: number,
   ): [BatchQueue<T>, readonly QueuedPiece<T>[]] {
     const { maxPieces, roomBytes } = bounds;
+    // While many wait, a free target that waits for near pieces is lost work.
+    const isBusy = this.#pieces.length > maxPieces * BUSY_SHARE;
     const ordered = this.#pieces
-      .filter((one) => !isFar(one, bounds) || one.anywhereAt <= now)
+      .filter((one) => isBusy || one.anywhereAt <= now || !isFar(one, bounds))
       .map((one) => ({ one, rank: rankAt(one, bounds, now) }))
       .sort((a, b) => compare(a.rank, b.rank, now))
       .map(({ one }) => one);
--- a/src/serving/batch_queue_test.ts
+++ b/src/serving/batch_queue_test.ts
@@ -96,7 +96,9 @@
 test("BatchQueue.take() keeps a piece for a near target for a while", () => {
   const queue = new BatchQueue<number>()
     .add([piece(1, { domain: "d2", anywhereAt: 100 })]);
-  const far = { maxPieces: 2, roomBytes: 10, domain: "d1" };
+  const far = { maxPieces: 4, roomBytes: 10, domain: "d1" };
+  const busy = queue.add([piece(2, { domain: "d2", anywhereAt: 100 })]);
+  assert.equal(busy.take(far, 99)[1].length, 2);
   assert.equal(queue.take(far, 99)[1].length, 0);
   assert.equal(queue.take(far, 100)[1].length, 1);
   assert.equal(queue.take({ ...far, domain: "d2" }, 0)[1].length, 1);
--- a/src/serving/stage_servers.ts
+++ b/src/serving/stage_servers.ts
@@ -102,10 +102,20 @@
     }));
   }
 
+  /** True when a target has to show that it works as the others do. */
+  isOnTrial(id: string): boolean {
+    const one = this.#servers.get(id);
+    if (!one) return false;
+    return one.failures > 0 ||
+      one.slowness > PASS_OVER_RATIO * this.#fastest();
+  }
+
   /** State after a call ended; `ratio` is its time by the expected time. */
   answered(id: string, ratio: number, now: number): StageServers {
     return this.#with(id, (one) => {
-      const slowness = one.slowness + SLOWNESS_GAIN * (ratio - one.slowness);
+      // A target that was passed over is back with its first usual call.
+      const gain = this.isOnTrial(id) ? 1 : SLOWNESS_GAIN;
+      const slowness = one.slowness + gain * (ratio - one.slowness);
       const isSlow = slowness > PASS_OVER_RATIO * this.#fastest();
       return {
         ...one,
--- /dev/null
+++ b/src/serving/stage_servers_test.ts
@@ -0,0 +1,40 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { StageServers } from "./stage_servers.ts";
+
+const LIMITS = {
+  slots: 1,
+  queue: 2,
+  maxPieces: 4,
+  callMs: 100,
+  pieceMs: 10,
+  roomBytes: 100,
+  resultTtlMs: 4_000,
+};
+
+function ids(servers: StageServers, now: number): string[] {
+  return servers.free(LIMITS, now).map(({ id }) => id);
+}
+
+test("StageServers.free() leaves out busy and resting targets", () => {
+  const servers = new StageServers().members(["a", "b"]);
+  assert.deepEqual(ids(servers.sent("a", LIMITS, 4, 0), 0), ["b"]);
+  const failed = servers.failed("a", 0);
+  assert.deepEqual(ids(failed, 0), ["b"]);
+  assert.deepEqual(ids(failed, 10_000).toSorted(), ["a", "b"]);
+});
+
+test("StageServers tries a target that failed or was slow with few pieces", () => {
+  const servers = new StageServers().members(["a", "b"]);
+  assert.equal(servers.isOnTrial("a"), false);
+  assert.equal(servers.failed("a", 0).isOnTrial("a"), true);
+  const slow = servers.answered("a", 9, 0);
+  assert.equal(slow.isOnTrial("a"), true);
+  assert.equal(slow.answered("a", 1, 5_000).isOnTrial("a"), false);
+});
+
+test("StageServers.capacity() counts slow targets for less", () => {
+  const servers = new StageServers().members(["a", "b"]);
+  assert.equal(servers.capacity(0), 2);
+  assert.ok(servers.answered("a", 3, 0).capacity(10_000) < 2);
+});
