--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -146,7 +146,11 @@
       key: serviceKey<Server>("metrics"),
       start: async ({ signal }) => {
         const server = createServer((_req, res) => res.end(metrics.text()));
-        if (cfg.metrics) await listen(server, cfg.metrics, signal);
+        if (!cfg.metrics) return server;
+        // Requests are served without metrics rather than not at all.
+        await listen(server, cfg.metrics, signal).catch((err: unknown) =>
+          log.error("metrics_unavailable", { detail: String(err) })
+        );
         return server;
       },
     }),
