--- a/src/gateway/chain_runner.ts
+++ b/src/gateway/chain_runner.ts
@@ -21,7 +21,8 @@
 } from "../serving/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import type { ChainAnswer, StageChain } from "../wire/mod.ts";
-import type { StageBatcher, StageEnd, StageWork } from "./stage_batcher.ts";
+import type { StageBatcher } from "./stage_batcher.ts";
+import type { StageEnd, StageWork } from "./stage_work.ts";
 
 /** Gain of the moving mean of errors of the expected time. */
 const ERROR_GAIN = 0.1;
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -34,8 +34,6 @@
 const NEIGHBOURS = 2;
 
 interface PeerRecord {
-  /** Monotonic time of the newest answer. */
-  answeredAt: number;
   /** Monotonic time of the first question without an answer. */
   askedAt?: number;
   isLeaving: boolean;
@@ -219,7 +217,6 @@
     if (record.isLeaving !== answer.isLeaving) {
       this.#log.info("peer_leaving", { peer: name, on: answer.isLeaving });
     }
-    record.answeredAt = monotonicMs();
     record.askedAt = undefined;
     record.isSilent = false;
     record.isLeaving = answer.isLeaving;
@@ -238,7 +235,6 @@
     const found = this.#records.get(name);
     if (found) return found;
     const fresh: PeerRecord = {
-      answeredAt: 0,
       isLeaving: false,
       isSilent: false,
     };
--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -19,12 +19,19 @@
 } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import {
-  type Piece,
   PieceFault,
   type PieceOutcome,
   type PiecesError,
   type TargetClient,
 } from "./ports.ts";
+import {
+  isOpen,
+  type PieceTask,
+  refused,
+  type StageEnd,
+  type StageWork,
+  type Submission,
+} from "./stage_work.ts";
 
 /** Calls in which one piece may fail before its request is refused. */
 const MAX_PIECE_ATTEMPTS = 3;
@@ -69,46 +76,6 @@
  */
 const INPUTS_READ_MS = 80;
 
-/** Pieces of one stage of one request. Times are monotonic milliseconds. */
-export interface StageWork {
-  readonly pool: string;
-  readonly priority: number;
-  /** Latest useful start for an answer that earns its full credit. */
-  readonly dueAt: number;
-  /** Time after which the results are of no use. */
-  readonly expiresAt: number;
-  /** Room that one result takes, in bytes. */
-  readonly resultBytes: number;
-  /** Failure domain in which the pieces are best worked on. */
-  readonly domain?: string;
-  readonly pieces: readonly Piece[];
-  /** Called once all targets are likely to have read the inputs. */
-  inputsRead(): void;
-}
-
-/** How the pieces of a stage ended. */
-export type StageEnd =
-  | { readonly kind: "done"; readonly results: readonly ResultHandle[] }
-  | { readonly kind: "input-gone" }
-  | { readonly kind: "refused"; readonly reason: string };
-
-interface Submission {
-  readonly id: string;
-  readonly work: StageWork;
-  readonly results: (ResultHandle | undefined)[];
-  readonly queuedAt: number;
-  /** Pieces that no call has taken yet. */
-  unsent: number;
-  settle?: (end: StageEnd) => void;
-}
-
-interface PieceTask {
-  readonly submission: Submission;
-  readonly index: number;
-  readonly piece: Piece;
-  readonly attempts: number;
-}
-
 /** Work of one pool. */
 interface PoolWork {
   readonly name: string;
@@ -550,13 +517,3 @@
     return this.#state().catalog?.pool(pool)?.batch;
   }
 }
-
-function refused(reason: string): StageEnd {
-  return { kind: "refused", reason };
-}
-
-/** True while the task's result is still wanted. */
-function isOpen({ submission, index }: PieceTask): boolean {
-  return submission.settle !== undefined &&
-    submission.results[index] === undefined;
-}
--- a/src/serving/batch_queue.ts
+++ b/src/serving/batch_queue.ts
@@ -137,12 +137,6 @@
     );
     return next?.bytes ?? 0;
   }
-
-  /** Pieces that would be taken before one with this rank and due time. */
-  ahead(piece: { priority: number; dueAt: number }, now: number): number {
-    return this.#pieces
-      .filter((one) => compare(one, piece, now) <= 0).length;
-  }
 }
 
 /** Rank of a piece at a target; a far one yields unless it is late. */
