Free results at the owner that ran their chain; learn room that others use

Change: an entry frees at the process that ran the chain; a target that lacks room counts as full for 0.4 s; calls that made nothing teach no speed.

--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -6,7 +6,12 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
-import type { Catalog, ResultHandle, Route } from "../serving/mod.ts";
+import type {
+  Catalog,
+  ListedPeer,
+  ResultHandle,
+  Route,
+} from "../serving/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import type {
   ChainAnswer,
@@ -23,6 +28,12 @@
 /** Longest wait for the owner that frees results, in milliseconds. */
 const FREE_TIMEOUT_MS = 1_000;
 
+const CALLER_GONE: ChainAnswer = {
+  kind: "refused",
+  reason: "caller has gone",
+  waitMs: 0,
+};
+
 /** Why a request's stages did not end. */
 export interface ChainRefusal {
   readonly reason: string;
@@ -52,20 +63,31 @@
   readonly signal: AbortSignal;
 }
 
+/** Knows which process owns the stages of a group of pools. */
+type ChainOwners = Pick<Peers, "ownerOf" | "lossOf" | "suspect">;
+/** Calls to the owners of stages. */
+type ChainCalls = Pick<EntryPeerClients, "runChain" | "freeResults">;
+
+/** Answer to a chain with the peer that ran it; without one, this process. */
+interface OwnedAnswer {
+  readonly answer: ChainAnswer;
+  readonly owner?: ListedPeer;
+}
+
 /** Finds the owner of a request's stages and has it run them. */
 export class ChainClient {
-  readonly #runner: ChainRunner;
-  readonly #peers: Peers;
-  readonly #clients: EntryPeerClients;
-  readonly #targets: TargetClient;
+  readonly #runner: Pick<ChainRunner, "run" | "free">;
+  readonly #peers: ChainOwners;
+  readonly #clients: ChainCalls;
+  readonly #targets: Pick<TargetClient, "freeResults">;
   readonly #log: Logger;
 
   constructor(
     deps: {
-      runner: ChainRunner;
-      peers: Peers;
-      clients: EntryPeerClients;
-      targets: TargetClient;
+      runner: Pick<ChainRunner, "run" | "free">;
+      peers: ChainOwners;
+      clients: ChainCalls;
+      targets: Pick<TargetClient, "freeResults">;
       log: Logger;
     },
   ) {
@@ -81,7 +103,7 @@
     request: ChainRequest,
   ): Promise<Result<StagedInputs, ChainRefusal>> {
     const group = request.catalog.stageGroupOf(request.route);
-    const answer = await this.#submit(request, group, 1);
+    const { answer, owner } = await this.#submit(request, group, 1);
     if (answer.kind === "leaving") {
       return err({ reason: "no owner of the stages", waitMs: 0 });
     }
@@ -92,7 +114,7 @@
       free: () => {
         if (isFreed) return;
         isFreed = true;
-        this.#free(group, answer.results);
+        this.#free(owner, answer.results);
       },
     });
   }
@@ -101,20 +123,22 @@
     request: ChainRequest,
     group: string,
     tries: number,
-  ): Promise<ChainAnswer> {
+  ): Promise<OwnedAnswer> {
     const owner = tries < MAX_OWNERS ? this.#peers.ownerOf(group) : undefined;
     const chain = chainOf(request);
-    if (!owner) return this.#runner.run(chain, request.signal);
+    if (!owner) {
+      return { answer: await this.#runner.run(chain, request.signal) };
+    }
     try {
       const signal = AbortSignal.any([
         request.signal,
         this.#peers.lossOf(owner),
       ]);
       const answer = await this.#clients.runChain(owner.url, chain, signal);
-      if (answer.kind !== "leaving") return answer;
+      if (answer.kind !== "leaving") return { answer, owner };
     } catch (cause) {
       if (request.signal.aborted) {
-        return { kind: "refused", reason: "caller has gone", waitMs: 0 };
+        return { answer: CALLER_GONE };
       }
       this.#log.warn("chain_owner_failed", {
         request: request.req.id,
@@ -126,9 +150,14 @@
     return this.#submit(request, group, tries + 1);
   }
 
-  /** Frees results by their owner; without it at the makers alone. */
-  async #free(group: string, results: readonly ChainResults[]): Promise<void> {
-    const owner = this.#peers.ownerOf(group);
+  /**
+   * Frees results by the process that ran their chain, which counts their room
+   * even if it owns the group no more; without it at the makers alone.
+   */
+  async #free(
+    owner: ListedPeer | undefined,
+    results: readonly ChainResults[],
+  ): Promise<void> {
     if (!owner) return this.#runner.free(results);
     try {
       await this.#clients.freeResults(owner.url, results, FREE_TIMEOUT_MS);
--- a/src/gateway/chain_runner_test.ts
+++ b/src/gateway/chain_runner_test.ts
@@ -135,6 +135,20 @@
     assert.ok(shareInTime(served) > 0.85, `in time ${shareInTime(served)}`);
   }, { seed: 1 }));
 
+test("ChainRunner.run() bears results of an owner before it", () =>
+  underPausedClock(async () => {
+    const setup = new Setup();
+    for (let i = 0; i < TARGETS_PER_POOL; i++) {
+      setup.targets.keepForeign(`10.0.1.${i}:80`, 780_000, 3_000);
+    }
+    const served = await play(setup, { perS: 14, forMs: 12_000 });
+    // Each of three targets is asked eight times at most, for eight pieces.
+    const { faults } = setup.targets;
+    assert.ok(faults <= 3 * 8 * 8, `${faults} faults`);
+    const share = shareInTime(served.slice(14 * 5));
+    assert.ok(share > 0.95, `in time ${share}`);
+  }, { seed: 1 }));
+
 test("ChainRunner.run() frees the results of a caller that has gone", () =>
   underPausedClock(async () => {
     const setup = new Setup();
--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -43,6 +43,11 @@
 const TRIAL_PIECES = 2;
 /** Pause for a target that is full, in milliseconds. */
 const FULL_PAUSE_MS = 60;
+/**
+ * Time for which a target without room counts as full, in milliseconds: about
+ * a call, after which another owner's results are read.
+ */
+const FOREIGN_ROOM_MS = 400;
 /** Time behind its due time at which a piece leaves a full queue, in ms. */
 const LATE_TOLERANCE_MS = 1_200;
 /** Shortest wait for a target to become free, in milliseconds. */
@@ -348,22 +353,16 @@
     pool.room = pool.room
       .settle(target.id, bytes, made, monotonicMs() + limits.resultTtlMs);
     if (outcome.isOk()) {
-      pool.callMs ??= tookMs;
-      pool.callMs += CALL_MS_GAIN * (tookMs - pool.callMs);
-      const ratio = tookMs / expectedMs;
-      pool.servers = isSlow.value
-        ? pool.servers
-        : pool.servers.answered(target.id, ratio, monotonicMs());
+      this.#learnFrom(pool, limits, {
+        id: target.id,
+        made: made.length,
+        tookMs,
+        wasSlow: isSlow.value,
+      });
       const isFull = outcome.value.some((one) =>
         "fault" in one && one.fault === PieceFault.NoRoom
       );
-      if (isFull) {
-        pool.servers = pool.servers.rest(
-          target.id,
-          monotonicMs(),
-          FULL_PAUSE_MS,
-        );
-      }
+      if (isFull) this.#noteNoRoom(pool, limits, target.id);
       outcome.value.forEach((one, i) => this.#pieceDone(pool, tasks[i], one));
     } else if (!isSlow.value) {
       this.#callFailed(pool, target, tasks, outcome.error);
@@ -371,6 +370,36 @@
     this.#pump(pool);
   }
 
+  /**
+   * Takes the time of a call into account. One of which no piece was worked on
+   * ends at once and says nothing of the target's speed.
+   */
+  #learnFrom(
+    pool: PoolWork,
+    limits: BatchLimits,
+    call: { id: string; made: number; tookMs: number; wasSlow: boolean },
+  ): void {
+    const { id, made, tookMs, wasSlow } = call;
+    if (made > 0) {
+      pool.callMs ??= tookMs;
+      pool.callMs += CALL_MS_GAIN * (tookMs - pool.callMs);
+    }
+    // A slow call was counted as ended when it was given up.
+    if (wasSlow) return;
+    const now = monotonicMs();
+    pool.servers = made > 0
+      ? pool.servers.answered(id, tookMs / expectedCallMs(limits, made), now)
+      : pool.servers.ended(id, now);
+  }
+
+  /** A target has no room although results that this process knows fit. */
+  #noteNoRoom(pool: PoolWork, limits: BatchLimits, id: string): void {
+    const now = monotonicMs();
+    const left = Math.max(0, this.#roomAt(pool, limits, id));
+    pool.room = pool.room.lacks(id, left, now + FOREIGN_ROOM_MS);
+    pool.servers = pool.servers.rest(id, now, FULL_PAUSE_MS);
+  }
+
   /** Tells submissions of which every piece was sent that inputs are read. */
   #noteInputs(tasks: readonly PieceTask[]): void {
     const first = tasks.filter(({ attempts }) => attempts === 0);
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -34,6 +34,9 @@
   failsUntil?: number;
 }
 
+/** Time of a call of which no piece is worked on, in milliseconds. */
+const NOTHING_MADE_MS = 20;
+
 interface Kept {
   readonly bytes: number;
   readonly expiresAt: number;
@@ -89,12 +92,20 @@
     const limits = this.#limits(target.pool);
     const outcomes = pieces.map((piece) => this.#start(target, piece, limits));
     this.#busy.add(target.id);
-    await sleep(slowness * expectedCallMs(limits, pieces.length), signal);
+    const made = outcomes.filter((one) => "result" in one).length;
+    const workMs = made > 0 ? expectedCallMs(limits, made) : NOTHING_MADE_MS;
+    await sleep(slowness * workMs, signal);
     this.#busy.delete(target.id);
     if (signal.aborted) return err({ kind: "failed", detail: "aborted" });
     return ok(outcomes);
   }
 
+  /** Takes room at a target for results that no caller of this fake knows. */
+  keepForeign(address: string, bytes: number, forMs: number): void {
+    const expiresAt = monotonicMs() + forMs;
+    this.#kept.set(`${address}/other-${this.#made++}`, { bytes, expiresAt });
+  }
+
   freeResults(results: readonly ResultHandle[]): Promise<void> {
     results.forEach((one) => this.#kept.delete(one));
     return Promise.resolve();
--- a/src/serving/result_room.ts
+++ b/src/serving/result_room.ts
@@ -13,17 +13,26 @@
   readonly expiresAt: number;
 }
 
+/** Room that a target lacks though this process knows of no use of it. */
+interface Foreign {
+  readonly bytes: number;
+  readonly until: number;
+}
+
 /** Results that targets keep and calls that will make some. Immutable. */
 export class ResultRoom {
   readonly #kept: ReadonlyMap<ResultHandle, Kept>;
   readonly #promised: ReadonlyMap<string, number>;
+  readonly #foreign: ReadonlyMap<string, Foreign>;
 
   constructor(
     kept: ReadonlyMap<ResultHandle, Kept> = new Map(),
     promised: ReadonlyMap<string, number> = new Map(),
+    foreign: ReadonlyMap<string, Foreign> = new Map(),
   ) {
     this.#kept = kept;
     this.#promised = promised;
+    this.#foreign = foreign;
   }
 
   /** Bytes in use at a target at monotonic time `now`. */
@@ -31,7 +40,18 @@
     const kept = [...this.#kept.values()]
       .filter((one) => one.target === target && one.expiresAt > now)
       .reduce((sum, { bytes }) => sum + bytes, 0);
-    return kept + (this.#promised.get(target) ?? 0);
+    const foreign = this.#foreign.get(target);
+    const foreignBytes = foreign && foreign.until > now ? foreign.bytes : 0;
+    return kept + (this.#promised.get(target) ?? 0) + foreignBytes;
+  }
+
+  /**
+   * Room after a target said that it is full although `bytes` bytes should be
+   * left: until `until` they count as used, by results of another owner.
+   */
+  lacks(target: string, bytes: number, until: number): ResultRoom {
+    const foreign = new Map(this.#foreign).set(target, { bytes, until });
+    return new ResultRoom(this.#kept, this.#promised, foreign);
   }
 
   /** Room after a call that makes results of `bytes` bytes was sent. */
@@ -39,7 +59,7 @@
     const before = this.#promised.get(target) ?? 0;
     const promised = new Map(this.#promised)
       .set(target, Math.max(0, before + bytes));
-    return new ResultRoom(this.#kept, promised);
+    return new ResultRoom(this.#kept, promised, this.#foreign);
   }
 
   /** Room after a call ended; `results` are those that it made. */
@@ -53,7 +73,11 @@
     results.forEach((one) =>
       kept.set(one.handle, { target, bytes: one.bytes, expiresAt })
     );
-    return new ResultRoom(kept, this.promise(target, -bytes).#promised);
+    return new ResultRoom(
+      kept,
+      this.promise(target, -bytes).#promised,
+      this.#foreign,
+    );
   }
 
   /** Room after results were freed or have expired. */
@@ -62,6 +86,6 @@
     const kept = [...this.#kept].filter(([handle, { expiresAt }]) =>
       !freed.has(handle) && expiresAt > now
     );
-    return new ResultRoom(new Map(kept), this.#promised);
+    return new ResultRoom(new Map(kept), this.#promised, this.#foreign);
   }
 }
--- a/src/serving/stage_servers.ts
+++ b/src/serving/stage_servers.ts
@@ -128,6 +128,15 @@
     });
   }
 
+  /** State after a call ended that tells nothing of the target's speed. */
+  ended(id: string, now: number): StageServers {
+    return this.#with(id, (one) => ({
+      ...one,
+      calls: Math.max(0, one.calls - 1),
+      freeAt: now,
+    }));
+  }
+
   /** State after a call failed or took too long. */
   failed(id: string, now: number): StageServers {
     return this.#with(id, (one) => ({
--- a/src/serving/stage_servers_test.ts
+++ b/src/serving/stage_servers_test.ts
@@ -38,3 +38,10 @@
   assert.equal(servers.capacity(0), 2);
   assert.ok(servers.answered("a", 3, 0).capacity(10_000) < 2);
 });
+
+test("StageServers.ended() keeps what is known of a target's speed", () => {
+  const servers = new StageServers().members(["a", "b"])
+    .sent("a", LIMITS, 4, 0).ended("a", 5);
+  assert.deepEqual(ids(servers, 5).toSorted(), ["a", "b"]);
+  assert.equal(servers.isOnTrial("b"), false);
+});
