Let late callers have what others leave over, and come back as late as they can

Change: a request's age is told from its deadline against the route's usual one; a late request is taken only while the queue is short; callers that met a queue are asked to come back after a third of the time they have left.

--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -31,14 +31,11 @@
 const CALLER_GONE: ChainAnswer = {
   kind: "refused",
   reason: "caller has gone",
-  waitMs: 0,
 };
 
 /** Why a request's stages did not end. */
 export interface ChainRefusal {
   readonly reason: string;
-  /** Time until a place is expected, in milliseconds. */
-  readonly waitMs: number;
 }
 
 /** Results that the request itself reads. */
@@ -105,7 +102,7 @@
     const group = request.catalog.stageGroupOf(request.route);
     const { answer, owner } = await this.#submit(request, group, 1);
     if (answer.kind === "leaving") {
-      return err({ reason: "no owner of the stages", waitMs: 0 });
+      return err({ reason: "no owner of the stages" });
     }
     if (answer.kind === "refused") return err(answer);
     let isFreed = false;
--- a/src/gateway/chain_runner.ts
+++ b/src/gateway/chain_runner.ts
@@ -15,6 +15,7 @@
   type FleetState,
   type PlannedStage,
   type PoolResults,
+  type Rank,
   RankSlack,
   type ResultHandle,
   StagePlan,
@@ -71,7 +72,7 @@
     const waitMs = expectedMs + this.#meanErrorMs - bareMs;
     const rank = { priority: chain.priority, slackMs: chain.dueMs - bareMs };
     this.#slack = this.#slack.note(rank, monotonicMs());
-    const limitMs = this.#slack.limitMs(rank, monotonicMs());
+    const limitMs = this.#limitMs(chain, rank, bareMs);
     this.#log.info("chain_admission", {
       request: chain.requestId,
       waitMs: Math.round(waitMs),
@@ -82,7 +83,7 @@
       priority: chain.priority,
     });
     if (waitMs > limitMs) {
-      return refused("the queue is too long", waitMs - limitMs);
+      return refused("the queue is too long");
     }
     const startedAt = monotonicMs();
     const left = new Map(
@@ -91,7 +92,9 @@
       ),
     );
     left.forEach(({ pool, pieces }) => this.#commit(pool, pieces));
-    const answer = await this.#runAdmitted(chain, plan, {
+    // One that is late goes in turn with those that came with it.
+    const dueMs = Math.max(chain.dueMs, bareMs + limitMs);
+    const answer = await this.#runAdmitted({ ...chain, dueMs }, plan, {
       signal,
       stageDone: (index) => {
         const done = left.get(index);
@@ -106,6 +109,14 @@
     return answer;
   }
 
+  /** Longest wait with which a chain is taken, in milliseconds. */
+  #limitMs(chain: StageChain, rank: Rank, bareMs: number): number {
+    const now = monotonicMs();
+    if (rank.slackMs > 0) return this.#slack.limitMs(rank, now);
+    const usefulMs = chain.expiresMs - bareMs;
+    return this.#slack.lateLimitMs(rank.priority, usefulMs, now);
+  }
+
   /** Frees results that nothing reads any more. */
   free(all: readonly PoolResults[]): void {
     all.filter(({ results }) => results.length > 0)
@@ -167,7 +178,7 @@
         })
       );
       run.free(plan.allResults());
-      return refused(end.kind === "refused" ? end.reason : end.kind, 0);
+      return refused(end.kind === "refused" ? end.reason : end.kind);
     }
     return { kind: "done", results: finalResults(plan) };
   }
@@ -340,6 +351,6 @@
   }));
 }
 
-function refused(reason: string, waitMs: number): ChainAnswer {
-  return { kind: "refused", reason, waitMs };
+function refused(reason: string): ChainAnswer {
+  return { kind: "refused", reason };
 }
--- a/src/gateway/chain_runner_test.ts
+++ b/src/gateway/chain_runner_test.ts
@@ -60,11 +60,11 @@
   readonly tookMs: number;
 }
 
-function chain(id: number, priority: number): StageChain {
+function chain(id: number, priority: number, dueMs = DUE_MS): StageChain {
   return {
     requestId: `req-${id}`,
     priority,
-    dueMs: DUE_MS,
+    dueMs,
     expiresMs: 10_000,
     key: "k",
     stages: [
@@ -77,7 +77,7 @@
 /** Sends requests of two ranks by turns; frees the results once read. */
 async function play(
   setup: Setup,
-  load: { perS: number; forMs: number },
+  load: { perS: number; forMs: number; dueMs?: number },
 ): Promise<readonly Served[]> {
   const { runner } = setup;
   const count = Math.round(load.perS * load.forMs / 1_000);
@@ -86,7 +86,7 @@
     const startedAt = monotonicMs();
     const priority = i % 2;
     const answer = await runner
-      .run(chain(i, priority), new AbortController().signal);
+      .run(chain(i, priority, load.dueMs), new AbortController().signal);
     const tookMs = monotonicMs() - startedAt;
     if (answer.kind === "done") runner.free(answer.results);
     return { answer, priority, tookMs };
@@ -126,6 +126,20 @@
     assert.equal(setup.targets.kept, 0);
   }, { seed: 1 }));
 
+test("ChainRunner.run() serves the late with what others leave over", () =>
+  underPausedClock(async () => {
+    const setup = new Setup();
+    const [inTime, late] = await Promise.all([
+      play(setup, { perS: 18, forMs: 10_000 }),
+      play(setup, { perS: 18, forMs: 10_000, dueMs: -2_000 }),
+    ]);
+    assert.ok(shareInTime(inTime) > 0.9, `in time ${shareInTime(inTime)}`);
+    late.filter(({ answer }) => answer.kind === "refused")
+      .forEach(({ tookMs }) => assert.ok(tookMs < 5));
+    const alone = await play(setup, { perS: 8, forMs: 5_000, dueMs: -2_000 });
+    assert.ok(alone.every(({ answer }) => answer.kind === "done"));
+  }, { seed: 1 }));
+
 test("ChainRunner.run() goes on beside slow and failing targets", () =>
   underPausedClock(async () => {
     const setup = new Setup();
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -36,11 +36,12 @@
 const NO_TARGET_RETRY_MS = 300;
 /** When callers may come back after a target refused, in milliseconds. */
 const TARGET_FULL_RETRY_MS = 200;
-/** Bounds of the time after which callers that met a queue come back, in ms. */
-const MIN_QUEUE_RETRY_MS = 1_500;
-const MAX_QUEUE_RETRY_MS = 4_000;
+/** Share of the time they have left that callers wait at most before a retry. */
+const MAX_RETRY_SHARE = 1 / 3;
+/** Longest time after which callers that met a queue come back, in ms. */
+const MAX_QUEUE_RETRY_MS = 6_000;
 /** Share by which that time differs between callers. */
-const RETRY_JITTER = 0.25;
+const RETRY_JITTER = 0.3;
 /** Shortest time that is worth sending a request for, in milliseconds. */
 const MIN_SEND_MS = 20;
 
@@ -91,7 +92,7 @@
 
   /** Runs the stages; undefined when the exchange is over. */
   async #stages(): Promise<StagedInputs | undefined> {
-    const { req, route, pool, catalog, priority } = this.#admitted;
+    const { req, route, pool, catalog, priority, ageMs } = this.#admitted;
     const affinity = affinityOf(req);
     const ownMs = this.#deps.ownTimes.of(route.name);
     if (route.stages.length === 0) return { results: [], free: () => {} };
@@ -100,7 +101,7 @@
       route,
       catalog,
       priority,
-      dueAt: req.receivedAt + route.latencyGoalMs - ownMs,
+      dueAt: req.receivedAt - ageMs + route.latencyGoalMs - ownMs,
       expiresAt: this.#deadlineAt - ownMs,
       resultDomain: affinity === undefined
         ? undefined
@@ -108,8 +109,8 @@
       signal: this.#over.signal,
     });
     if (outcome.isOk()) return outcome.value;
-    const { reason, waitMs } = outcome.error;
-    this.#giveUp(reason, queueRetryMs(waitMs));
+    const leftMs = this.#deadlineAt - monotonicMs();
+    this.#giveUp(outcome.error.reason, queueRetryMs(leftMs));
     return undefined;
   }
 
@@ -299,13 +300,14 @@
 }
 
 /**
- * When callers may come back that met a long queue, in milliseconds. A burst
- * lasts for seconds; callers that come back within it are refused again, and
- * all that come back at once would be the next burst.
+ * When a caller may come back that met a long queue, in milliseconds. It comes
+ * back too late for its goal in any case, and may do so once: a burst lasts
+ * for seconds, so the best time is the latest one. Callers that all come back
+ * at once would be the next burst.
  */
-function queueRetryMs(waitMs: number): number {
-  const ms = Math.min(MAX_QUEUE_RETRY_MS, MIN_QUEUE_RETRY_MS + 2 * waitMs);
-  return Math.round(ms * (1 + RETRY_JITTER * (2 * Math.random() - 1)));
+function queueRetryMs(leftMs: number): number {
+  const ms = Math.min(MAX_QUEUE_RETRY_MS, leftMs * MAX_RETRY_SHARE);
+  return Math.round(ms * (1 - RETRY_JITTER * Math.random()));
 }
 
 /** Name of the shared part of the prompt that is the most specific one. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,7 +6,12 @@
  */
 
 import { err, ok, type Result } from "neverthrow";
-import { type Organisation, poolFor, type Route } from "../serving/mod.ts";
+import {
+  type Organisation,
+  poolFor,
+  type Route,
+  RouteHistory,
+} from "../serving/mod.ts";
 import { Exchange, type ExchangeDeps } from "./exchange.ts";
 import type { FleetView } from "./fleet_view.ts";
 import type { Peers } from "./peers.ts";
@@ -34,6 +39,7 @@
   readonly #view: FleetView;
   readonly #peers: Peers;
   readonly #deps: ExchangeDeps;
+  readonly #histories = new Map<string, RouteHistory>();
   #inHand = 0;
 
   constructor(deps: { view: FleetView; peers: Peers } & ExchangeDeps) {
@@ -88,7 +94,16 @@
     const pool = catalog.pool(poolFor(route, req.id) ?? "");
     if (!pool) return err(notReady("the route's pool is not known"));
     const priority = rankOf(route, organisation);
-    return ok({ req, catalog, route, pool, organisation, priority });
+    const ageMs = this.#ageOf(req, route);
+    return ok({ req, catalog, route, pool, organisation, priority, ageMs });
+  }
+
+  #ageOf({ deadlineMs }: CallerRequest, { name }: Route): number {
+    if (deadlineMs === undefined) return 0;
+    const history = (this.#histories.get(name) ?? new RouteHistory())
+      .note(deadlineMs);
+    this.#histories.set(name, history);
+    return history.ageMs(deadlineMs);
   }
 
   #refuse(req: CallerRequest, answer: CallerAnswer, refusal: Refusal): void {
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -31,6 +31,8 @@
   readonly pool: Pool;
   readonly organisation?: Organisation;
   readonly priority: number;
+  /** Time since its caller first sent it, in milliseconds; 0 if unknown. */
+  readonly ageMs: number;
 }
 
 /** How one attempt at a target ended. */
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -12,6 +12,7 @@
 export * from "./fleet_state.ts";
 export * from "./rank_slack.ts";
 export * from "./result_room.ts";
+export * from "./route_history.ts";
 export * from "./shares.ts";
 export * from "./stage_plan.ts";
 export * from "./stage_servers.ts";
--- a/src/serving/rank_slack.ts
+++ b/src/serving/rank_slack.ts
@@ -28,6 +28,12 @@
  */
 const RANK_RESERVE_MS = 20;
 
+/**
+ * Share of the wait that requests in time may meet up to which one is taken
+ * that is late anyway: it gets what others leave over.
+ */
+const LATE_SHARE = 0.25;
+
 /** Slack of the requests of each rank. Immutable. */
 export class RankSlack {
   readonly #ranks: ReadonlyMap<number, Noted>;
@@ -47,6 +53,17 @@
     );
   }
 
+  /**
+   * Longest wait with which a request is taken that cannot be in time any
+   * more but is useful for `usefulMs` milliseconds.
+   */
+  lateLimitMs(priority: number, usefulMs: number, now: number): number {
+    const inTime = [...this.#ranks]
+      .filter(([rank, { at }]) => rank <= priority && now - at < FORGET_MS)
+      .map(([, { slackMs }]) => slackMs * LATE_SHARE);
+    return Math.min(usefulMs, ...inTime);
+  }
+
   /** Longest wait with which a request is taken, in milliseconds. */
   limitMs({ priority, slackMs }: Rank, now: number): number {
     const higher = [...this.#ranks]
--- a/src/serving/rank_slack_test.ts
+++ b/src/serving/rank_slack_test.ts
@@ -22,3 +22,10 @@
   const slack = new RankSlack().note({ priority: 1, slackMs: 100 }, 0);
   assert.equal(slack.limitMs({ priority: 0, slackMs: 500 }, 0), 500);
 });
+
+test("RankSlack.lateLimitMs() gives the late what those in time leave over", () => {
+  const slack = new RankSlack().note({ priority: 0, slackMs: 800 }, 0);
+  assert.equal(slack.lateLimitMs(1, 5_000, 0), 200);
+  assert.equal(slack.lateLimitMs(1, 100, 0), 100);
+  assert.equal(slack.lateLimitMs(1, 5_000, 60_000), 5_000);
+});
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -67,12 +67,7 @@
 export type ChainAnswer =
   /** Results that the request itself reads, in the order of the stages. */
   | { readonly kind: "done"; readonly results: readonly ChainResults[] }
-  /** Not done; `waitMs` is the time until a place is expected. */
-  | {
-    readonly kind: "refused";
-    readonly reason: string;
-    readonly waitMs: number;
-  }
+  | { readonly kind: "refused"; readonly reason: string }
   /** This process takes no chains any more. */
   | { readonly kind: "leaving" };
 
