Have the smallest requests of a route yield first

Change: a request is taken up to half of the longest wait, larger ones than others of the route up to the whole of it. Tests: route_history_test, chain_runner_test (large and small beside each other: without the share both are refused alike).

--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -55,6 +55,8 @@
   readonly dueAt: number;
   /** Time after which the results are of no use. */
   readonly expiresAt: number;
+  /** Share of the longest wait with which it is still taken. */
+  readonly waitShare: number;
   /** Failure domain in which the results are likely to be read. */
   readonly resultDomain?: string;
   readonly signal: AbortSignal;
@@ -177,6 +179,7 @@
     priority: request.priority,
     dueMs: request.dueAt - now,
     expiresMs: request.expiresAt - now,
+    waitShare: request.waitShare,
     key: req.pieceKey,
     resultDomain: request.resultDomain,
     stages: route.stages.map(({ pool, after, resultBytes }, i) => ({
--- a/src/gateway/chain_runner.ts
+++ b/src/gateway/chain_runner.ts
@@ -112,9 +112,11 @@
   /** Longest wait with which a chain is taken, in milliseconds. */
   #limitMs(chain: StageChain, rank: Rank, bareMs: number): number {
     const now = monotonicMs();
-    if (rank.slackMs > 0) return this.#slack.limitMs(rank, now);
     const usefulMs = chain.expiresMs - bareMs;
-    return this.#slack.lateLimitMs(rank.priority, usefulMs, now);
+    const longestMs = rank.slackMs > 0
+      ? this.#slack.limitMs(rank, now)
+      : this.#slack.lateLimitMs(rank.priority, usefulMs, now);
+    return chain.waitShare * longestMs;
   }
 
   /** Frees results that nothing reads any more. */
--- a/src/gateway/chain_runner_test.ts
+++ b/src/gateway/chain_runner_test.ts
@@ -60,24 +60,30 @@
   readonly tookMs: number;
 }
 
-function chain(id: number, priority: number, dueMs = DUE_MS): StageChain {
+function chain(
+  id: number,
+  priority: number,
+  over: Partial<StageChain> = {},
+): StageChain {
   return {
     requestId: `req-${id}`,
     priority,
-    dueMs,
+    dueMs: DUE_MS,
+    waitShare: 1,
     expiresMs: 10_000,
     key: "k",
     stages: [
       { pool: "parts", after: [], resultBytes: PART_BYTES, pieces: 4 },
       { pool: "wholes", after: [0], resultBytes: WHOLE_BYTES, pieces: 2 },
     ],
+    ...over,
   };
 }
 
 /** Sends requests of two ranks by turns; frees the results once read. */
 async function play(
   setup: Setup,
-  load: { perS: number; forMs: number; dueMs?: number },
+  load: { perS: number; forMs: number; over?: Partial<StageChain> },
 ): Promise<readonly Served[]> {
   const { runner } = setup;
   const count = Math.round(load.perS * load.forMs / 1_000);
@@ -86,7 +92,7 @@
     const startedAt = monotonicMs();
     const priority = i % 2;
     const answer = await runner
-      .run(chain(i, priority, load.dueMs), new AbortController().signal);
+      .run(chain(i, priority, load.over), new AbortController().signal);
     const tookMs = monotonicMs() - startedAt;
     if (answer.kind === "done") runner.free(answer.results);
     return { answer, priority, tookMs };
@@ -126,20 +132,34 @@
     assert.equal(setup.targets.kept, 0);
   }, { seed: 1 }));
 
+const LATE: Partial<StageChain> = { dueMs: -2_000 };
+
 test("ChainRunner.run() serves the late with what others leave over", () =>
   underPausedClock(async () => {
     const setup = new Setup();
     const [inTime, late] = await Promise.all([
       play(setup, { perS: 18, forMs: 10_000 }),
-      play(setup, { perS: 18, forMs: 10_000, dueMs: -2_000 }),
+      play(setup, { perS: 18, forMs: 10_000, over: LATE }),
     ]);
     assert.ok(shareInTime(inTime) > 0.9, `in time ${shareInTime(inTime)}`);
     late.filter(({ answer }) => answer.kind === "refused")
       .forEach(({ tookMs }) => assert.ok(tookMs < 5));
-    const alone = await play(setup, { perS: 8, forMs: 5_000, dueMs: -2_000 });
+    const alone = await play(setup, { perS: 8, forMs: 5_000, over: LATE });
     assert.ok(alone.every(({ answer }) => answer.kind === "done"));
   }, { seed: 1 }));
 
+test("ChainRunner.run() refuses first what is to yield first", () =>
+  underPausedClock(async () => {
+    const setup = new Setup();
+    const [large, small] = await Promise.all([
+      play(setup, { perS: 14, forMs: 10_000 }),
+      play(setup, { perS: 14, forMs: 10_000, over: { waitShare: 0.5 } }),
+    ]);
+    assert.ok(shareInTime(large) > 0.9, `large ${shareInTime(large)}`);
+    // Half of what the others leave over.
+    assert.ok(shareInTime(small) > 0.25, `small ${shareInTime(small)}`);
+  }, { seed: 1 }));
+
 test("ChainRunner.run() goes on beside slow and failing targets", () =>
   underPausedClock(async () => {
     const setup = new Setup();
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -92,7 +92,8 @@
 
   /** Runs the stages; undefined when the exchange is over. */
   async #stages(): Promise<StagedInputs | undefined> {
-    const { req, route, pool, catalog, priority, ageMs } = this.#admitted;
+    const { req, route, pool, catalog, priority, ageMs, waitShare } =
+      this.#admitted;
     const affinity = affinityOf(req);
     const ownMs = this.#deps.ownTimes.of(route.name);
     if (route.stages.length === 0) return { results: [], free: () => {} };
@@ -103,6 +104,7 @@
       priority,
       dueAt: req.receivedAt - ageMs + route.latencyGoalMs - ownMs,
       expiresAt: this.#deadlineAt - ownMs,
+      waitShare,
       resultDomain: affinity === undefined
         ? undefined
         : this.#deps.book.preferredDomain(pool, affinity),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -94,16 +94,24 @@
     const pool = catalog.pool(poolFor(route, req.id) ?? "");
     if (!pool) return err(notReady("the route's pool is not known"));
     const priority = rankOf(route, organisation);
-    const ageMs = this.#ageOf(req, route);
-    return ok({ req, catalog, route, pool, organisation, priority, ageMs });
+    const history = this.#historyWith(req, route);
+    return ok({
+      req,
+      catalog,
+      route,
+      pool,
+      organisation,
+      priority,
+      ageMs: history.ageMs(req),
+      waitShare: history.waitShare(req),
+    });
   }
 
-  #ageOf({ deadlineMs }: CallerRequest, { name }: Route): number {
-    if (deadlineMs === undefined) return 0;
+  #historyWith(req: CallerRequest, { name }: Route): RouteHistory {
     const history = (this.#histories.get(name) ?? new RouteHistory())
-      .note(deadlineMs);
+      .note({ deadlineMs: req.deadlineMs, tokens: req.tokens });
     this.#histories.set(name, history);
-    return history.ageMs(deadlineMs);
+    return history;
   }
 
   #refuse(req: CallerRequest, answer: CallerAnswer, refusal: Refusal): void {
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -12,6 +12,7 @@
   ListedTarget,
   ResultHandle,
   StateChange,
+  TokenCounts,
 } from "../serving/mod.ts";
 
 /** Parts of the state that the store keeps. */
@@ -74,6 +75,8 @@
   readonly pieceKey?: string;
   /** Names of the parts of the prompt, the shared ones first. */
   readonly promptParts: readonly string[];
+  /** What it asks an engine for; undefined for other requests. */
+  readonly tokens?: TokenCounts;
   /** Last event that the caller has received of a stream. */
   readonly lastEventId?: string;
   /** Monotonic time at which the request was read. */
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -33,6 +33,8 @@
   readonly priority: number;
   /** Time since its caller first sent it, in milliseconds; 0 if unknown. */
   readonly ageMs: number;
+  /** Share of the longest wait with which it is still taken. */
+  readonly waitShare: number;
 }
 
 /** How one attempt at a target ended. */
--- a/src/serving/route_history.ts
+++ b/src/serving/route_history.ts
@@ -1,7 +1,8 @@
 /**
  * What the newest requests of a route were like. It tells how long ago the
- * caller of a request first sent it: callers that come back after a refusal
- * have less time left than those that come for the first time.
+ * caller of a request first sent it, and how large the request is among them:
+ * callers that come back after a refusal have less time left than those that
+ * come for the first time.
  *
  * @module
  */
@@ -10,20 +11,39 @@
 const MAX_REMEMBERED = 64;
 /** Requests with the same deadline from which on it is the usual one. */
 const MIN_SAME = 3;
+/** Requests from which on sizes are compared. */
+const MIN_COMPARED = 8;
+/** Work of a generated token as a multiple of that of a prompt token. */
+const OUTPUT_WEIGHT = 10;
+/** Share of the longest wait with which the smallest requests are taken. */
+const MIN_WAIT_SHARE = 0.5;
+
+/** Tokens that a request asks an engine for. */
+export interface TokenCounts {
+  readonly prompt: number;
+  /** Most tokens that are generated. */
+  readonly output: number;
+}
+
+/** What is remembered of one request. */
+export interface RequestTraits {
+  /** Time that its caller waits, in milliseconds. */
+  readonly deadlineMs?: number;
+  /** Undefined for requests that no engine serves. */
+  readonly tokens?: TokenCounts;
+}
 
 /** Newest requests of one route. Immutable. */
 export class RouteHistory {
-  readonly #deadlines: readonly number[];
+  readonly #newest: readonly RequestTraits[];
 
-  constructor(deadlines: readonly number[] = []) {
-    this.#deadlines = deadlines;
+  constructor(newest: readonly RequestTraits[] = []) {
+    this.#newest = newest;
   }
 
-  /** History after a request whose caller waits `deadlineMs` milliseconds. */
-  note(deadlineMs: number): RouteHistory {
-    return new RouteHistory(
-      [...this.#deadlines, deadlineMs].slice(-MAX_REMEMBERED),
-    );
+  /** History after one more request. */
+  note(request: RequestTraits): RouteHistory {
+    return new RouteHistory([...this.#newest, request].slice(-MAX_REMEMBERED));
   }
 
   /**
@@ -31,13 +51,34 @@
    * its deadline is below the longest one that several requests have. 0 while
    * no such deadline is known.
    */
-  ageMs(deadlineMs: number): number {
+  ageMs({ deadlineMs }: RequestTraits): number {
+    if (deadlineMs === undefined) return 0;
     const counts = new Map<number, number>();
-    this.#deadlines.forEach((one) =>
-      counts.set(one, (counts.get(one) ?? 0) + 1)
-    );
+    this.#newest.forEach(({ deadlineMs: one }) => {
+      if (one !== undefined) counts.set(one, (counts.get(one) ?? 0) + 1);
+    });
     const usual = [...counts].filter(([, count]) => count >= MIN_SAME)
       .map(([deadline]) => deadline);
     return Math.max(0, Math.max(0, ...usual) - deadlineMs);
   }
+
+  /**
+   * Share of the longest wait with which a request is still taken. When not
+   * all can be served, the smallest of a route yield first: a place costs as
+   * much for a short answer as for a long one.
+   */
+  waitShare({ tokens }: RequestTraits): number {
+    if (!tokens) return 1;
+    const sizes = this.#newest
+      .flatMap((one) => one.tokens ? [sizeOf(one.tokens)] : []);
+    if (sizes.length < MIN_COMPARED) return 1;
+    const own = sizeOf(tokens);
+    const smaller = sizes.filter((size) => size < own).length;
+    const rank = smaller / sizes.length;
+    return MIN_WAIT_SHARE + (1 - MIN_WAIT_SHARE) * rank;
+  }
+}
+
+function sizeOf({ prompt, output }: TokenCounts): number {
+  return prompt + OUTPUT_WEIGHT * output;
 }
--- a/src/serving/route_history_test.ts
+++ b/src/serving/route_history_test.ts
@@ -4,20 +4,23 @@
 
 function historyOf(deadlines: readonly number[]): RouteHistory {
   return deadlines.reduce(
-    (history, one) => history.note(one),
+    (history, deadlineMs) => history.note({ deadlineMs }),
     new RouteHistory(),
   );
 }
 
 test("RouteHistory.ageMs() is the time that a returning caller has lost", () => {
   const history = historyOf([15_000, 15_000, 11_200, 15_000]);
-  assert.equal(history.ageMs(15_000), 0);
-  assert.equal(history.ageMs(11_000), 4_000);
+  assert.equal(history.ageMs({ deadlineMs: 15_000 }), 0);
+  assert.equal(history.ageMs({ deadlineMs: 11_000 }), 4_000);
 });
 
 test("RouteHistory.ageMs() is 0 while no usual deadline is known", () => {
-  assert.equal(historyOf([]).ageMs(1_000), 0);
-  assert.equal(historyOf([15_000, 9_000, 12_000]).ageMs(1_000), 0);
+  assert.equal(historyOf([]).ageMs({ deadlineMs: 1_000 }), 0);
+  assert.equal(
+    historyOf([15_000, 9_000, 12_000]).ageMs({ deadlineMs: 1_000 }),
+    0,
+  );
 });
 
 test("RouteHistory.ageMs() follows a deadline that was changed", () => {
@@ -25,5 +28,16 @@
     ...Array.from({ length: 10 }, () => 15_000),
     ...Array.from({ length: 64 }, () => 4_000),
   ]);
-  assert.equal(history.ageMs(4_000), 0);
+  assert.equal(history.ageMs({ deadlineMs: 4_000 }), 0);
+});
+
+test("RouteHistory.waitShare() has the smallest requests yield first", () => {
+  const tokens = (prompt: number) => ({ tokens: { prompt, output: 10 } });
+  const history = Array.from({ length: 20 }, (_, i) => tokens(100 * i))
+    .reduce((all, one) => all.note(one), new RouteHistory());
+  assert.equal(history.waitShare(tokens(0)), 0.5);
+  assert.ok(history.waitShare(tokens(1_000)) > history.waitShare(tokens(500)));
+  assert.equal(history.waitShare(tokens(9_000)), 1);
+  assert.equal(history.waitShare({}), 1);
+  assert.equal(new RouteHistory().waitShare(tokens(1)), 1);
 });
