Keep the pieces of a request in one failure domain

Calls split requests over domains, and as soon as more than one request waited a piece went anywhere, so that its place was chance. Change: the rest of a split group waits for the same domain; a piece waits for a near target for about a call, unless more wait there than the near targets take at once or it becomes due. Test: batch_queue_test; the case 'busy' of the test before is replaced by the exact bound of what near targets can take.

--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -69,10 +69,12 @@
 /** Longest such wait, in milliseconds. */
 const ROOM_WAIT_MS = 120;
 /**
- * Time for which a piece waits for a target beside its data, in milliseconds:
- * a third of a call, after which such a target is free as a rule.
+ * Longest time for which a piece waits for a target beside its data, in
+ * milliseconds: about a call, after which such a target is free as a rule.
  */
-const NEAR_WAIT_MS = 130;
+const NEAR_WAIT_MS = 450;
+/** Time before a piece is due at which it waits no longer, in milliseconds. */
+const NEAR_RESERVE_MS = 100;
 
 /**
  * Time after which a call at an idle target has read its inputs, in
@@ -191,9 +193,10 @@
       expiresAt: task.submission.work.expiresAt,
       bytes: task.submission.work.resultBytes,
       domain: task.submission.work.domain,
-      anywhereAt: task.attempts > 0
-        ? 0
-        : task.submission.queuedAt + NEAR_WAIT_MS,
+      anywhereAt: task.attempts > 0 ? 0 : Math.min(
+        task.submission.queuedAt + NEAR_WAIT_MS,
+        task.submission.work.dueAt - NEAR_RESERVE_MS,
+      ),
     })));
   }
 
@@ -222,11 +225,13 @@
     if (pool.queue.length === 0) return false;
     const nextBytes = pool.queue.nextBytes(now);
     const targetOf = (id: string) => this.#state().targets.get(id)?.target;
-    const domains = new Set(
-      pool.servers.awake(now).flatMap(({ id }) =>
-        targetOf(id)?.failureDomain ?? []
-      ),
-    );
+    const domains = new Map<string, number>();
+    pool.servers.awake(now).forEach(({ id }) => {
+      const domain = targetOf(id)?.failureDomain;
+      if (domain !== undefined) {
+        domains.set(domain, (domains.get(domain) ?? 0) + 1);
+      }
+    });
     const wasFull = pool.queue.length >= limits.maxPieces;
     return pool.servers.free(limits, now).some(({ id }) => {
       const target = targetOf(id);
--- a/src/serving/batch_queue.ts
+++ b/src/serving/batch_queue.ts
@@ -28,14 +28,11 @@
   readonly anywhereAt: number;
 }
 
-/** Share of a full call from which on no piece waits for a near target. */
-const BUSY_SHARE = 0.4;
 /**
  * Time by which a piece yields at a target outside its failure domain, in
- * milliseconds: about half of a call, so that it waits for a near target only
- * if one is soon free.
+ * milliseconds: about a call, after which a near target is free.
  */
-const FAR_PENALTY_MS = 120;
+const FAR_PENALTY_MS = 400;
 
 /** Bounds of one call. */
 export interface CallBounds {
@@ -44,8 +41,8 @@
   readonly roomBytes: number;
   /** Failure domain of the target. */
   readonly domain?: string;
-  /** Failure domains in which other targets of the pool take calls. */
-  readonly domains?: ReadonlySet<string>;
+  /** Number of the pool's targets that take calls, by failure domain. */
+  readonly domains?: ReadonlyMap<string, number>;
 }
 
 /** Pieces that wait, in the order in which they are taken. Immutable. */
@@ -96,16 +93,17 @@
   /**
    * Takes the pieces of one call: those that can still be on time by their
    * due time, then the late ones, as long as there is room for their results.
+   * What is left of a group that was split waits for the same failure domain,
+   * so that its results are read from one.
    */
   take(
     bounds: CallBounds,
     now: number,
   ): [BatchQueue<T>, readonly QueuedPiece<T>[]] {
-    const { maxPieces, roomBytes } = bounds;
-    // While many wait, a free target that waits for near pieces is lost work.
-    const isBusy = this.#pieces.length > maxPieces * BUSY_SHARE;
+    const { maxPieces, roomBytes, domain } = bounds;
+    const backlog = this.#backlog(bounds);
     const ordered = this.#pieces
-      .filter((one) => isBusy || one.anywhereAt <= now || !isFar(one, bounds))
+      .filter((one) => !isKept(one, bounds, backlog, now))
       .map((one) => ({ one, rank: rankAt(one, bounds, now) }))
       .sort((a, b) => compare(a.rank, b.rank, now))
       .map(({ one }) => one);
@@ -116,10 +114,30 @@
       return isTaken;
     });
     const taken = new Set(fits);
-    const rest = this.#pieces.filter((one) => !taken.has(one));
+    const groups = new Set(fits.map(({ group }) => group));
+    const rest = this.#pieces.filter((one) => !taken.has(one))
+      .map((one) =>
+        one.domain === undefined && groups.has(one.group)
+          ? { ...one, domain }
+          : one
+      );
     return [new BatchQueue(rest), fits];
   }
 
+  /** Failure domains with more pieces than their targets take at once. */
+  #backlog({ maxPieces, domains }: CallBounds): ReadonlySet<string> {
+    const waiting = new Map<string, number>();
+    this.#pieces.forEach(({ domain }) => {
+      if (domain !== undefined) {
+        waiting.set(domain, (waiting.get(domain) ?? 0) + 1);
+      }
+    });
+    const long = [...waiting].filter(([domain, pieces]) =>
+      pieces > maxPieces * (domains?.get(domain) ?? Number.POSITIVE_INFINITY)
+    );
+    return new Set(long.map(([domain]) => domain));
+  }
+
   /** Time until the next piece may go to any target, in milliseconds. */
   nextAnywhereMs(now: number): number {
     return this.#pieces.filter(({ anywhereAt }) => anywhereAt > now)
@@ -158,6 +176,17 @@
   return wanted !== domain && (domains === undefined || domains.has(wanted));
 }
 
+/** True while a piece is kept for a target in its failure domain. */
+function isKept<T>(
+  piece: QueuedPiece<T>,
+  bounds: CallBounds,
+  backlog: ReadonlySet<string>,
+  now: number,
+): boolean {
+  return isFar(piece, bounds) && piece.anywhereAt > now &&
+    !backlog.has(piece.domain ?? "");
+}
+
 type Rank = Pick<QueuedPiece<unknown>, "priority" | "dueAt">;
 
 function compare(a: Rank, b: Rank, now: number): number {
--- a/src/serving/batch_queue_test.ts
+++ b/src/serving/batch_queue_test.ts
@@ -97,14 +97,39 @@
   const queue = new BatchQueue<number>()
     .add([piece(1, { domain: "d2", anywhereAt: 100 })]);
   const far = { maxPieces: 4, roomBytes: 10, domain: "d1" };
-  const busy = queue.add([piece(2, { domain: "d2", anywhereAt: 100 })]);
-  assert.equal(busy.take(far, 99)[1].length, 2);
   assert.equal(queue.take(far, 99)[1].length, 0);
   assert.equal(queue.take(far, 100)[1].length, 1);
   assert.equal(queue.take({ ...far, domain: "d2" }, 0)[1].length, 1);
-  assert.equal(
-    queue.take({ ...far, domains: new Set(["d1"]) }, 0)[1].length,
-    1,
-  );
+  const domains = new Map([["d1", 1]]);
+  assert.equal(queue.take({ ...far, domains }, 0)[1].length, 1);
   assert.equal(queue.nextAnywhereMs(40), 60);
 });
+
+test("BatchQueue.take() gives pieces away that near targets cannot take", () => {
+  const waiting = (count: number) =>
+    new BatchQueue<number>().add(
+      Array.from(
+        { length: count },
+        (_, i) => piece(i, { domain: "d2", anywhereAt: 100 }),
+      ),
+    );
+  const domains = new Map([["d1", 1], ["d2", 2]]);
+  const far = { maxPieces: 4, roomBytes: 10, domain: "d1", domains };
+  assert.equal(waiting(8).take(far, 0)[1].length, 0);
+  assert.equal(waiting(9).take(far, 0)[1].length, 4);
+});
+
+test("BatchQueue.take() keeps the rest of a group for one failure domain", () => {
+  const group = (name: string, from: number) =>
+    Array.from(
+      { length: 3 },
+      (_, i) => piece(from + i, { group: name, anywhereAt: 100 }),
+    );
+  const queue = new BatchQueue<number>()
+    .add([...group("a", 0), ...group("b", 3)]);
+  const bounds = { maxPieces: 4, roomBytes: 10 };
+  const [rest] = queue.take({ ...bounds, domain: "d1" }, 0);
+  assert.equal(rest.length, 2);
+  assert.equal(rest.take({ ...bounds, domain: "d2" }, 0)[1].length, 0);
+  assert.equal(rest.take({ ...bounds, domain: "d1" }, 0)[1].length, 2);
+});
