--- a/src/serving/batch_queue.ts
+++ b/src/serving/batch_queue.ts
@@ -28,11 +28,17 @@
   readonly anywhereAt: number;
 }
 
+/**
+ * Share of a call of each near target from which on pieces that wait for them
+ * may go elsewhere: less is gone when the next one is free.
+ */
+const BACKLOG_SHARE = 0.5;
 /**
  * Time by which a piece yields at a target outside its failure domain, in
- * milliseconds: about a call, after which a near target is free.
+ * milliseconds: half of a call, so that it waits for a near target that is soon
+ * free.
  */
-const FAR_PENALTY_MS = 400;
+const FAR_PENALTY_MS = 250;
 
 /** Bounds of one call. */
 export interface CallBounds {
@@ -124,7 +130,7 @@
     return [new BatchQueue(rest), fits];
   }
 
-  /** Failure domains with more pieces than their targets take at once. */
+  /** Failure domains with more pieces than their targets take soon. */
   #backlog({ maxPieces, domains }: CallBounds): ReadonlySet<string> {
     const waiting = new Map<string, number>();
     this.#pieces.forEach(({ domain }) => {
@@ -133,7 +139,9 @@
       }
     });
     const long = [...waiting].filter(([domain, pieces]) =>
-      pieces > maxPieces * (domains?.get(domain) ?? Number.POSITIVE_INFINITY)
+      pieces >
+        BACKLOG_SHARE * maxPieces *
+          (domains?.get(domain) ?? Number.POSITIVE_INFINITY)
     );
     return new Set(long.map(([domain]) => domain));
   }
