--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -232,22 +232,27 @@
         domains.set(domain, (domains.get(domain) ?? 0) + 1);
       }
     });
-    const wasFull = pool.queue.length >= limits.maxPieces;
     return pool.servers.free(limits, now).some(({ id }) => {
       const target = targetOf(id);
       if (!target) return false;
       if (!this.#isWorthCalling(pool, limits, { id, nextBytes, now })) {
         return false;
       }
-      const [rest, taken] = pool.queue.take({
-        maxPieces: pool.servers.isOnTrial(id) ? TRIAL_PIECES : limits.maxPieces,
+      const isOnTrial = pool.servers.isOnTrial(id);
+      const bounds = {
+        maxPieces: isOnTrial ? TRIAL_PIECES : limits.maxPieces,
         roomBytes: this.#roomAt(pool, limits, id),
         domain: target.failureDomain,
         domains,
-      }, now);
+      };
+      // Pieces that are kept for other targets do not make a call full.
+      const open = pool.queue.countOpen(bounds, now);
+      const [rest, taken] = pool.queue.take(bounds, now);
       if (taken.length === 0) return false;
       pool.queue = rest;
-      if (wasFull) this.#noteFill(pool, limits, taken.length);
+      if (open >= limits.maxPieces && !isOnTrial) {
+        this.#noteFill(pool, limits, taken.length);
+      }
       const tasks = taken.map(({ item }) => item).filter(isOpen);
       if (tasks.length > 0) this.#call(pool, limits, target, tasks);
       return true;
--- a/src/serving/batch_queue.ts
+++ b/src/serving/batch_queue.ts
@@ -107,9 +107,7 @@
     now: number,
   ): [BatchQueue<T>, readonly QueuedPiece<T>[]] {
     const { maxPieces, roomBytes, domain } = bounds;
-    const backlog = this.#backlog(bounds);
-    const ordered = this.#pieces
-      .filter((one) => !isKept(one, bounds, backlog, now))
+    const ordered = this.#open(bounds, now)
       .map((one) => ({ one, rank: rankAt(one, bounds, now) }))
       .sort((a, b) => compare(a.rank, b.rank, now))
       .map(({ one }) => one);
@@ -130,6 +128,16 @@
     return [new BatchQueue(rest), fits];
   }
 
+  /** Number of pieces that a target may take. */
+  countOpen(bounds: CallBounds, now: number): number {
+    return this.#open(bounds, now).length;
+  }
+
+  #open(bounds: CallBounds, now: number): readonly QueuedPiece<T>[] {
+    const backlog = this.#backlog(bounds);
+    return this.#pieces.filter((one) => !isKept(one, bounds, backlog, now));
+  }
+
   /** Failure domains with more pieces than their targets take soon. */
   #backlog({ maxPieces, domains }: CallBounds): ReadonlySet<string> {
     const waiting = new Map<string, number>();
--- a/src/serving/batch_queue_test.ts
+++ b/src/serving/batch_queue_test.ts
@@ -116,6 +116,8 @@
   const domains = new Map([["d1", 1], ["d2", 2]]);
   const far = { maxPieces: 4, roomBytes: 10, domain: "d1", domains };
   assert.equal(waiting(4).take(far, 0)[1].length, 0);
+  assert.equal(waiting(4).countOpen(far, 0), 0);
+  assert.equal(waiting(5).countOpen(far, 0), 5);
   assert.equal(waiting(5).take(far, 0)[1].length, 4);
 });
 
