Have small requests yield only while others are refused

Change: how far the smallest yield follows the moving share of refusals. Tests: pressure_test, route_history_test, chain_runner_test.

--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -55,8 +55,8 @@
   readonly dueAt: number;
   /** Time after which the results are of no use. */
   readonly expiresAt: number;
-  /** Share of the longest wait with which it is still taken. */
-  readonly waitShare: number;
+  /** Share of its route's requests that are smaller. */
+  readonly sizeRank: number;
   /** Failure domain in which the results are likely to be read. */
   readonly resultDomain?: string;
   readonly signal: AbortSignal;
@@ -179,7 +179,7 @@
     priority: request.priority,
     dueMs: request.dueAt - now,
     expiresMs: request.expiresAt - now,
-    waitShare: request.waitShare,
+    sizeRank: request.sizeRank,
     key: req.pieceKey,
     resultDomain: request.resultDomain,
     stages: route.stages.map(({ pool, after, resultBytes }, i) => ({
--- a/src/gateway/chain_client_test.ts
+++ b/src/gateway/chain_client_test.ts
@@ -57,7 +57,7 @@
     priority: 0,
     dueAt: now + 1_000,
     expiresAt: now + 2_000,
-    waitShare: 1,
+    sizeRank: 1,
     signal: new AbortController().signal,
   });
   return outcome._unsafeUnwrap();
--- a/src/gateway/chain_runner.ts
+++ b/src/gateway/chain_runner.ts
@@ -15,6 +15,7 @@
   type FleetState,
   type PlannedStage,
   type PoolResults,
+  Pressure,
   type Rank,
   RankSlack,
   type ResultHandle,
@@ -55,6 +56,7 @@
   readonly #committed = new Map<string, number>();
   #meanErrorMs = 0;
   #slack = new RankSlack();
+  #pressure = new Pressure();
 
   constructor(
     deps: { batcher: StageBatcher; state: () => FleetState; log: Logger },
@@ -82,7 +84,9 @@
       errorMs: Math.round(this.#meanErrorMs),
       priority: chain.priority,
     });
-    if (waitMs > limitMs) {
+    const isRefused = waitMs > limitMs;
+    this.#pressure = this.#pressure.note(isRefused);
+    if (isRefused) {
       return refused("the queue is too long");
     }
     const startedAt = monotonicMs();
@@ -116,7 +120,7 @@
     const longestMs = rank.slackMs > 0
       ? this.#slack.limitMs(rank, now)
       : this.#slack.lateLimitMs(rank.priority, usefulMs, now);
-    return chain.waitShare * longestMs;
+    return this.#pressure.waitShare(chain.sizeRank) * longestMs;
   }
 
   /** Frees results that nothing reads any more. */
--- a/src/gateway/chain_runner_test.ts
+++ b/src/gateway/chain_runner_test.ts
@@ -69,7 +69,7 @@
     requestId: `req-${id}`,
     priority,
     dueMs: DUE_MS,
-    waitShare: 1,
+    sizeRank: 1,
     expiresMs: 10_000,
     key: "k",
     stages: [
@@ -153,7 +153,7 @@
     const setup = new Setup();
     const [large, small] = await Promise.all([
       play(setup, { perS: 14, forMs: 10_000 }),
-      play(setup, { perS: 14, forMs: 10_000, over: { waitShare: 0.5 } }),
+      play(setup, { perS: 14, forMs: 10_000, over: { sizeRank: 0 } }),
     ]);
     assert.ok(shareInTime(large) > 0.9, `large ${shareInTime(large)}`);
     // Half of what the others leave over.
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -92,7 +92,7 @@
 
   /** Runs the stages; undefined when the exchange is over. */
   async #stages(): Promise<StagedInputs | undefined> {
-    const { req, route, pool, catalog, priority, ageMs, waitShare } =
+    const { req, route, pool, catalog, priority, ageMs, sizeRank } =
       this.#admitted;
     const affinity = affinityOf(req);
     const ownMs = this.#deps.ownTimes.of(route.name);
@@ -104,7 +104,7 @@
       priority,
       dueAt: req.receivedAt - ageMs + route.latencyGoalMs - ownMs,
       expiresAt: this.#deadlineAt - ownMs,
-      waitShare,
+      sizeRank,
       resultDomain: affinity === undefined
         ? undefined
         : this.#deps.book.preferredDomain(pool, affinity),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -103,7 +103,7 @@
       organisation,
       priority,
       ageMs: history.ageMs(req),
-      waitShare: history.waitShare(req),
+      sizeRank: history.sizeRank(req),
     });
   }
 
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -33,8 +33,8 @@
   readonly priority: number;
   /** Time since its caller first sent it, in milliseconds; 0 if unknown. */
   readonly ageMs: number;
-  /** Share of the longest wait with which it is still taken. */
-  readonly waitShare: number;
+  /** Share of its route's requests that are smaller. */
+  readonly sizeRank: number;
 }
 
 /** How one attempt at a target ended. */
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -10,6 +10,7 @@
 export * from "./catalog.ts";
 export * from "./choice.ts";
 export * from "./fleet_state.ts";
+export * from "./pressure.ts";
 export * from "./rank_slack.ts";
 export * from "./result_room.ts";
 export * from "./route_history.ts";
--- /dev/null
+++ b/src/serving/pressure_test.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Pressure } from "./pressure.ts";
+
+function after(count: number, isRefused: (i: number) => boolean): Pressure {
+  return Array.from({ length: count }, (_, i) => isRefused(i))
+    .reduce((pressure, one) => pressure.note(one), new Pressure());
+}
+
+test("Pressure.waitShare() has nobody yield while all are served", () => {
+  assert.equal(after(100, () => false).waitShare(0), 1);
+});
+
+test("Pressure.waitShare() has the smallest yield the more are refused", () => {
+  const some = after(200, (i) => i % 10 === 0);
+  const many = after(200, (i) => i % 2 === 0);
+  assert.ok(some.waitShare(0) < 1);
+  assert.ok(many.waitShare(0) < some.waitShare(0));
+  assert.ok(many.waitShare(0.5) > many.waitShare(0));
+  assert.equal(many.waitShare(1), 1);
+});
+
+test("Pressure.waitShare() recovers when requests are taken again", () => {
+  const before = after(100, () => true);
+  const later = Array.from({ length: 100 })
+    .reduce<Pressure>((pressure) => pressure.note(false), before);
+  assert.ok(later.waitShare(0) > 0.95);
+});
--- a/src/serving/route_history.ts
+++ b/src/serving/route_history.ts
@@ -15,8 +15,6 @@
 const MIN_COMPARED = 8;
 /** Work of a generated token as a multiple of that of a prompt token. */
 const OUTPUT_WEIGHT = 10;
-/** Share of the longest wait with which the smallest requests are taken. */
-const MIN_WAIT_SHARE = 0.8;
 
 /** Tokens that a request asks an engine for. */
 export interface TokenCounts {
@@ -63,19 +61,16 @@
   }
 
   /**
-   * Share of the longest wait with which a request is still taken. When not
-   * all can be served, the smallest of a route yield first: a place costs as
-   * much for a short answer as for a long one.
+   * Share of the route's newest requests that are smaller than one; 1 when
+   * they cannot be compared.
    */
-  waitShare({ tokens }: RequestTraits): number {
+  sizeRank({ tokens }: RequestTraits): number {
     if (!tokens) return 1;
     const sizes = this.#newest
       .flatMap((one) => one.tokens ? [sizeOf(one.tokens)] : []);
     if (sizes.length < MIN_COMPARED) return 1;
     const own = sizeOf(tokens);
-    const smaller = sizes.filter((size) => size < own).length;
-    const rank = smaller / sizes.length;
-    return MIN_WAIT_SHARE + (1 - MIN_WAIT_SHARE) * rank;
+    return sizes.filter((size) => size < own).length / sizes.length;
   }
 }
 
--- a/src/serving/route_history_test.ts
+++ b/src/serving/route_history_test.ts
@@ -31,13 +31,13 @@
   assert.equal(history.ageMs({ deadlineMs: 4_000 }), 0);
 });
 
-test("RouteHistory.waitShare() has the smallest requests yield first", () => {
+test("RouteHistory.sizeRank() compares a request with others of its route", () => {
   const tokens = (prompt: number) => ({ tokens: { prompt, output: 10 } });
   const history = Array.from({ length: 20 }, (_, i) => tokens(100 * i))
     .reduce((all, one) => all.note(one), new RouteHistory());
-  assert.equal(history.waitShare(tokens(0)), 0.8);
-  assert.ok(history.waitShare(tokens(1_000)) > history.waitShare(tokens(500)));
-  assert.equal(history.waitShare(tokens(9_000)), 1);
-  assert.equal(history.waitShare({}), 1);
-  assert.equal(new RouteHistory().waitShare(tokens(1)), 1);
+  assert.equal(history.sizeRank(tokens(0)), 0);
+  assert.equal(history.sizeRank(tokens(1_000)), 0.5);
+  assert.equal(history.sizeRank(tokens(9_000)), 1);
+  assert.equal(history.sizeRank({}), 1);
+  assert.equal(new RouteHistory().sizeRank(tokens(1)), 1);
 });
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -38,8 +38,8 @@
   dueMs: z.number(),
   /** Time until the results are of no use, in milliseconds. */
   expiresMs: z.number(),
-  /** Share of the longest wait with which it is still taken. */
-  waitShare: z.number(),
+  /** Share of its route's requests that are smaller. */
+  sizeRank: z.number(),
   /** Key by which the first stages find the request's pieces. */
   key: z.string().optional(),
   /** Failure domain in which the results are likely to be read. */
