Let the mean error of the expected time fade

Ruled out: the store (regained 30 s before) and readiness (all were ready). Change: the error halves every 2 s without new evidence. Test: chain_runner_test, 'in time 0' before.

--- a/src/gateway/chain_runner.ts
+++ b/src/gateway/chain_runner.ts
@@ -30,6 +30,11 @@
 const ERROR_GAIN = 0.1;
 /** Bounds of the mean error that is counted, in milliseconds. */
 const MAX_ERROR_MS = 500;
+/**
+ * Time in which the mean error halves, in milliseconds. Without it one large
+ * error could refuse every request, so that nothing would correct it.
+ */
+const ERROR_HALF_LIFE_MS = 2_000;
 /** Results of a stage that are worth placing, in bytes. */
 const LARGE_BYTES = 100_000;
 /** Head start of a stage before another chain is as short, in milliseconds. */
@@ -54,7 +59,7 @@
   readonly #log: Logger;
   /** Pieces of admitted chains that are not made, by pool. */
   readonly #committed = new Map<string, number>();
-  #meanErrorMs = 0;
+  #error: { readonly ms: number; readonly at: number } = { ms: 0, at: 0 };
   #slack = new RankSlack();
   #pressure = new Pressure();
 
@@ -71,7 +76,8 @@
     const plan = planOf(chain);
     const bareMs = this.#bareMs(plan);
     const expectedMs = this.#expectedMs(plan);
-    const waitMs = expectedMs + this.#meanErrorMs - bareMs;
+    const errorMs = this.#meanErrorMs;
+    const waitMs = expectedMs + errorMs - bareMs;
     const rank = { priority: chain.priority, slackMs: chain.dueMs - bareMs };
     this.#slack = this.#slack.note(rank, monotonicMs());
     const limitMs = this.#limitMs(chain, rank, bareMs);
@@ -81,7 +87,7 @@
       limitMs: Math.round(limitMs),
       slackMs: Math.round(rank.slackMs),
       bareMs: Math.round(bareMs),
-      errorMs: Math.round(this.#meanErrorMs),
+      errorMs: Math.round(errorMs),
       priority: chain.priority,
     });
     const isRefused = waitMs > limitMs;
@@ -263,9 +269,16 @@
 
   readonly #callMs = (pool: string) => this.#batcher.callMs(pool);
 
+  /** Mean error of the expected time of chains, in milliseconds. */
+  get #meanErrorMs(): number {
+    const halves = (monotonicMs() - this.#error.at) / ERROR_HALF_LIFE_MS;
+    return this.#error.ms * 0.5 ** halves;
+  }
+
   #learn(errorMs: number): void {
     const next = this.#meanErrorMs + ERROR_GAIN * (errorMs - this.#meanErrorMs);
-    this.#meanErrorMs = Math.min(MAX_ERROR_MS, Math.max(-MAX_ERROR_MS, next));
+    const ms = Math.min(MAX_ERROR_MS, Math.max(-MAX_ERROR_MS, next));
+    this.#error = { ms, at: monotonicMs() };
   }
 
   #commit(pool: string, pieces: number): void {
--- a/src/gateway/chain_runner_test.ts
+++ b/src/gateway/chain_runner_test.ts
@@ -183,6 +183,24 @@
     assert.ok(share > 0.95, `in time ${share}`);
   }, { seed: 1 }));
 
+test("ChainRunner.run() takes requests again after a time of long delays", () =>
+  underPausedClock(async () => {
+    const setup = new Setup();
+    const { behaviour } = setup.targets;
+    const over = { sizeRank: 0 };
+    const all = POOLS.flatMap(({ name }) =>
+      Array.from({ length: TARGETS_PER_POOL }, (_, i) => `${name}-${i}`)
+    );
+    all.forEach((id) => behaviour.set(id, { slowness: 1.9 }));
+    const slow = play(setup, { perS: 60, forMs: 6_000, over });
+    await sleep(6_000);
+    behaviour.clear();
+    await slow;
+    await sleep(3_000);
+    const later = await play(setup, { perS: 6, forMs: 5_000, over });
+    assert.ok(shareInTime(later) > 0.9, `in time ${shareInTime(later)}`);
+  }, { seed: 1 }));
+
 test("ChainRunner.run() frees the results of a caller that has gone", () =>
   underPausedClock(async () => {
     const setup = new Setup();
