Keep the order of registrations when all processes restart together

Change: a process that is listed as it is, and meets no peer that has been up for longer, keeps its row.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -28,6 +28,8 @@
 const SLOW_ANSWER_MS = 200;
 /** Multiple of the usual answer time at which it does. */
 const SLOW_RATIO = 4;
+/** Time by which a peer that was not restarted is older, in milliseconds. */
+const OLDER_BY_MS = 2_000;
 /** Likely next owners of pools that are asked in each round. */
 const CANDIDATE_OWNERS = 1;
 /** Neighbours that are asked in each round besides the owners of pools. */
@@ -42,6 +44,8 @@
   loss?: AbortController;
   /** Mean time of its answers, in milliseconds. */
   answerMs?: number;
+  /** Monotonic time of its start. */
+  startedAt?: number;
 }
 
 /** Keeps in touch with the other entries. */
@@ -55,6 +59,7 @@
   readonly #records = new Map<string, PeerRecord>();
   /** Owner of each group as it was last found. */
   readonly #owners = new Map<string, string>();
+  readonly #startedAt = monotonicMs();
   #isLeaving = false;
 
   constructor(
@@ -84,6 +89,22 @@
       : [...names, this.#self.name];
   }
 
+  /**
+   * True when this process is listed as it is and no peer has been up for
+   * longer: all were restarted together, and the order of their registrations,
+   * which is that of the owners, can stay.
+   */
+  get mayKeepRegistration(): boolean {
+    const own = this.#view.state.peers
+      .find(({ name }) => name === this.#self.name);
+    const isListed = own?.url === this.#self.url &&
+      own.failureDomain === this.#self.failureDomain;
+    return isListed &&
+      [...this.#records.values()].every(({ startedAt }) =>
+        startedAt === undefined || startedAt + OLDER_BY_MS > this.#startedAt
+      );
+  }
+
   /** Tells peers from now on that this process leaves. */
   leave(): void {
     this.#isLeaving = true;
@@ -159,6 +180,7 @@
       versions: known,
       storeAgeMs: Math.min(this.#view.storeAgeMs, Number.MAX_SAFE_INTEGER),
       isLeaving: this.#isLeaving,
+      upMs: monotonicMs() - this.#startedAt,
     };
   }
 
@@ -217,6 +239,7 @@
     if (record.isLeaving !== answer.isLeaving) {
       this.#log.info("peer_leaving", { peer: name, on: answer.isLeaving });
     }
+    record.startedAt = monotonicMs() - answer.upMs;
     record.askedAt = undefined;
     record.isSilent = false;
     record.isLeaving = answer.isLeaving;
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -47,6 +47,11 @@
   readonly codec: CallerCodec;
 }
 
+/**
+ * Time after the start at which a process registers, in milliseconds: by then
+ * the store and the peers have answered.
+ */
+const REGISTER_AFTER_MS = 700;
 /** Pause between tries to register with the store, in milliseconds. */
 const REGISTER_RETRY_MS = 1_000;
 /** Longest wait for the answer to a registration, in milliseconds. */
@@ -117,7 +122,6 @@
       key: serviceKey<FleetView>("fleet"),
       start: ({ signal }) => {
         view.run(signal);
-        register(source, cfg.self, { log, signal });
         return view;
       },
     }),
@@ -137,6 +141,7 @@
           signal,
         );
         peers.run(signal);
+        register(source, cfg.self, { peers, log, signal });
         return peers;
       },
       leave: () => peers.leave(),
@@ -192,9 +197,14 @@
 async function register(
   source: StateSource,
   self: ListedPeer,
-  { log, signal }: { log: Logger; signal: AbortSignal },
+  opts: { peers: Peers; log: Logger; signal: AbortSignal },
 ): Promise<void> {
+  const { peers, log, signal } = opts;
+  await sleep(REGISTER_AFTER_MS, signal);
   while (!signal.aborted) {
+    if (peers.mayKeepRegistration) {
+      return log.info("registered", { name: self.name, kept: true });
+    }
     const limit = timeoutSignal(REGISTER_TIMEOUT_MS, signal);
     const done = await source.register(self, limit);
     if (done.isOk()) return log.info("registered", { name: self.name });
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -28,6 +28,8 @@
   /** Time since the peer last heard the store, in milliseconds. */
   readonly storeAgeMs: number;
   readonly isLeaving: boolean;
+  /** Time since the peer's start, in milliseconds. */
+  readonly upMs: number;
 }
 
 const chainSchema = z.object({
