--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -223,6 +223,12 @@
   | { readonly kind: "other-target" }
   | { readonly kind: "failed"; readonly detail: string };
 
+/**
+ * Longest time to open a connection to a target, in milliseconds: a host that
+ * is up answers within a few round trips, one that is dark never does.
+ */
+export const CONNECT_TIMEOUT_MS = 600;
+
 /** Calls targets. */
 export interface TargetClient {
   /** Sends a request. */
--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -8,14 +8,11 @@
 import { monotonicMs, timeoutSignal } from "../kernel/mod.ts";
 import {
   type BatchLimits,
-  BatchQueue,
   expectedCallMs,
   type FleetState,
   type ListedTarget,
   type QueuedPiece,
   type ResultHandle,
-  ResultRoom,
-  StageServers,
 } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import {
@@ -24,6 +21,7 @@
   type PiecesError,
   type TargetClient,
 } from "./ports.ts";
+import { StagePool } from "./stage_pool.ts";
 import {
   isOpen,
   type PieceTask,
@@ -41,33 +39,12 @@
 const CALL_TIMEOUT_RATIO = 8;
 /** Pieces of a call to a target that was slow or failed before. */
 const TRIAL_PIECES = 2;
-/** Pause for a target that is full, in milliseconds. */
-const FULL_PAUSE_MS = 60;
-/**
- * Time for which a target without room counts as full, in milliseconds: about
- * a call, after which another owner's results are read.
- */
-const FOREIGN_ROOM_MS = 400;
 /** Time behind its due time at which a piece leaves a full queue, in ms. */
 const LATE_TOLERANCE_MS = 1_200;
 /** Shortest wait for a target to become free, in milliseconds. */
 const MIN_RETRY_MS = 10;
 /** Longest wait until the queue is looked at again, in milliseconds. */
 const MAX_RETRY_MS = 250;
-/** Gain of the moving mean of the pieces of calls under load. */
-const FILL_GAIN = 0.1;
-/** Gain of the moving mean of the times of calls. */
-const CALL_MS_GAIN = 0.1;
-/** Share of the largest call that is expected under load at first. */
-const INITIAL_FILL = 0.85;
-/**
- * Share of the room that is used: the size of results is known approximately.
- */
-const ROOM_SHARE = 0.92;
-/** Share of the largest call for which a call waits until there is room. */
-const WORTHWHILE_SHARE = 0.5;
-/** Longest such wait, in milliseconds. */
-const ROOM_WAIT_MS = 120;
 /**
  * Longest time for which a piece waits for a target beside its data, in
  * milliseconds: about a call, after which such a target is free as a rule.
@@ -83,26 +60,13 @@
  */
 const INPUTS_READ_MS = 80;
 
-/** Work of one pool. */
-interface PoolWork {
-  readonly name: string;
-  queue: BatchQueue<PieceTask>;
-  servers: StageServers;
-  room: ResultRoom;
-  /** Mean pieces of calls that could have been full. */
-  fill?: number;
-  /** Mean time of calls, in milliseconds. */
-  callMs?: number;
-  timer?: NodeJS.Timeout;
-}
-
 /** Forms the calls of batched pools. */
 export class StageBatcher {
   readonly #state: () => FleetState;
   readonly #client: TargetClient;
   readonly #log: Logger;
   readonly #metrics: Metrics;
-  readonly #pools = new Map<string, PoolWork>();
+  readonly #pools = new Map<string, StagePool>();
   #submissions = 0;
 
   constructor(
@@ -126,27 +90,20 @@
     const pool = this.#pool(name);
     const now = monotonicMs();
     this.#refresh(pool, now);
-    const fill = pool.fill ?? limits.maxPieces * INITIAL_FILL;
-    return pool.servers.capacity(now) * limits.slots * fill /
-      expectedCallMs(limits, fill);
+    return pool.rate(limits, now);
   }
 
   /** Usual time of a call of a pool, in milliseconds. */
   callMs(name: string): number {
     const limits = this.#limits(name);
-    if (!limits) return 0;
-    return this.#pool(name).callMs ?? expectedCallMs(limits, limits.maxPieces);
+    return limits ? this.#pool(name).callMs(limits) : 0;
   }
 
   /** True when pieces wait for room rather than for targets. */
   isRoomScarce(name: string): boolean {
     const limits = this.#limits(name);
-    const pool = this.#pools.get(name);
-    if (!limits || !pool || pool.queue.length === 0) return false;
-    return pool.servers.ids.some((id) =>
-      this.#roomAt(pool, limits, id) <
-        limits.maxPieces * pool.queue.nextBytes(monotonicMs())
-    );
+    return limits !== undefined &&
+      this.#pool(name).isRoomScarce(limits, monotonicMs());
   }
 
   /** Frees results at their makers; their room counts from the answer on. */
@@ -184,7 +141,7 @@
     });
   }
 
-  #enqueue(pool: PoolWork, tasks: readonly PieceTask[]): void {
+  #enqueue(pool: StagePool, tasks: readonly PieceTask[]): void {
     pool.queue = pool.queue.add(tasks.map((task): QueuedPiece<PieceTask> => ({
       item: task,
       group: task.submission.id,
@@ -201,7 +158,7 @@
   }
 
   /** Sends calls while pieces wait and targets are free. */
-  #pump(pool: PoolWork): void {
+  #pump(pool: StagePool): void {
     clearTimeout(pool.timer);
     const limits = this.#limits(pool.name);
     if (!limits) return;
@@ -221,9 +178,8 @@
   }
 
   /** Sends a call to one free target; false when there is none to send. */
-  #sendCall(pool: PoolWork, limits: BatchLimits, now: number): boolean {
+  #sendCall(pool: StagePool, limits: BatchLimits, now: number): boolean {
     if (pool.queue.length === 0) return false;
-    const nextBytes = pool.queue.nextBytes(now);
     const targetOf = (id: string) => this.#state().targets.get(id)?.target;
     const domains = new Map<string, number>();
     pool.servers.awake(now).forEach(({ id }) => {
@@ -235,13 +191,11 @@
     return pool.servers.free(limits, now).some(({ id }) => {
       const target = targetOf(id);
       if (!target) return false;
-      if (!this.#isWorthCalling(pool, limits, { id, nextBytes, now })) {
-        return false;
-      }
+      if (!pool.isWorthCalling(limits, id, now)) return false;
       const isOnTrial = pool.servers.isOnTrial(id);
       const bounds = {
         maxPieces: isOnTrial ? TRIAL_PIECES : limits.maxPieces,
-        roomBytes: this.#roomAt(pool, limits, id),
+        roomBytes: pool.roomAt(limits, id, now),
         domain: target.failureDomain,
         domains,
       };
@@ -251,7 +205,7 @@
       if (taken.length === 0) return false;
       pool.queue = rest;
       if (open >= limits.maxPieces && !isOnTrial) {
-        this.#noteFill(pool, limits, taken.length);
+        pool.noteFill(limits, taken.length);
       }
       const tasks = taken.map(({ item }) => item).filter(isOpen);
       if (tasks.length > 0) this.#call(pool, limits, target, tasks);
@@ -259,40 +213,13 @@
     });
   }
 
-  #noteFill(pool: PoolWork, limits: BatchLimits, pieces: number): void {
-    const before = pool.fill ?? limits.maxPieces * INITIAL_FILL;
-    pool.fill = before + FILL_GAIN * (pieces - before);
-  }
-
-  /**
-   * False when a target has no room for the next result, or so little that a
-   * call would carry few pieces although many wait and room is soon freed.
-   */
-  #isWorthCalling(
-    pool: PoolWork,
-    limits: BatchLimits,
-    at: { id: string; nextBytes: number; now: number },
-  ): boolean {
-    const room = this.#roomAt(pool, limits, at.id);
-    if (room < at.nextBytes) return false;
-    const wanted = Math.min(pool.queue.length, limits.maxPieces);
-    const fits = room / Math.max(1, at.nextBytes);
-    const sinceMs = at.now - (pool.servers.get(at.id)?.freeAt ?? 0);
-    return fits >= wanted * WORTHWHILE_SHARE || sinceMs >= ROOM_WAIT_MS;
-  }
-
-  /** Bytes that a target has left for results. */
-  #roomAt(pool: PoolWork, limits: BatchLimits, id: string): number {
-    return limits.roomBytes * ROOM_SHARE - pool.room.used(id, monotonicMs());
-  }
-
-  #refresh(pool: PoolWork, now: number): void {
+  #refresh(pool: StagePool, now: number): void {
     const usable = this.#state().usable(pool.name, now);
     pool.servers = pool.servers.members(usable.map(({ id }) => id));
   }
 
   /** Drops what is late while others wait that can be on time. */
-  #expire(pool: PoolWork, limits: BatchLimits, now: number): void {
+  #expire(pool: StagePool, limits: BatchLimits, now: number): void {
     const [valid, expired] = pool.queue.expire(now);
     const [queue, late] = valid.shed(now, {
       graceMs: LATE_TOLERANCE_MS,
@@ -306,7 +233,7 @@
   }
 
   async #call(
-    pool: PoolWork,
+    pool: StagePool,
     limits: BatchLimits,
     target: ListedTarget,
     tasks: readonly PieceTask[],
@@ -348,7 +275,9 @@
       outcome: outcome.isOk() ? "ok" : outcome.error.kind,
       waiting: pool.queue.length,
       usedBytes: pool.room.used(target.id, monotonicMs()),
-      roomLeft: Math.round(this.#roomAt(pool, limits, target.id)),
+      roomLeft: Math.round(
+        pool.roomAt(limits, target.id, monotonicMs()),
+      ),
       faults: outcome.unwrapOr([])
         .flatMap((one) => "fault" in one ? [one.fault] : []).join(","),
     });
@@ -363,16 +292,17 @@
     pool.room = pool.room
       .settle(target.id, bytes, made, monotonicMs() + limits.resultTtlMs);
     if (outcome.isOk()) {
-      this.#learnFrom(pool, limits, {
+      const now = monotonicMs();
+      pool.noteEnd(limits, {
         id: target.id,
         made: made.length,
         tookMs,
         wasSlow: isSlow.value,
-      });
+      }, now);
       const isFull = outcome.value.some((one) =>
         "fault" in one && one.fault === PieceFault.NoRoom
       );
-      if (isFull) this.#noteNoRoom(pool, limits, target.id);
+      if (isFull) pool.noteNoRoom(limits, target.id, now);
       outcome.value.forEach((one, i) => this.#pieceDone(pool, tasks[i], one));
     } else if (!isSlow.value) {
       this.#callFailed(pool, target, tasks, outcome.error);
@@ -380,36 +310,6 @@
     this.#pump(pool);
   }
 
-  /**
-   * Takes the time of a call into account. One of which no piece was worked on
-   * ends at once and says nothing of the target's speed.
-   */
-  #learnFrom(
-    pool: PoolWork,
-    limits: BatchLimits,
-    call: { id: string; made: number; tookMs: number; wasSlow: boolean },
-  ): void {
-    const { id, made, tookMs, wasSlow } = call;
-    if (made > 0) {
-      pool.callMs ??= tookMs;
-      pool.callMs += CALL_MS_GAIN * (tookMs - pool.callMs);
-    }
-    // A slow call was counted as ended when it was given up.
-    if (wasSlow) return;
-    const now = monotonicMs();
-    pool.servers = made > 0
-      ? pool.servers.answered(id, tookMs / expectedCallMs(limits, made), now)
-      : pool.servers.ended(id, now);
-  }
-
-  /** A target has no room although results that this process knows fit. */
-  #noteNoRoom(pool: PoolWork, limits: BatchLimits, id: string): void {
-    const now = monotonicMs();
-    const left = Math.max(0, this.#roomAt(pool, limits, id));
-    pool.room = pool.room.lacks(id, left, now + FOREIGN_ROOM_MS);
-    pool.servers = pool.servers.rest(id, now, FULL_PAUSE_MS);
-  }
-
   /** Tells submissions of which every piece was sent that inputs are read. */
   #noteInputs(tasks: readonly PieceTask[]): void {
     const first = tasks.filter(({ attempts }) => attempts === 0);
@@ -427,7 +327,7 @@
 
   /** A call takes far too long: its pieces also go to another target. */
   #slow(
-    pool: PoolWork,
+    pool: StagePool,
     target: ListedTarget,
     tasks: readonly PieceTask[],
   ): void {
@@ -442,7 +342,7 @@
   }
 
   #callFailed(
-    pool: PoolWork,
+    pool: StagePool,
     target: ListedTarget,
     tasks: readonly PieceTask[],
     error: PiecesError,
@@ -457,7 +357,7 @@
       detail,
     });
     if (error.kind === "full") {
-      pool.servers = pool.servers.full(target.id, now, FULL_PAUSE_MS);
+      pool.noteFull(target.id, now);
       this.#enqueue(pool, tasks.filter(isOpen));
       return;
     }
@@ -465,7 +365,7 @@
     this.#retry(pool, tasks);
   }
 
-  #retry(pool: PoolWork, tasks: readonly PieceTask[]): void {
+  #retry(pool: StagePool, tasks: readonly PieceTask[]): void {
     const open = tasks.filter(isOpen);
     open.filter(({ attempts }) => attempts + 1 >= MAX_PIECE_ATTEMPTS)
       .forEach(({ submission }) =>
@@ -479,7 +379,7 @@
   }
 
   #pieceDone(
-    pool: PoolWork,
+    pool: StagePool,
     task: PieceTask | undefined,
     outcome: PieceOutcome,
   ): void {
@@ -513,7 +413,7 @@
   }
 
   async #drop(
-    pool: PoolWork,
+    pool: StagePool,
     results: readonly ResultHandle[],
   ): Promise<void> {
     if (results.length === 0) return;
@@ -523,7 +423,7 @@
   }
 
   #settle(
-    pool: PoolWork,
+    pool: StagePool,
     submission: Submission,
     end: StageEnd,
   ): void {
@@ -539,15 +439,10 @@
     settle(end);
   }
 
-  #pool(name: string): PoolWork {
+  #pool(name: string): StagePool {
     const found = this.#pools.get(name);
     if (found) return found;
-    const fresh = {
-      name,
-      queue: new BatchQueue<PieceTask>(),
-      servers: new StageServers(),
-      room: new ResultRoom(),
-    };
+    const fresh = new StagePool(name);
     this.#pools.set(name, fresh);
     return fresh;
   }
