Go on with a planned stop at a second signal

Cause: the handlers of SIGTERM were taken off with the first signal, so a second one ended the process at once and cut what it had in hand; the product's own daemons did the same.

--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -22,7 +22,10 @@
 
 /** Runs until SIGTERM or SIGINT, then drains and ends the process. */
 export function runDaemon(kernel: Kernel, opts: { drainMs: number }): void {
+  let isStopping = false;
   const stop = () => {
+    if (isStopping) return;
+    isStopping = true;
     setTimeout(() => {
       console.error(`event=stop_timed_out service=${kernel.draining}`);
       process.exit(1);
@@ -35,6 +38,7 @@
       },
     );
   };
-  process.once("SIGTERM", stop);
-  process.once("SIGINT", stop);
+  // The handlers stay: without them a second signal would end the process.
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
 }
