Read rows whole after a lost history, whatever peers tell

Change: what has to be read whole is remembered apart from the version, and read without a pause. Test: fleet_view_test (fails before).

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -43,6 +43,11 @@
   readonly #metrics: Metrics;
   #state = new FleetState();
   readonly #versions = new Map<StatePart, number>();
+  /**
+   * Parts that have to be read whole. What peers tell does not make up for it:
+   * they may have lost the same changes.
+   */
+  readonly #unread = new Set<StatePart>(Object.values(StatePart));
   readonly #listeners = new Set<(state: FleetState) => void>();
   /** Monotonic time of the newest answer of the store. */
   #heardAt = Number.NEGATIVE_INFINITY;
@@ -98,26 +103,29 @@
   async #follow(part: StatePart, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const isOk = await this.#step(part, signal);
+      if (isOk && this.#unread.has(part)) continue;
       await sleep(isOk ? FOLLOW[part].pauseMs : RETRY_PAUSE_MS, signal);
     }
   }
 
   /** One call to the store; false when it failed. */
   async #step(part: StatePart, signal: AbortSignal): Promise<boolean> {
+    const isWhole = this.#unread.has(part);
     const after = this.versionOf(part);
     const { waitMs } = FOLLOW[part];
     const limit = timeoutSignal(
-      (after > 0 ? waitMs : 0) + ANSWER_SLACK_MS,
+      (isWhole ? 0 : waitMs) + ANSWER_SLACK_MS,
       signal,
     );
-    const read = after > 0
-      ? await this.#source.follow(part, { after, waitMs }, limit)
-      : await this.#source.snapshot(part, limit);
+    const read = isWhole
+      ? await this.#source.snapshot(part, limit)
+      : await this.#source.follow(part, { after, waitMs }, limit);
     if (signal.aborted) return false;
     if (read.isErr()) return this.#failed(part, read.error);
     this.#heard();
     const { changes, version } = read.value;
-    const all = after > 0 ? changes : this.#withMissing(part, read.value);
+    this.#unread.delete(part);
+    const all = isWhole ? this.#withMissing(part, read.value) : changes;
     this.#apply(all.map((change) => this.#withLapse(change)), "store");
     this.#versions.set(part, Math.max(version, this.versionOf(part)));
     return true;
@@ -128,7 +136,7 @@
     if (error.kind === "history-lost") {
       this.#log.warn("store_history_lost", { part });
       this.#heard();
-      this.#versions.set(part, 0);
+      this.#unread.add(part);
       return true;
     }
     this.#failedAt = monotonicMs();
