Take chains while all targets of a pool rest for a short time

Change: a call is slow after 250 ms at the least; while all targets rest, those that rest no longer than 0.5 s count for the expected wait. A comment promised that one of them would be tried, which the code never did; it is gone.

--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -35,6 +35,11 @@
 const MAX_PIECE_ATTEMPTS = 3;
 /** Multiple of the expected time after which pieces also go elsewhere. */
 const SLOW_CALL_RATIO = 2;
+/**
+ * Shortest time after which they do, in milliseconds: a busy process may take
+ * as long to hear an answer.
+ */
+const MIN_SLOW_CALL_MS = 250;
 /** Multiple of the expected time after which a call is given up. */
 const CALL_TIMEOUT_RATIO = 8;
 /** Pieces of a call to a target that was slow or failed before. */
@@ -255,14 +260,16 @@
     const slowTimer = setTimeout(() => {
       isSlow.value = true;
       this.#slow(pool, target, tasks);
-    }, expectedMs * SLOW_CALL_RATIO);
+    }, Math.max(MIN_SLOW_CALL_MS, expectedMs * SLOW_CALL_RATIO));
     const outcome = await this.#client.runPieces(
       target,
       tasks.map(({ piece, submission }) => ({
         ...piece,
         remainingMs: Math.max(1, Math.round(submission.work.expiresAt - now)),
       })),
-      timeoutSignal(expectedMs * CALL_TIMEOUT_RATIO),
+      timeoutSignal(
+        Math.max(MIN_SLOW_CALL_MS, expectedMs) * CALL_TIMEOUT_RATIO,
+      ),
     );
     clearTimeout(slowTimer);
     const tookMs = monotonicMs() - now;
--- a/src/serving/stage_servers.ts
+++ b/src/serving/stage_servers.ts
@@ -33,6 +33,9 @@
 /** Time after which a slow target is tried again, in milliseconds. */
 const SLOW_REST_MS = 3_000;
 
+/** Time in which a target that rests counts as there again, in milliseconds. */
+const SOON_MS = 500;
+
 /** Expected time of a call with `pieces` pieces, in milliseconds. */
 export function expectedCallMs(limits: BatchLimits, pieces: number): number {
   return limits.callMs + limits.pieceMs * pieces;
@@ -77,9 +80,14 @@
     return this.#awake(now);
   }
 
-  /** Work of the targets that take calls, in usual targets. */
+  /**
+   * Work of the targets that take calls, in usual targets. While all rest,
+   * those count that will soon take calls again.
+   */
   capacity(now: number): number {
-    return this.#awake(now)
+    const awake = this.#awake(now);
+    const counted = awake.length > 0 ? awake : this.#awake(now + SOON_MS);
+    return counted
       .reduce((sum, { slowness }) => sum + 1 / Math.max(1, slowness), 0);
   }
 
@@ -171,10 +179,6 @@
     return Math.max(0, Math.min(...times));
   }
 
-  /**
-   * Targets that take calls. When all rest, the one whose rest ends first is
-   * tried, so that a pool never stops by itself.
-   */
   #awake(now: number): readonly StageServer[] {
     return [...this.#servers.values()]
       .filter(({ restsUntil }) => restsUntil <= now);
--- a/src/serving/stage_servers_test.ts
+++ b/src/serving/stage_servers_test.ts
@@ -45,3 +45,11 @@
   assert.deepEqual(ids(servers, 5).toSorted(), ["a", "b"]);
   assert.equal(servers.isOnTrial("b"), false);
 });
+
+test("StageServers.capacity() counts targets that all rest for a short time", () => {
+  const failed = new StageServers().members(["a", "b"])
+    .failed("a", 0).failed("b", 0);
+  assert.deepEqual(ids(failed, 1), []);
+  assert.equal(failed.capacity(1), 2);
+  assert.equal(failed.failed("a", 1).failed("b", 1).capacity(2), 0);
+});
