--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -19,8 +19,8 @@
 }
 
 const FOLLOW: Readonly<Record<StatePart, FollowSpec>> = {
-  [StatePart.Configuration]: { waitMs: 1_500, pauseMs: 0 },
-  [StatePart.Targets]: { waitMs: 1_000, pauseMs: 700 },
+  [StatePart.Configuration]: { waitMs: 1_000, pauseMs: 0 },
+  [StatePart.Targets]: { waitMs: 1_000, pauseMs: 400 },
   [StatePart.Peers]: { waitMs: 10_000, pauseMs: 1_000 },
 };
 
