End the call to a silent target only when another one takes over

Callers of resumable streams lost their answer although the server was sound: it fell silent for a second or so and would have gone on.

Cause: silence ended the call. Relay aborted it after twice the longest pause (1.2 s for a pause of 600 ms) and only then looked for a way to go on: the stages again, refused under load as the request was overdue by then, a retry of the budget, and another open target. Without any of these the answer, which had begun, was cut; an idempotent request got 502. A slow caller had the same effect, since its back pressure pauses the call.

Change: silence is reported, not acted on. Exchange prepares the next attempt (AttemptPreparer: stages, then a reserved target; Replacement) while the call goes on; the call ends once the next attempt is ready and its retry is paid for, or it goes on and cancels the preparation. A stream counts as silent after four times its longest pause, at least 2 s. The time for which a slow caller pauses the call is no silence. New log lines: target_silent, replacement_failed.

Why it works: no path leads from silence alone to the end of an answer; a broken connection, the deadline and the caller still end it.

--- /dev/null
+++ b/src/gateway/attempt_preparer.ts
@@ -0,0 +1,143 @@
+/**
+ * Prepares the attempts of a request: the results of its stages and a reserved
+ * target.
+ *
+ * @module
+ */
+
+import { err, ok, type Result } from "neverthrow";
+import { monotonicMs } from "../kernel/mod.ts";
+import type { ChainClient, StagedInputs } from "./chain_client.ts";
+import type { FirstByteTimes } from "./first_byte_times.ts";
+import type { CallerRequest } from "./ports.ts";
+import type { Admitted } from "./relay.ts";
+import type { Reservation, TargetTracker } from "./target_tracker.ts";
+
+/**
+ * Time after which callers may retry when no target is open, in milliseconds.
+ */
+export const NO_TARGET_RETRY_AFTER_MS = 300;
+/** Largest share of their remaining time that callers wait before a retry. */
+const MAX_RETRY_SHARE = 1 / 3;
+/** Longest time after which callers that met a long queue may retry, in ms. */
+const MAX_QUEUE_RETRY_AFTER_MS = 6_000;
+/** Largest share by which that time is shortened at random. */
+const RETRY_JITTER = 0.3;
+/** Shortest remaining time in which a request is worth sending, in ms. */
+const MIN_SEND_MS = 20;
+
+/** Everything that one attempt at a target needs. */
+export interface PreparedAttempt {
+  readonly inputs: StagedInputs;
+  readonly reservation: Reservation;
+}
+
+/** Why no attempt can be made now. */
+export interface Unprepared {
+  readonly reason: string;
+  readonly retryAfterMs: number;
+}
+
+/** Services that prepare attempts. */
+export interface PreparerDeps {
+  readonly tracker: TargetTracker;
+  readonly chains: ChainClient;
+  readonly firstByteTimes: FirstByteTimes;
+}
+
+/** Prepares the attempts of one request. */
+export class AttemptPreparer {
+  readonly #admitted: Admitted;
+  /** Monotonic time of the request's deadline. */
+  readonly #deadlineAt: number;
+  readonly #deps: PreparerDeps;
+
+  constructor(admitted: Admitted, deadlineAt: number, deps: PreparerDeps) {
+    this.#admitted = admitted;
+    this.#deadlineAt = deadlineAt;
+    this.#deps = deps;
+  }
+
+  /**
+   * Runs the stages, then reserves a target that is not in `exclude`. The
+   * caller has to use or discard what it returns.
+   */
+  async prepare(
+    exclude: ReadonlySet<string>,
+    signal: AbortSignal,
+  ): Promise<Result<PreparedAttempt, Unprepared>> {
+    const inputs = await this.#runStages(signal);
+    if (inputs.isErr()) return err(inputs.error);
+    const reservation = this.#reserve(exclude);
+    if (reservation.isOk()) {
+      return ok({ inputs: inputs.value, reservation: reservation.value });
+    }
+    inputs.value.release();
+    return err(reservation.error);
+  }
+
+  async #runStages(
+    signal: AbortSignal,
+  ): Promise<Result<StagedInputs, Unprepared>> {
+    const { req, route, pool, catalog, priority, ageMs, sizeRank } =
+      this.#admitted;
+    if (route.stages.length === 0) return ok(NO_INPUTS);
+    const affinity = affinityOf(req);
+    const firstByteMs = this.#deps.firstByteTimes.of(route.name);
+    const outcome = await this.#deps.chains.run({
+      req,
+      route,
+      catalog,
+      priority,
+      dueAt: req.receivedAt - ageMs + route.latencyGoalMs - firstByteMs,
+      expiresAt: this.#deadlineAt - firstByteMs,
+      sizeRank,
+      resultDomain: affinity === undefined
+        ? undefined
+        : this.#deps.tracker.preferredDomain(pool, affinity),
+      signal,
+    });
+    const remainingMs = this.#deadlineAt - monotonicMs();
+    return outcome.mapErr(({ reason }) => ({
+      reason,
+      retryAfterMs: queueRetryMs(remainingMs),
+    }));
+  }
+
+  #reserve(exclude: ReadonlySet<string>): Result<Reservation, Unprepared> {
+    if (this.#deadlineAt - monotonicMs() < MIN_SEND_MS) {
+      return err({ reason: "its time has passed", retryAfterMs: 0 });
+    }
+    const { req, pool } = this.#admitted;
+    const reservation = this.#deps.tracker.reserve(pool, {
+      affinity: affinityOf(req),
+      exclude,
+    });
+    if (reservation) return ok(reservation);
+    return err({
+      reason: "no target is open",
+      retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
+    });
+  }
+}
+
+const NO_INPUTS: StagedInputs = { results: [], release: () => {} };
+
+/**
+ * Time after which a caller that met a long queue may retry, in milliseconds.
+ * Its retry misses the latency goal in any case, and it may retry once. A burst
+ * lasts for seconds, so the latest possible time is the best one. The jitter
+ * keeps these callers from returning together as the next burst.
+ */
+function queueRetryMs(remainingMs: number): number {
+  const ms = Math.min(MAX_QUEUE_RETRY_AFTER_MS, remainingMs * MAX_RETRY_SHARE);
+  return Math.round(ms * (1 - RETRY_JITTER * Math.random()));
+}
+
+/**
+ * Name of the most specific shared segment of the prompt. The last segment
+ * counts as unshared unless it is the only one.
+ */
+function affinityOf({ promptParts }: CallerRequest): string | undefined {
+  return promptParts.at(-2) ?? promptParts.at(-1);
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,13 +4,18 @@
  * @module
  */
 
+import type { Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
 import { RouteKind } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
-import type { ChainClient, StagedInputs } from "./chain_client.ts";
-import type { FirstByteTimes } from "./first_byte_times.ts";
 import {
-  type CallerRequest,
+  AttemptPreparer,
+  NO_TARGET_RETRY_AFTER_MS,
+  type PreparedAttempt,
+  type PreparerDeps,
+  type Unprepared,
+} from "./attempt_preparer.ts";
+import {
   type CallerResponse,
   type Refusal,
   RefusalKind,
@@ -18,14 +23,11 @@
   type TargetClient,
 } from "./ports.ts";
 import { type Admitted, type AttemptEnd, Relay } from "./relay.ts";
-import type { TargetTracker } from "./target_tracker.ts";
+import { discardAttempt, Replacement } from "./replacement.ts";
 
 /** Services that exchanges use. */
-export interface ExchangeDeps {
-  readonly tracker: TargetTracker;
-  readonly chains: ChainClient;
+export interface ExchangeDeps extends PreparerDeps {
   readonly client: TargetClient;
-  readonly firstByteTimes: FirstByteTimes;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
@@ -35,22 +37,10 @@
  * refused.
  */
 const MAX_UNSENT_ATTEMPTS = 3;
-/**
- * Time after which callers may retry when no target is open, in milliseconds.
- */
-const NO_TARGET_RETRY_AFTER_MS = 300;
 /**
  * Time after which callers may retry after a target refused, in milliseconds.
  */
 const TARGET_FULL_RETRY_AFTER_MS = 200;
-/** Largest share of their remaining time that callers wait before a retry. */
-const MAX_RETRY_SHARE = 1 / 3;
-/** Longest time after which callers that met a long queue may retry, in ms. */
-const MAX_QUEUE_RETRY_AFTER_MS = 6_000;
-/** Largest share by which that time is shortened at random. */
-const RETRY_JITTER = 0.3;
-/** Shortest remaining time in which a request is worth sending, in ms. */
-const MIN_SEND_MS = 20;
 
 /** Serves one request. */
 export class Exchange {
@@ -58,6 +48,7 @@
   readonly #response: CallerResponse;
   readonly #deps: ExchangeDeps;
   readonly #deadlineAt: number;
+  readonly #preparer: AttemptPreparer;
   readonly #ended = new AbortController();
   readonly #tried = new Set<string>();
   #attempts = 0;
@@ -65,6 +56,7 @@
   /** True once a target may have begun to run the request. */
   #mayHaveRun = false;
   #call: RunningCall | undefined;
+  #replacement: Replacement | undefined;
   #lastEventId: string | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -80,6 +72,7 @@
     this.#lastEventId = req.lastEventId;
     this.#deadlineAt = req.receivedAt +
       Math.min(route.timeoutMs, req.deadlineMs ?? route.timeoutMs);
+    this.#preparer = new AttemptPreparer(admitted, this.#deadlineAt, deps);
   }
 
   /**
@@ -94,58 +87,92 @@
       once: true,
     });
     this.#deps.tracker.request(this.#admitted.pool.name);
-    while (!this.#ended.signal.aborted) {
-      const inputs = await this.#runStages();
-      if (inputs === undefined) return;
-      const end = await this.#attempt(inputs);
-      inputs.release();
-      if (!this.#shouldRetry(end)) return;
+    let attempt = await this.#usable(this.#prepare(this.#ended.signal));
+    while (attempt) {
+      const end = await this.#send(attempt);
+      attempt.inputs.release();
+      attempt = await this.#nextAttempt(end);
     }
   }
 
-  /** Runs the stages; undefined when the exchange has ended. */
-  async #runStages(): Promise<StagedInputs | undefined> {
-    const { req, route, pool, catalog, priority, ageMs, sizeRank } =
-      this.#admitted;
-    const affinity = affinityOf(req);
-    const firstByteMs = this.#deps.firstByteTimes.of(route.name);
-    if (route.stages.length === 0) return { results: [], release: () => {} };
-    const outcome = await this.#deps.chains.run({
-      req,
-      route,
-      catalog,
-      priority,
-      dueAt: req.receivedAt - ageMs + route.latencyGoalMs - firstByteMs,
-      expiresAt: this.#deadlineAt - firstByteMs,
-      sizeRank,
-      resultDomain: affinity === undefined
-        ? undefined
-        : this.#deps.tracker.preferredDomain(pool, affinity),
-      signal: this.#ended.signal,
-    });
-    if (outcome.isOk()) return outcome.value;
-    const remainingMs = this.#deadlineAt - monotonicMs();
-    this.#abandon(outcome.error.reason, queueRetryMs(remainingMs));
+  #prepare(
+    signal: AbortSignal,
+  ): Promise<Result<PreparedAttempt, Unprepared>> {
+    return this.#preparer.prepare(this.#tried, signal);
+  }
+
+  /** Waits for an attempt; ends the exchange if it cannot be made. */
+  async #usable(
+    prepared: Promise<Result<PreparedAttempt, Unprepared>>,
+  ): Promise<PreparedAttempt | undefined> {
+    const result = await prepared;
+    if (result.isErr()) {
+      const { reason, retryAfterMs } = result.error;
+      this.#abandon(reason, retryAfterMs);
+      return undefined;
+    }
+    if (!this.#ended.signal.aborted) return result.value;
+    discardAttempt(result.value);
+    return undefined;
+  }
+
+  /** Returns the attempt after one that has ended, if another is made. */
+  async #nextAttempt(end: AttemptEnd): Promise<PreparedAttempt | undefined> {
+    const replacement = this.#replacement;
+    this.#replacement = undefined;
+    if (replacement?.isTaken || this.#shouldRetry(end)) {
+      return await this.#usable(
+        replacement?.prepared ?? this.#prepare(this.#ended.signal),
+      );
+    }
+    replacement?.cancel();
     return undefined;
   }
 
+  /**
+   * Prepares the next attempt while a target is silent. The call to it ends
+   * only once another target is certain to get the request: the silent one may
+   * go on, and nothing else may be able to serve the request.
+   */
+  #replaceSilent(relay: Relay, target: string, silentMs: number): void {
+    this.#log("target_silent", { target, silentMs });
+    if (this.#replacement || !this.#mayReplace()) return;
+    const replacement = new Replacement((signal) =>
+      this.#prepare(AbortSignal.any([signal, this.#ended.signal]))
+    );
+    this.#replacement = replacement;
+    replacement.prepared.then((result) => {
+      // An attempt that ended meanwhile has passed it on to the next one.
+      const isCurrent = this.#replacement === replacement;
+      if (!isCurrent && !replacement.isCancelled) return;
+      if (result.isErr()) {
+        this.#log("replacement_failed", { reason: result.error.reason });
+      } else if (isCurrent && this.#spendRetry()) {
+        replacement.take();
+        return relay.giveUp(`silent for ${silentMs} ms`);
+      } else {
+        discardAttempt(result.value);
+      }
+      if (isCurrent) this.#replacement = undefined;
+    }).catch((err: unknown) =>
+      this.#log("replacement_failed", { reason: String(err) })
+    );
+  }
+
+  #mayReplace(): boolean {
+    return this.#isRepeatable &&
+      this.#attempts + 1 < this.#admitted.route.maxAttempts;
+  }
+
+  #cancelReplacement(): void {
+    this.#replacement?.cancel();
+    this.#replacement = undefined;
+  }
+
   /** Sends the request to one target. */
-  #attempt(inputs: StagedInputs): Promise<AttemptEnd> {
-    const { req, route, pool, organisation } = this.#admitted;
-    if (this.#ended.signal.aborted) return Promise.resolve({ kind: "over" });
+  #send({ inputs, reservation }: PreparedAttempt): Promise<AttemptEnd> {
+    const { req, route, organisation } = this.#admitted;
     const remainingMs = Math.floor(this.#deadlineAt - monotonicMs());
-    if (remainingMs < MIN_SEND_MS) {
-      this.#abandon("its time has passed", 0);
-      return Promise.resolve({ kind: "over" });
-    }
-    const reservation = this.#deps.tracker.reserve(pool, {
-      affinity: affinityOf(req),
-      exclude: this.#tried,
-    });
-    if (!reservation) {
-      this.#abandon("no target is open", NO_TARGET_RETRY_AFTER_MS);
-      return Promise.resolve({ kind: "over" });
-    }
     const { target } = reservation;
     this.#log("sent", {
       target: target.id,
@@ -153,6 +180,7 @@
       remainingMs,
       tried: this.#tried.size,
     });
+    this.#tried.add(target.id);
     return new Promise((resolve) => {
       const relay = new Relay({
         admitted: this.#admitted,
@@ -163,6 +191,8 @@
         isResumed: this.#response.hasBegun,
         isOver: () => this.#ended.signal.aborted,
         onEvent: (id) => this.#lastEventId = id ?? this.#lastEventId,
+        onSilent: (ms) => this.#replaceSilent(relay, target.id, ms),
+        onProgress: () => this.#cancelReplacement(),
         onFirstBytes: (ms) => this.#deps.firstByteTimes.observe(route.name, ms),
         onEnd: (end) => {
           this.#recordAttempt(target.id, end);
@@ -186,7 +216,6 @@
 
   #recordAttempt(target: string, end: AttemptEnd): void {
     this.#call = undefined;
-    this.#tried.add(target);
     const isAttempt = end.kind !== "unsent" &&
       !(end.kind === "not-run" && !end.isAttempt);
     if (isAttempt) this.#attempts += 1;
@@ -212,24 +241,28 @@
    */
   #shouldRetry(end: AttemptEnd): boolean {
     if (this.#ended.signal.aborted || end.kind === "over") return false;
-    const { route, pool } = this.#admitted;
     if (end.kind === "unsent") return this.#retryUnsent(end.detail);
     if (end.kind === "not-run" && !end.isAttempt) {
       return this.#retryUnsent("other target at the address");
     }
-    const mayRetry = end.kind === "not-run" ||
-      route.kind === RouteKind.Idempotent ||
-      (route.kind === RouteKind.Stream && route.isResumable);
-    const hasAttemptLeft = this.#attempts < route.maxAttempts;
-    if (
-      mayRetry && hasAttemptLeft && this.#deps.tracker.spendRetry(pool.name)
-    ) {
-      return true;
-    }
+    const mayRetry = end.kind === "not-run" || this.#isRepeatable;
+    const hasAttemptLeft = this.#attempts < this.#admitted.route.maxAttempts;
+    if (mayRetry && hasAttemptLeft && this.#spendRetry()) return true;
     this.#finishFailed(end);
     return false;
   }
 
+  /** True when the request may be sent again after it may have run. */
+  get #isRepeatable(): boolean {
+    const { route } = this.#admitted;
+    return route.kind === RouteKind.Idempotent ||
+      (route.kind === RouteKind.Stream && route.isResumable);
+  }
+
+  #spendRetry(): boolean {
+    return this.#deps.tracker.spendRetry(this.#admitted.pool.name);
+  }
+
   #retryUnsent(detail: string): boolean {
     if (this.#unsentAttempts < MAX_UNSENT_ATTEMPTS) return true;
     if (this.#response.hasBegun) this.#breakOff(detail);
@@ -301,6 +334,7 @@
   ) {
     clearTimeout(this.#timer);
     this.#ended.abort();
+    this.#cancelReplacement();
     this.#call?.abort(outcome);
     const { route } = this.#admitted;
     const tookMs = monotonicMs() - this.#admitted.req.receivedAt;
@@ -321,22 +355,3 @@
     this.#deps.log.info(event, { request: this.#admitted.req.id, ...fields });
   }
 }
-
-/**
- * Time after which a caller that met a long queue may retry, in milliseconds.
- * Its retry misses the latency goal in any case, and it may retry once. A burst
- * lasts for seconds, so the latest possible time is the best one. The jitter
- * keeps these callers from returning together as the next burst.
- */
-function queueRetryMs(remainingMs: number): number {
-  const ms = Math.min(MAX_QUEUE_RETRY_AFTER_MS, remainingMs * MAX_RETRY_SHARE);
-  return Math.round(ms * (1 - RETRY_JITTER * Math.random()));
-}
-
-/**
- * Name of the most specific shared segment of the prompt. The last segment
- * counts as unshared unless it is the only one.
- */
-function affinityOf({ promptParts }: CallerRequest): string | undefined {
-  return promptParts.at(-2) ?? promptParts.at(-1);
-}
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -60,8 +60,15 @@
   /** The call failed or was aborted, and the request may have run. */
   | { readonly kind: "broken"; readonly detail: string };
 
-/** Multiple of the longest pause after which a stream counts as silent. */
-const SILENCE_RATIO = 2;
+/**
+ * Multiple of the longest on-time pause after which a stream counts as silent.
+ */
+const SILENCE_RATIO = 4;
+/**
+ * Shortest time after which a stream counts as silent, in milliseconds: sound
+ * targets may pause for a second or more.
+ */
+const MIN_SILENCE_MS = 2_000;
 /** Multiple of the usual time after which a response is overdue. */
 const OVERDUE_RATIO = 3;
 /** Shortest time after which a response is overdue, in milliseconds. */
@@ -80,6 +87,10 @@
   /** True once the exchange has ended for another reason. */
   isOver(): boolean;
   onEvent(lastId: string | undefined): void;
+  /** Called each time that the target has been silent for `ms`. */
+  onSilent(ms: number): void;
+  /** Called when the target goes on after a silence. */
+  onProgress(): void;
   /** Called with the time until the first bytes of a response. */
   onFirstBytes(ms: number): void;
   onEnd(end: AttemptEnd): void;
@@ -98,7 +109,10 @@
   #isEnded = false;
   #outcome: AttemptEnd | undefined;
   #watchdog: Watchdog | undefined;
-  #overdueTimer: NodeJS.Timeout | undefined;
+  /** Time after which the target counts as silent; undefined if it never does. */
+  #silenceMs: number | undefined;
+  #isSilent = false;
+  #isGivenUp = false;
 
   constructor(deps: RelayDeps) {
     this.#deps = deps;
@@ -107,25 +121,26 @@
   attach(call: RunningCall): void {
     if (this.#isEnded) return;
     this.#call = call;
+    this.#expectProgress(this.#overdueMs);
+  }
+
+  /** Ends the call to a silent target, as the next attempt is certain. */
+  giveUp(detail: string): void {
+    this.#isGivenUp = true;
+    this.#breakOff(detail);
+  }
+
+  /** Time after which the head of the response is overdue, in milliseconds. */
+  get #overdueMs(): number {
     const { route } = this.#deps.admitted;
-    const overdueMs = Math.max(
-      MIN_OVERDUE_MS,
-      OVERDUE_RATIO * this.#deps.usualMs,
-    );
     if (route.kind === RouteKind.Idempotent && route.maxAttempts > 1) {
-      this.#startWatchdog(route.latencyGoalMs);
-    } else if (route.kind === RouteKind.Stream && route.isResumable) {
-      this.#startWatchdog(overdueMs);
-    } else {
-      this.#overdueTimer = setTimeout(
-        () => this.#deps.reservation.overdue(),
-        overdueMs,
-      );
+      return route.latencyGoalMs;
     }
+    return Math.max(MIN_OVERDUE_MS, OVERDUE_RATIO * this.#deps.usualMs);
   }
 
   head(head: ResponseHead): void {
-    clearTimeout(this.#overdueTimer);
+    this.#recordProgress();
     this.#deps.reservation.head(head);
     const isSuccess = head.status >= 200 && head.status < 300;
     if (head.isOtherTarget) {
@@ -142,28 +157,40 @@
     if (this.#deps.isResumed && !this.#isStream) {
       return this.#breakOff(`status ${head.status} for a resumed stream`);
     }
-    if (!this.#isStream) return;
-    if (!this.#deps.isResumed) this.#deps.response.begin(head);
-    if (route.isResumable && route.maxPauseMs !== undefined) {
-      this.#startWatchdog(route.maxPauseMs * SILENCE_RATIO);
+    if (route.kind !== RouteKind.Idempotent) {
+      this.#expectProgress(
+        this.#isStream && route.isResumable ? silenceMsOf(route) : undefined,
+      );
+    }
+    if (this.#isStream && !this.#deps.isResumed) {
+      this.#deps.response.begin(head);
     }
   }
 
   data(bytes: Buffer): boolean {
     if (this.#outcome) return true;
     this.#recordFirstBytes();
+    this.#recordProgress();
     if (!this.#isStream) {
       this.#chunks.push(bytes);
       return true;
     }
-    this.#watchdog?.recordProgress();
     const complete = this.#splitter.push(bytes);
     if (!complete) return true;
     this.#deps.onEvent(complete.lastId);
-    return this.#deps.response.write(
+    const mayContinue = this.#deps.response.write(
       complete.bytes,
-      () => this.#call?.resume(),
+      () => this.#resume(),
     );
+    // Nothing arrives while the call is paused for a slow caller.
+    if (!mayContinue) this.#watchdog?.end();
+    return mayContinue;
+  }
+
+  #resume(): void {
+    if (this.#isEnded) return;
+    this.#expectProgress(this.#silenceMs);
+    this.#call?.resume();
   }
 
   ended(): void {
@@ -203,15 +230,32 @@
     this.#deps.onFirstBytes(monotonicMs() - this.#startedAt);
   }
 
-  #startWatchdog(ms: number): void {
+  /** Reports each silence of this length from now on; undefined: none. */
+  #expectProgress(silenceMs: number | undefined): void {
     this.#watchdog?.end();
-    const watchdog = new Watchdog(ms);
+    this.#silenceMs = silenceMs;
+    if (silenceMs === undefined) return;
+    const watchdog = new Watchdog(silenceMs);
     this.#watchdog = watchdog;
     watchdog.signal.addEventListener("abort", () => {
-      if (watchdog.isExpired) this.#breakOff(`silent for ${ms} ms`);
+      if (watchdog.isExpired) this.#reportSilence(silenceMs);
     });
   }
 
+  #reportSilence(ms: number): void {
+    this.#expectProgress(ms);
+    if (!this.#isSilent) this.#deps.reservation.overdue();
+    this.#isSilent = true;
+    this.#deps.onSilent(ms);
+  }
+
+  #recordProgress(): void {
+    this.#watchdog?.recordProgress();
+    if (!this.#isSilent) return;
+    this.#isSilent = false;
+    this.#deps.onProgress();
+  }
+
   #breakOff(detail: string): void {
     this.#stop({ kind: "broken", detail });
   }
@@ -235,13 +279,17 @@
   #end(end: AttemptEnd): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
-    clearTimeout(this.#overdueTimer);
     this.#watchdog?.end();
     const { reservation } = this.#deps;
     const serviceMs = monotonicMs() - this.#startedAt;
     if (end.kind === "over") reservation.done(serviceMs);
-    else if (end.kind === "not-run") reservation.discarded();
+    else if (end.kind === "not-run" || this.#isGivenUp) reservation.discarded();
     else reservation.failed();
     this.#deps.onEnd(end);
   }
 }
+
+/** Time after which a stream counts as silent, in milliseconds. */
+function silenceMsOf({ maxPauseMs = 0 }: Route): number {
+  return Math.max(MIN_SILENCE_MS, SILENCE_RATIO * maxPauseMs);
+}
