Log stalls of the process

The log could not tell a silent target from a process that did not read: timers that expire after a stall run before the sockets are read. The new line process_stalled and its counter separate the two.

--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -13,7 +13,7 @@
   timeoutSignal,
 } from "../kernel/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
-import { type Logger, Metrics } from "../telemetry/mod.ts";
+import { type Logger, Metrics, monitorStalls } from "../telemetry/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
 import { ChainClient } from "./chain_client.ts";
 import { ChainRunner } from "./chain_runner.ts";
@@ -151,6 +151,7 @@
     service({
       key: serviceKey<Server>("metrics"),
       start: async ({ signal }) => {
+        monitorStalls({ log, metrics }, signal);
         const server = createServer((_req, res) => res.end(metrics.text()));
         if (!cfg.metrics) return server;
         // The process serves requests even if it cannot open this address.
--- a/src/telemetry/mod.ts
+++ b/src/telemetry/mod.ts
@@ -7,4 +7,5 @@
 export * from "./estimate.ts";
 export * from "./log.ts";
 export * from "./metrics.ts";
+export * from "./stall_monitor.ts";
 export * from "./trace.ts";
--- /dev/null
+++ b/src/telemetry/stall_monitor_test.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { SILENT_LOGGER } from "./log.ts";
+import { Metrics } from "./metrics.ts";
+import { monitorStalls } from "./stall_monitor.ts";
+
+const BLOCKED_MS = 600;
+
+test("monitorStalls() reports for how long the event loop was blocked", async () => {
+  const stalls: number[] = [];
+  const log = {
+    ...SILENT_LOGGER,
+    warn: (_event: string, fields?: Record<string, unknown>) => {
+      stalls.push(Number(fields?.stalledMs));
+    },
+  };
+  const abort = new AbortController();
+  const metrics = new Metrics();
+  const done = monitorStalls({ log, metrics }, abort.signal);
+  const blockedUntil = monotonicMs() + BLOCKED_MS;
+  while (monotonicMs() < blockedUntil);
+  await sleep(BLOCKED_MS);
+  abort.abort();
+  await done;
+  assert.ok((stalls[0] ?? 0) >= BLOCKED_MS / 2, `stalls: ${stalls}`);
+  assert.ok(metrics.total("process_stalls_total") >= 1);
+});
