--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -109,8 +109,6 @@
   #isEnded = false;
   #outcome: AttemptEnd | undefined;
   #watchdog: Watchdog | undefined;
-  /** Time after which the target counts as silent; undefined if it never does. */
-  #silenceMs: number | undefined;
   #isSilent = false;
   #isGivenUp = false;
 
@@ -183,13 +181,12 @@
       () => this.#resume(),
     );
     // Nothing arrives while the call is paused for a slow caller.
-    if (!mayContinue) this.#watchdog?.end();
+    if (!mayContinue) this.#watchdog?.suspend();
     return mayContinue;
   }
 
   #resume(): void {
-    if (this.#isEnded) return;
-    this.#expectProgress(this.#silenceMs);
+    this.#watchdog?.resume();
     this.#call?.resume();
   }
 
@@ -233,7 +230,6 @@
   /** Reports each silence of this length from now on; undefined: none. */
   #expectProgress(silenceMs: number | undefined): void {
     this.#watchdog?.end();
-    this.#silenceMs = silenceMs;
     if (silenceMs === undefined) return;
     const watchdog = new Watchdog(silenceMs);
     this.#watchdog = watchdog;
