Know the build of each target and the origin of a resumed stream

Cause: the gateway dropped the software version of a target's row and did not read which attempt began the stream that a caller resumes. Change: ListedTarget has a build, reserve() and preferredDomain() keep to a required one, log lines of changed targets carry it, and CallerRequest names the attempt of origin; its header is still forwarded. A target without a build still serves and matches only others without one.

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -221,11 +221,14 @@
       }
       if (change.kind !== "target") return;
       const old = before.targets.get(change.id)?.target;
-      if (old?.state === change.target?.state) return;
+      const isSame = old?.state === change.target?.state &&
+        old?.build === change.target?.build;
+      if (isSame) return;
       this.#log.info("target_changed", {
         version,
         target: change.id,
         pool: change.target?.pool ?? old?.pool,
+        build: change.target?.build ?? old?.build,
         state: change.target?.state ?? "gone",
         lapsed: change.hasLapsed,
         coldMs: change.target?.coldMs,
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -81,6 +81,11 @@
   readonly tokens?: TokenCounts;
   /** Last event of a stream that the caller has received. */
   readonly lastEventId?: string;
+  /**
+   * Identifier of the attempt that delivered the first event of the stream that
+   * this request resumes.
+   */
+  readonly originAttemptId?: string;
   /** Monotonic time at which the head of the request was read. */
   readonly receivedAt: number;
 }
--- a/src/gateway/target_tracker.ts
+++ b/src/gateway/target_tracker.ts
@@ -13,11 +13,13 @@
   weightOf,
 } from "../routing/mod.ts";
 import {
+  type BuildHolder,
   chooseTarget,
   coldRate,
   ColdShare,
   type FleetState,
   type ListedTarget,
+  ofBuild,
   type Pool,
   RetryShare,
   type ServingCandidate,
@@ -123,15 +125,16 @@
     opts: {
       affinity?: string;
       exclude: ReadonlySet<string>;
+      /** Only a target of the same build is chosen. */
+      sameBuildAs?: BuildHolder;
     },
   ): Reservation | undefined {
     const now = monotonicMs();
     const usable = this.#state().usable(pool.name, now);
     this.#refreshMembers(pool.name, usable, now);
-    const untried = usable.filter(({ id }) => !opts.exclude.has(id));
-    const candidates = untried.map((target) =>
-      this.#candidate(pool, target, now)
-    );
+    const candidates = ofBuild(usable, opts.sameBuildAs)
+      .filter(({ id }) => !opts.exclude.has(id))
+      .map((target) => this.#candidate(pool, target, now));
     const target = chooseTarget(candidates, {
       affinity: opts.affinity,
       failureDomain: this.#self.failureDomain,
@@ -142,10 +145,16 @@
   }
 
   /** Failure domain of the target that a prompt prefix currently prefers. */
-  preferredDomain(pool: Pool, affinity: string): string | undefined {
+  preferredDomain(
+    pool: Pool,
+    affinity: string,
+    sameBuildAs?: BuildHolder,
+  ): string | undefined {
     const now = monotonicMs();
-    const candidates = this.#state().usable(pool.name, now)
-      .map((target) => this.#candidate(pool, target, now));
+    const candidates = ofBuild(
+      this.#state().usable(pool.name, now),
+      sameBuildAs,
+    ).map((target) => this.#candidate(pool, target, now));
     return chooseTarget(candidates, {
       affinity,
       failureDomain: this.#self.failureDomain,
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -20,6 +20,8 @@
   /** `IP:PORT`. */
   readonly address: string;
   readonly failureDomain: string;
+  /** Version of its software; undefined when not reported. */
+  readonly build?: string;
   readonly state: TargetState;
   /** Remaining time of its cold start, in milliseconds. */
   readonly coldMs: number;
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -8,6 +8,7 @@
  */
 
 export * from "./batch_queue.ts";
+export * from "./builds.ts";
 export * from "./catalog.ts";
 export * from "./choice.ts";
 export * from "./fleet_state.ts";
