Keep a broken stream at the build that began it

Seen by callers: one answer held events of two software versions of a pool. Cause: each attempt of a request chose among all targets of the pool, also after events had been forwarded. Change: the target of the first forwarded event fixes the build; later attempts reserve only targets of it, and the answer is cut when none is open ("no target of the stream's build is open"). The log lines of attempts and of the end carry the build. A stream without a forwarded event may still begin anew anywhere.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -5,7 +5,7 @@
  */
 
 import { monotonicMs } from "../kernel/mod.ts";
-import { RouteKind } from "../serving/mod.ts";
+import { type BuildHolder, RouteKind } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import type { ChainClient, StagedInputs } from "./chain_client.ts";
 import type { FirstByteTimes } from "./first_byte_times.ts";
@@ -66,6 +66,8 @@
   #mayHaveRun = false;
   #call: RunningCall | undefined;
   #lastEventId: string | undefined;
+  /** Target that began the stream; only its build may go on with it. */
+  #origin: BuildHolder | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -120,7 +122,7 @@
       sizeRank,
       resultDomain: affinity === undefined
         ? undefined
-        : this.#deps.tracker.preferredDomain(pool, affinity),
+        : this.#deps.tracker.preferredDomain(pool, affinity, this.#origin),
       signal: this.#ended.signal,
     });
     if (outcome.isOk()) return outcome.value;
@@ -141,14 +143,21 @@
     const reservation = this.#deps.tracker.reserve(pool, {
       affinity: affinityOf(req),
       exclude: this.#tried,
+      sameBuildAs: this.#origin,
     });
     if (!reservation) {
-      this.#abandon("no target is open", NO_TARGET_RETRY_AFTER_MS);
+      this.#abandon(
+        this.#origin
+          ? "no target of the stream's build is open"
+          : "no target is open",
+        NO_TARGET_RETRY_AFTER_MS,
+      );
       return Promise.resolve({ kind: "over" });
     }
     const { target } = reservation;
     this.#log("sent", {
       target: target.id,
+      build: target.build,
       attempt: this.#attempts + 1,
       remainingMs,
       tried: this.#tried.size,
@@ -162,7 +171,10 @@
         usualMs: this.#deps.firstByteTimes.of(route.name),
         isResumed: this.#response.hasBegun,
         isOver: () => this.#ended.signal.aborted,
-        onEvent: (id) => this.#lastEventId = id ?? this.#lastEventId,
+        onEvent: (id) => {
+          this.#origin ??= target;
+          this.#lastEventId = id ?? this.#lastEventId;
+        },
         onFirstBytes: (ms) => this.#deps.firstByteTimes.observe(route.name, ms),
         onEnd: (end) => {
           this.#recordAttempt(target.id, end);
@@ -310,6 +322,7 @@
       outcome,
       tookMs: Math.round(tookMs),
       attempts: this.#attempts,
+      build: this.#origin?.build,
       ...fields,
     });
   }
