Remember the builds that a pool has had

Cause: a gateway knew only the builds of the targets listed now; right after its own restart, or once the last target of a build has left, it could not tell whether a resumed stream may have begun at another build. Change: FleetState keeps the builds that rows of targets showed, for ten minutes after the last one; each build of a pool of resumable streams is also recorded once in the table of the entries, which its feed already reads, so no further call follows it. Peers pass on builds without a record. buildsOf() lists them, and FleetView.onlyBuildOf() names the build of a pool that had exactly one, as long as the view is recent. The decoded changes moved to a file of their own.

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -6,7 +6,11 @@
  */
 
 import { monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
-import { FleetState, type StateChange } from "../serving/mod.ts";
+import {
+  type BuildHolder,
+  FleetState,
+  type StateChange,
+} from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import { type SourceError, StatePart, type StateSource } from "./ports.ts";
 
@@ -38,6 +42,11 @@
  * missed heartbeats, which its own outage may have caused.
  */
 const LAPSE_WINDOW_MS = 4_000;
+/**
+ * Age of the list of targets up to which it shows whether a pool has one build,
+ * in milliseconds: a call that follows it, its pause and its slack.
+ */
+const BUILD_VIEW_MS = 2_500;
 
 /** View of the fleet and the tasks that keep it up to date. */
 export class FleetView {
@@ -54,6 +63,8 @@
   readonly #listeners = new Set<(state: FleetState) => void>();
   /** Monotonic time of the last response of the store. */
   #lastResponseAt = Number.NEGATIVE_INFINITY;
+  /** Monotonic time at which this process or a peer last read the targets. */
+  #targetsReadAt = Number.NEGATIVE_INFINITY;
   #failedAt = Number.NEGATIVE_INFINITY;
   #isStoreLost = false;
 
@@ -79,6 +90,22 @@
     return monotonicMs() - this.#lastResponseAt;
   }
 
+  /** Time since the list of targets was read, in milliseconds. */
+  get targetsAgeMs(): number {
+    return monotonicMs() - this.#targetsReadAt;
+  }
+
+  /**
+   * Returns the build that all streams of a pool have begun at; undefined when
+   * it has lately had several, or when this process can't tell.
+   */
+  onlyBuildOf(pool: string): BuildHolder | undefined {
+    const isKnown = this.versionOf(StatePart.Peers) > 0 &&
+      this.targetsAgeMs < BUILD_VIEW_MS;
+    const builds = this.#state.buildsOf(pool, monotonicMs());
+    return isKnown && builds.length === 1 ? { build: builds[0] } : undefined;
+  }
+
   /** Calls `listener` after each change. */
   onChange(listener: (state: FleetState) => void): void {
     this.#listeners.add(listener);
@@ -89,12 +116,17 @@
     Object.values(StatePart).forEach((part) => this.#follow(part, signal));
   }
 
-  /** Merges the changes and versions that a peer knows. */
+  /**
+   * Merges the changes and versions that a peer knows; it read the targets at
+   * monotonic time `targetsReadAt`.
+   */
   merge(
     changes: readonly StateChange[],
     versions: Partial<Record<StatePart, number>>,
+    targetsReadAt: number,
   ): void {
     this.#apply(changes, "peer");
+    this.#targetsReadAt = Math.max(this.#targetsReadAt, targetsReadAt);
     Object.values(StatePart).forEach((part) => {
       const version = versions[part];
       if (version !== undefined && version > this.versionOf(part)) {
@@ -126,6 +158,7 @@
     if (signal.aborted) return false;
     if (read.isErr()) return this.#handleError(part, read.error);
     this.#recordResponse();
+    if (part === StatePart.Targets) this.#targetsReadAt = monotonicMs();
     const { changes, version } = read.value;
     this.#needSnapshot.delete(part);
     const all = isSnapshot ? this.#withRemovals(part, read.value) : changes;
@@ -219,6 +252,13 @@
         });
         return;
       }
+      if (change.kind === "build") {
+        const { pool, build } = change;
+        const known = before.buildsOf(pool, monotonicMs());
+        if (known.includes(build)) return;
+        this.#log.info("build_learned", { version, pool, build, from });
+        return;
+      }
       if (change.kind !== "target") return;
       const old = before.targets.get(change.id)?.target;
       const isSame = old?.state === change.target?.state &&
@@ -248,5 +288,7 @@
       return `domain/${change.failureDomain}`;
     case "peer":
       return `peer/${change.name}`;
+    case "build":
+      return `build/${change.pool}/${change.build}`;
   }
 }
--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -43,6 +43,10 @@
   register(): Promise<Result<void, SourceError>> {
     return Promise.resolve(ok());
   }
+
+  recordBuilds(): Promise<Result<void, SourceError>> {
+    return Promise.resolve(ok());
+  }
 }
 
 test("FleetView reads a snapshot although peers report older versions", () =>
@@ -60,7 +64,7 @@
     source.rows = { changes: [targetChange("b", 12)], version: 12 };
     for (let i = 0; i < 20; i++) {
       await sleep(200);
-      view.merge([], { [StatePart.Targets]: 5 });
+      view.merge([], { [StatePart.Targets]: 5 }, 0);
     }
     assert.deepEqual(
       [...view.state.targets].filter(([, { target }]) => target)
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -7,7 +7,11 @@
 
 import { every, monotonicMs } from "../kernel/mod.ts";
 import { rendezvousOrder } from "../routing/mod.ts";
-import type { ListedPeer } from "../serving/mod.ts";
+import {
+  type ListedPeer,
+  type StateChange,
+  UNRECORDED,
+} from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import type {
   EntryPeerClients,
@@ -179,10 +183,12 @@
       ? this.#view.state.changes()
         .filter((change) => change.version > (versions[partOf(change)] ?? 0))
       : [];
+    const unrecorded = this.#view.state.unrecordedBuilds
+      .map((one) => ({ kind: "build", version: UNRECORDED, ...one }) as const);
     return {
-      changes,
+      changes: [...changes, ...unrecorded],
       versions: known,
-      storeAgeMs: Math.min(this.#view.storeAgeMs, Number.MAX_SAFE_INTEGER),
+      targetsAgeMs: Math.min(this.#view.targetsAgeMs, Number.MAX_SAFE_INTEGER),
       isLeaving: this.#isLeaving,
       upMs: monotonicMs() - this.#startedAt,
     };
@@ -228,7 +234,8 @@
       if (peer.name) {
         this.#recordResponse(peer.name, response, monotonicMs() - startedAt);
       }
-      this.#view.merge(response.changes, response.versions);
+      const { changes, versions, targetsAgeMs = Infinity } = response;
+      this.#view.merge(changes, versions, startedAt - targetsAgeMs);
     } catch (err) {
       this.#metrics.count("peer_failures_total");
       const silentMs = monotonicMs() - (record?.requestedAt ?? 0);
@@ -308,8 +315,8 @@
   }
 }
 
-function partOf(change: { kind: string }): StatePart {
-  if (change.kind === "target") return StatePart.Targets;
-  if (change.kind === "peer") return StatePart.Peers;
+function partOf({ kind }: StateChange): StatePart {
+  if (kind === "target") return StatePart.Targets;
+  if (kind === "peer" || kind === "build") return StatePart.Peers;
   return StatePart.Configuration;
 }
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -10,6 +10,7 @@
   CallerLimits,
   ListedPeer,
   ListedTarget,
+  PoolBuild,
   ResultHandle,
   StateChange,
   TokenCounts,
@@ -55,6 +56,13 @@
     peer: ListedPeer,
     signal: AbortSignal,
   ): Promise<Result<void, SourceError>>;
+  /**
+   * Writes records of builds; they come back as changes of the part `Peers`.
+   */
+  recordBuilds(
+    builds: readonly PoolBuild[],
+    signal: AbortSignal,
+  ): Promise<Result<void, SourceError>>;
 }
 
 /** Decoded request of a caller. */
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -15,6 +15,7 @@
 import type { ListedPeer } from "../serving/mod.ts";
 import { type Logger, Metrics } from "../telemetry/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
+import { BuildRecorder } from "./build_recorder.ts";
 import { ChainClient } from "./chain_client.ts";
 import { ChainRunner } from "./chain_runner.ts";
 import { FleetView } from "./fleet_view.ts";
@@ -65,6 +66,7 @@
 /** Part of the grace period reserved for shutting the process down, in ms. */
 const GRACE_RESERVE_MS = 700;
 
+export const FLEET = serviceKey<FleetView>("fleet");
 export const GATEWAY = serviceKey<Gateway>("gateway");
 
 /** Starts a gateway; the returned kernel stops it. */
@@ -95,6 +97,13 @@
     self: cfg.self,
     repeats: cfg.repeats,
   });
+  const recorder = new BuildRecorder({
+    view,
+    source,
+    self: cfg.self.name,
+    processes: () => peers.processNames,
+    log,
+  });
   const gateway = new Gateway({
     view,
     peers,
@@ -120,7 +129,7 @@
   let isLeaving = false;
   return Kernel.start([
     service({
-      key: serviceKey<FleetView>("fleet"),
+      key: FLEET,
       start: ({ signal }) => {
         view.run(signal);
         return view;
@@ -143,6 +152,7 @@
         );
         peers.run(signal);
         register(source, cfg.self, { peers, log, signal });
+        recorder.run(signal);
         return peers;
       },
       leave: () => peers.leave(),
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -173,6 +173,17 @@
   pool(name: string): Pool | undefined {
     return this.#pools.get(name);
   }
+
+  /** Names of the pools of streams that may be resumed. */
+  get resumablePools(): ReadonlySet<string> {
+    return new Set(
+      this.spec.routes
+        .filter(({ kind, isResumable }) =>
+          kind === RouteKind.Stream && isResumable
+        )
+        .flatMap(({ pools }) => pools.map(({ pool }) => pool)),
+    );
+  }
 }
 
 /** Returns the pool of a request, always the same one for the same id. */
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -7,7 +7,7 @@
  */
 
 import { rendezvousOrder } from "../routing/mod.ts";
-import type { ListedTarget } from "./fleet_state.ts";
+import type { ListedTarget } from "./state_change.ts";
 
 /** Observed load and health of one target. */
 export interface TargetLoad {
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -7,64 +7,15 @@
  * @module
  */
 
-import { Catalog, type CatalogSpec } from "./catalog.ts";
-
-/** State that a target reports about itself. */
-export const TargetState = { Ready: "ready", Draining: "draining" } as const;
-export type TargetState = typeof TargetState[keyof typeof TargetState];
-
-/** Target as listed in the store. */
-export interface ListedTarget {
-  readonly id: string;
-  readonly pool: string;
-  /** `IP:PORT`. */
-  readonly address: string;
-  readonly failureDomain: string;
-  /** Version of its software; undefined when not reported. */
-  readonly build?: string;
-  readonly state: TargetState;
-  /** Remaining time of its cold start, in milliseconds. */
-  readonly coldMs: number;
-  /** Unix time of its start in milliseconds; undefined when not reported. */
-  readonly bornMs?: number;
-}
-
-/** Entry as it registered itself. */
-export interface ListedPeer {
-  readonly name: string;
-  /** Base URL of its control address. */
-  readonly url: string;
-  readonly failureDomain: string;
-}
-
-/** One decoded change of the store. `version` grows with each change. */
-export type StateChange =
-  | {
-    readonly kind: "catalog";
-    readonly version: number;
-    readonly catalog: CatalogSpec;
-  }
-  | {
-    readonly kind: "target";
-    readonly version: number;
-    readonly id: string;
-    /** Undefined once the target is removed. */
-    readonly target?: ListedTarget;
-    /** True when it may be gone only because its row could not be renewed. */
-    readonly hasLapsed?: boolean;
-  }
-  | {
-    readonly kind: "domain";
-    readonly version: number;
-    readonly failureDomain: string;
-    readonly isOut: boolean;
-  }
-  | {
-    readonly kind: "peer";
-    readonly version: number;
-    readonly name: string;
-    readonly peer?: ListedPeer;
-  };
+import { BuildHistory, UNRECORDED } from "./builds.ts";
+import { Catalog } from "./catalog.ts";
+import {
+  type ListedPeer,
+  type ListedTarget,
+  type PoolBuild,
+  type StateChange,
+  TargetState,
+} from "./state_change.ts";
 
 /** Known state of one target. */
 export interface TargetRecord {
@@ -94,6 +45,7 @@
   >;
   /** Monotonic times at which failure domains returned to service. */
   readonly domainRestoredAt: ReadonlyMap<string, number>;
+  readonly builds: BuildHistory;
 }
 
 const EMPTY: FleetRecords = {
@@ -102,6 +54,7 @@
   domains: new Map(),
   peers: new Map(),
   domainRestoredAt: new Map(),
+  builds: new BuildHistory(),
 };
 
 /** View of the fleet. Immutable. */
@@ -133,10 +86,12 @@
   /** Returns the state after changes received at monotonic time `now`. */
   apply(changes: readonly StateChange[], now: number): FleetState {
     const records = changes.reduce(
-      (records, change) =>
-        change.version > versionOf(records, change)
-          ? applyChange(records, change, now)
-          : records,
+      (records, change) => {
+        const known = withBuild(records, change, now);
+        return change.version > versionOf(known, change)
+          ? applyChange(known, change, now)
+          : known;
+      },
       this.#records,
     );
     return records === this.#records ? this : new FleetState(records);
@@ -144,7 +99,7 @@
 
   /** Returns the changes that lead from an empty state to this one. */
   changes(): StateChange[] {
-    const { catalog, targets, domains, peers } = this.#records;
+    const { catalog, targets, domains, peers, builds } = this.#records;
     const catalogChanges: StateChange[] = catalog.value
       ? [{
         kind: "catalog",
@@ -174,9 +129,34 @@
       ...[...peers].map(([name, { version, peer }]) =>
         ({ kind: "peer", version, name, peer }) satisfies StateChange
       ),
+      ...builds.all.map((one) => ({ kind: "build", ...one }) as const),
     ];
   }
 
+  /**
+   * Returns the builds of pools of resumable streams that the store holds no
+   * record of.
+   */
+  get unrecordedBuilds(): readonly PoolBuild[] {
+    const pools = this.catalog?.resumablePools;
+    return this.#records.builds.all
+      .filter(({ version }) => version === UNRECORDED)
+      .flatMap(({ pool, build }) => pools?.has(pool) ? [{ pool, build }] : []);
+  }
+
+  /**
+   * Returns the builds that streams of a pool may have begun at: those of its
+   * listed targets and those that it had lately. Undefined stands for listed
+   * targets that report no build.
+   */
+  buildsOf(pool: string, now: number): readonly (string | undefined)[] {
+    const listed = [...this.#records.targets.values()]
+      .filter(({ lapsesAt }) => lapsesAt === undefined || now < lapsesAt)
+      .flatMap(({ target }) => target?.pool === pool ? [target.build] : []);
+    const recent = this.#records.builds.of(pool, now);
+    return [...new Set([...listed, ...recent])];
+  }
+
   /** True while operators keep a failure domain out of service. */
   isOut(failureDomain: string): boolean {
     return this.#records.domains.get(failureDomain)?.isOut ?? false;
@@ -217,9 +197,27 @@
       return records.domains.get(change.failureDomain)?.version ?? 0;
     case "peer":
       return records.peers.get(change.name)?.version ?? 0;
+    case "build":
+      return records.builds.versionOf(change);
   }
 }
 
+/**
+ * Adds the build that a target of a change has, also when the change itself is
+ * older than what is known.
+ */
+function withBuild(
+  records: FleetRecords,
+  change: StateChange,
+  now: number,
+): FleetRecords {
+  if (change.kind !== "target" || !change.target) return records;
+  const { pool, build } = change.target;
+  if (build === undefined) return records;
+  const builds = records.builds.add({ pool, build }, now);
+  return builds === records.builds ? records : { ...records, builds };
+}
+
 function isUsable(record: TargetRecord, now: number): boolean {
   return record.target?.state === TargetState.Ready &&
     (record.lapsesAt === undefined || now < record.lapsesAt);
@@ -237,14 +235,15 @@
         ...records,
         catalog: { version, value: new Catalog(change.catalog) },
       };
-    case "target":
+    case "target": {
+      const before = records.targets.get(change.id);
       return {
         ...records,
-        targets: new Map(records.targets).set(
-          change.id,
-          nextRecord(records.targets.get(change.id), change, now),
-        ),
+        targets: new Map(records.targets)
+          .set(change.id, nextRecord(before, change, now)),
+        builds: buildsAfter(records.builds, before?.target, now),
       };
+    }
     case "domain":
       return {
         ...records,
@@ -260,9 +259,24 @@
         peers: new Map(records.peers)
           .set(change.name, { version, peer: change.peer }),
       };
+    case "build":
+      return {
+        ...records,
+        builds: records.builds.recorded(change, version, now),
+      };
   }
 }
 
+/** Returns the builds once a row shows a target no longer as it was before. */
+function buildsAfter(
+  builds: BuildHistory,
+  before: ListedTarget | undefined,
+  now: number,
+): BuildHistory {
+  if (before?.build === undefined) return builds;
+  return builds.seen({ pool: before.pool, build: before.build }, now);
+}
+
 function nextRecord(
   before: TargetRecord | undefined,
   change: Extract<StateChange, { kind: "target" }>,
--- a/src/serving/fleet_state_test.ts
+++ b/src/serving/fleet_state_test.ts
@@ -1,13 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import {
-  FleetState,
-  LAPSE_GRACE_MS,
-  type StateChange,
-  TargetState,
-} from "./fleet_state.ts";
-import { catalogChange, pool, targetChange } from "./testing.ts";
+import { BUILD_MEMORY_MS } from "./builds.ts";
+import { RouteKind } from "./catalog.ts";
+import { FleetState, LAPSE_GRACE_MS } from "./fleet_state.ts";
+import { type StateChange, TargetState } from "./state_change.ts";
+import { catalogChange, pool, route, targetChange } from "./testing.ts";
 
 function ids(state: FleetState, now: number): string[] {
   return state.usable("plain", now).map(({ id }) => id).sort();
@@ -107,3 +105,99 @@
   assert.equal(back.isCold("a", 7_999), true);
   assert.equal(back.isCold("a", 8_000), false);
 });
+
+const RESUMABLE = catalogChange({
+  routes: [route({ kind: RouteKind.Stream, isResumable: true })],
+});
+const TARGET_ROW = fc.record({
+  id: fc.constantFrom("a", "b"),
+  version: fc.integer({ min: 1, max: 30 }),
+  pool: fc.constantFrom("plain", "other"),
+  build: fc.constantFrom("v1", "v2", "v3"),
+});
+
+test("FleetState.buildsOf() knows each build that a row showed, in any order", () => {
+  // A row has exactly one value for each version.
+  const rows = fc.uniqueArray(TARGET_ROW, {
+    selector: ({ id, version }) => `${id}/${version}`,
+    maxLength: 12,
+  });
+  fc.assert(fc.property(
+    rows.chain((all) => fc.shuffledSubarray(all, { minLength: all.length })),
+    (all) => {
+      const changes = all.flatMap(({ id, version, pool, build }) => [
+        targetChange(id, version, { pool, build }),
+        { kind: "target", version: 100, id } as const,
+      ]);
+      const state = new FleetState().apply(changes, 0);
+      const copy = new FleetState().apply(state.changes(), 0);
+      for (const pool of ["plain", "other"]) {
+        const expected = new Set(
+          all.filter((one) => one.pool === pool).map(({ build }) => build),
+        );
+        assert.deepEqual(new Set(state.buildsOf(pool, 1)), expected);
+        assert.deepEqual(new Set(copy.buildsOf(pool, 1)), expected);
+      }
+    },
+  ));
+});
+
+test("FleetState.unrecordedBuilds lists builds until their records arrive, in any order", () => {
+  const record = fc.record({
+    build: fc.constantFrom("v1", "v2", "v3"),
+    version: fc.integer({ min: 1, max: 9 }),
+  });
+  fc.assert(fc.property(
+    fc.array(fc.oneof(TARGET_ROW, record), { maxLength: 12 }),
+    (all) => {
+      const changes = all.map((one): StateChange =>
+        "id" in one
+          ? targetChange(one.id, one.version, { build: one.build })
+          : { kind: "build", pool: "plain", ...one }
+      );
+      const recorded = new Set(
+        all.flatMap((one) => "id" in one ? [] : one.build),
+      );
+      const expected = all
+        .flatMap((one) => "id" in one ? one.build : [])
+        .filter((build) => !recorded.has(build));
+      const state = new FleetState().apply([RESUMABLE, ...changes], 0);
+      assert.deepEqual(
+        new Set(state.unrecordedBuilds.map(({ build }) => build)),
+        new Set(expected),
+      );
+    },
+  ));
+});
+
+test("FleetState.buildsOf() forgets a build some time after its last target", () => {
+  const both = new FleetState().apply([
+    targetChange("a", 1, { build: "v1" }),
+    targetChange("b", 2, { build: "v2" }),
+  ], 0);
+  const late = 10 * BUILD_MEMORY_MS;
+  assert.deepEqual(both.buildsOf("plain", late), ["v1", "v2"]);
+  const left = both.apply([{ kind: "target", version: 3, id: "a" }], late);
+  const forgottenAt = late + BUILD_MEMORY_MS;
+  assert.deepEqual(left.buildsOf("plain", forgottenAt - 1), ["v2", "v1"]);
+  assert.deepEqual(left.buildsOf("plain", forgottenAt), ["v2"]);
+});
+
+test("FleetState.buildsOf() counts a recorded build from when the record arrives", () => {
+  const state = new FleetState().apply([
+    { kind: "build", version: 4, pool: "plain", build: "v1" },
+  ], 500);
+  assert.deepEqual(state.buildsOf("plain", BUILD_MEMORY_MS), ["v1"]);
+  assert.deepEqual(state.buildsOf("plain", 500 + BUILD_MEMORY_MS), []);
+  assert.deepEqual(state.buildsOf("other", 500), []);
+});
+
+test("FleetState.buildsOf() holds undefined for listed targets without a build", () => {
+  const state = new FleetState().apply([
+    targetChange("a", 1, { build: "v1" }),
+    targetChange("b", 2),
+  ], 0);
+  assert.deepEqual(state.buildsOf("plain", 0), ["v1", undefined]);
+  const left = state.apply([{ kind: "target", version: 3, id: "b" }], 0);
+  assert.deepEqual(left.buildsOf("plain", 0), ["v1"]);
+});
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -17,6 +17,7 @@
 export * from "./result_memory.ts";
 export * from "./route_history.ts";
 export * from "./shares.ts";
+export * from "./state_change.ts";
 export * from "./stage_plan.ts";
 export * from "./stage_targets.ts";
 export * from "./event_splitter.ts";
--- /dev/null
+++ b/src/serving/state_change.ts
@@ -0,0 +1,73 @@
+/**
+ * Rows of the store as decoded changes: targets, entries, the configuration and
+ * the builds of the pools.
+ *
+ * @module
+ */
+
+import type { CatalogSpec } from "./catalog.ts";
+
+/** State that a target reports about itself. */
+export const TargetState = { Ready: "ready", Draining: "draining" } as const;
+export type TargetState = typeof TargetState[keyof typeof TargetState];
+
+/** Target as listed in the store. */
+export interface ListedTarget {
+  readonly id: string;
+  readonly pool: string;
+  /** `IP:PORT`. */
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Version of its software; undefined when not reported. */
+  readonly build?: string;
+  readonly state: TargetState;
+  /** Remaining time of its cold start, in milliseconds. */
+  readonly coldMs: number;
+  /** Unix time of its start in milliseconds; undefined when not reported. */
+  readonly bornMs?: number;
+}
+
+/** Entry as it registered itself. */
+export interface ListedPeer {
+  readonly name: string;
+  /** Base URL of its control address. */
+  readonly url: string;
+  readonly failureDomain: string;
+}
+
+/** Build that targets of a pool have or had. */
+export interface PoolBuild {
+  readonly pool: string;
+  readonly build: string;
+}
+
+/** One decoded change of the store. `version` grows with each change. */
+export type StateChange =
+  | {
+    readonly kind: "catalog";
+    readonly version: number;
+    readonly catalog: CatalogSpec;
+  }
+  | {
+    readonly kind: "target";
+    readonly version: number;
+    readonly id: string;
+    /** Undefined once the target is removed. */
+    readonly target?: ListedTarget;
+    /** True when it may be gone only because its row could not be renewed. */
+    readonly hasLapsed?: boolean;
+  }
+  | {
+    readonly kind: "domain";
+    readonly version: number;
+    readonly failureDomain: string;
+    readonly isOut: boolean;
+  }
+  | {
+    readonly kind: "peer";
+    readonly version: number;
+    readonly name: string;
+    readonly peer?: ListedPeer;
+  }
+  /** A build that a pool has had, with the version of its record. */
+  | ({ readonly kind: "build"; readonly version: number } & PoolBuild);
--- a/src/serving/testing.ts
+++ b/src/serving/testing.ts
@@ -14,7 +14,7 @@
   type ListedTarget,
   type StateChange,
   TargetState,
-} from "./fleet_state.ts";
+} from "./state_change.ts";
 
 /** Pool of plain targets; `overrides` replaces members. */
 export function pool(name: string, overrides: Partial<Pool> = {}): Pool {
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -25,8 +25,8 @@
 export interface SyncResponse {
   readonly changes: readonly StateChange[];
   readonly versions: Readonly<Record<string, number>>;
-  /** Time since the store last responded to the peer, in milliseconds. */
-  readonly storeAgeMs: number;
+  /** Time since the peer's list of targets was read, in milliseconds. */
+  readonly targetsAgeMs?: number;
   readonly isLeaving: boolean;
   /** Time since the peer's start, in milliseconds. */
   readonly upMs: number;
