--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -11,7 +11,11 @@
 import type { FirstByteTimes } from "./first_byte_times.ts";
 import type { CallerRequest } from "./ports.ts";
 import type { Admitted } from "./relay.ts";
-import type { Reservation, TargetTracker } from "./target_tracker.ts";
+import type {
+  Reservation,
+  TargetChoice,
+  TargetTracker,
+} from "./target_tracker.ts";
 
 /**
  * Time after which callers may retry when no target is open, in milliseconds.
@@ -59,16 +63,16 @@
   }
 
   /**
-   * Runs the stages, then reserves a target that is not in `exclude`. The
-   * caller has to use or discard what it returns.
+   * Runs the stages, then reserves a target. The caller has to use or discard
+   * what it returns.
    */
   async prepare(
-    exclude: ReadonlySet<string>,
+    choice: TargetChoice,
     signal: AbortSignal,
   ): Promise<Result<PreparedAttempt, Unprepared>> {
-    const inputs = await this.#runStages(signal);
+    const inputs = await this.#runStages(choice, signal);
     if (inputs.isErr()) return err(inputs.error);
-    const reservation = this.#reserve(exclude);
+    const reservation = this.#reserve(choice);
     if (reservation.isOk()) {
       return ok({ inputs: inputs.value, reservation: reservation.value });
     }
@@ -77,6 +81,7 @@
   }
 
   async #runStages(
+    { sameBuildAs }: TargetChoice,
     signal: AbortSignal,
   ): Promise<Result<StagedInputs, Unprepared>> {
     const { req, route, pool, catalog, priority, ageMs, sizeRank } =
@@ -94,7 +99,7 @@
       sizeRank,
       resultDomain: affinity === undefined
         ? undefined
-        : this.#deps.tracker.preferredDomain(pool, affinity),
+        : this.#deps.tracker.preferredDomain(pool, affinity, sameBuildAs),
       signal,
     });
     const remainingMs = this.#deadlineAt - monotonicMs();
@@ -104,18 +109,20 @@
     }));
   }
 
-  #reserve(exclude: ReadonlySet<string>): Result<Reservation, Unprepared> {
+  #reserve(choice: TargetChoice): Result<Reservation, Unprepared> {
     if (this.#deadlineAt - monotonicMs() < MIN_SEND_MS) {
       return err({ reason: "its time has passed", retryAfterMs: 0 });
     }
     const { req, pool } = this.#admitted;
     const reservation = this.#deps.tracker.reserve(pool, {
       affinity: affinityOf(req),
-      exclude,
+      ...choice,
     });
     if (reservation) return ok(reservation);
     return err({
-      reason: "no target is open",
+      reason: choice.sameBuildAs
+        ? "no target of the stream's build is open"
+        : "no target is open",
       retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
     });
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,7 +6,7 @@
 
 import type { Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
-import { RouteKind } from "../serving/mod.ts";
+import { type BuildHolder, RouteKind } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import {
   AttemptPreparer,
@@ -58,6 +58,8 @@
   #call: RunningCall | undefined;
   #replacement: Replacement | undefined;
   #lastEventId: string | undefined;
+  /** Target that began the stream; only its build may go on with it. */
+  #origin: BuildHolder | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -98,7 +100,8 @@
   #prepare(
     signal: AbortSignal,
   ): Promise<Result<PreparedAttempt, Unprepared>> {
-    return this.#preparer.prepare(this.#tried, signal);
+    const choice = { exclude: this.#tried, sameBuildAs: this.#origin };
+    return this.#preparer.prepare(choice, signal);
   }
 
   /** Waits for an attempt; ends the exchange if it cannot be made. */
@@ -176,6 +179,7 @@
     const { target } = reservation;
     this.#log("sent", {
       target: target.id,
+      build: target.build,
       attempt: this.#attempts + 1,
       remainingMs,
       tried: this.#tried.size,
@@ -190,7 +194,10 @@
         usualMs: this.#deps.firstByteTimes.of(route.name),
         isResumed: this.#response.hasBegun,
         isOver: () => this.#ended.signal.aborted,
-        onEvent: (id) => this.#lastEventId = id ?? this.#lastEventId,
+        onEvent: (id) => {
+          this.#origin ??= target;
+          this.#lastEventId = id ?? this.#lastEventId;
+        },
         onSilent: (ms) => this.#replaceSilent(relay, target.id, ms),
         onProgress: () => this.#cancelReplacement(),
         onFirstBytes: (ms) => this.#deps.firstByteTimes.observe(route.name, ms),
@@ -344,6 +351,7 @@
       outcome,
       tookMs: Math.round(tookMs),
       attempts: this.#attempts,
+      build: this.#origin?.build,
       ...fields,
     });
   }
--- a/src/gateway/target_tracker.ts
+++ b/src/gateway/target_tracker.ts
@@ -13,11 +13,13 @@
   weightOf,
 } from "../routing/mod.ts";
 import {
+  type BuildHolder,
   chooseTarget,
   coldRate,
   ColdShare,
   type FleetState,
   type ListedTarget,
+  ofBuild,
   type Pool,
   RetryShare,
   type ServingCandidate,
@@ -57,6 +59,14 @@
 /** Half-life of a failure share without requests, in milliseconds. */
 const FAILURE_HALF_LIFE_MS = 2_000;
 
+/** Targets among which one is chosen. */
+export interface TargetChoice {
+  /** Targets that are not chosen. */
+  readonly exclude: ReadonlySet<string>;
+  /** Only a target of the same build is chosen. */
+  readonly sameBuildAs?: BuildHolder;
+}
+
 /** A chosen target, reserved until the call to it has ended. */
 export interface Reservation {
   readonly target: ListedTarget;
@@ -120,18 +130,14 @@
   /** Chooses a target of a pool; undefined when none is open. */
   reserve(
     pool: Pool,
-    opts: {
-      affinity?: string;
-      exclude: ReadonlySet<string>;
-    },
+    opts: TargetChoice & { readonly affinity?: string },
   ): Reservation | undefined {
     const now = monotonicMs();
     const usable = this.#state().usable(pool.name, now);
     this.#refreshMembers(pool.name, usable, now);
-    const untried = usable.filter(({ id }) => !opts.exclude.has(id));
-    const candidates = untried.map((target) =>
-      this.#candidate(pool, target, now)
-    );
+    const candidates = ofBuild(usable, opts.sameBuildAs)
+      .filter(({ id }) => !opts.exclude.has(id))
+      .map((target) => this.#candidate(pool, target, now));
     const target = chooseTarget(candidates, {
       affinity: opts.affinity,
       failureDomain: this.#self.failureDomain,
@@ -142,10 +148,16 @@
   }
 
   /** Failure domain of the target that a prompt prefix currently prefers. */
-  preferredDomain(pool: Pool, affinity: string): string | undefined {
+  preferredDomain(
+    pool: Pool,
+    affinity: string,
+    sameBuildAs?: BuildHolder,
+  ): string | undefined {
     const now = monotonicMs();
-    const candidates = this.#state().usable(pool.name, now)
-      .map((target) => this.#candidate(pool, target, now));
+    const candidates = ofBuild(
+      this.#state().usable(pool.name, now),
+      sameBuildAs,
+    ).map((target) => this.#candidate(pool, target, now));
     return chooseTarget(candidates, {
       affinity,
       failureDomain: this.#self.failureDomain,
