--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -7,6 +7,7 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
+import type { BuildHolder } from "../serving/mod.ts";
 import type { ChainClient, StagedInputs } from "./chain_client.ts";
 import type { FirstByteTimes } from "./first_byte_times.ts";
 import type { CallerRequest } from "./ports.ts";
@@ -26,6 +27,13 @@
 /** Shortest remaining time in which a request is worth sending, in ms. */
 const MIN_SEND_MS = 20;
 
+/** Targets of the pool that an attempt may use. */
+export interface TargetChoice {
+  readonly exclude: ReadonlySet<string>;
+  /** Set once the stream has begun: only targets of its build may go on. */
+  readonly sameBuildAs?: BuildHolder;
+}
+
 /** Everything that one attempt at a target needs. */
 export interface PreparedAttempt {
   readonly inputs: StagedInputs;
@@ -59,16 +67,16 @@
   }
 
   /**
-   * Runs the stages, then reserves a target that is not in `exclude`. The
-   * caller has to use or discard what it returns.
+   * Runs the stages, then reserves a target of the choice. The caller has to use
+   * or discard what it returns.
    */
   async prepare(
-    exclude: ReadonlySet<string>,
+    choice: TargetChoice,
     signal: AbortSignal,
   ): Promise<Result<PreparedAttempt, Unprepared>> {
-    const inputs = await this.#runStages(signal);
+    const inputs = await this.#runStages(choice, signal);
     if (inputs.isErr()) return err(inputs.error);
-    const reservation = this.#reserve(exclude);
+    const reservation = this.#reserve(choice);
     if (reservation.isOk()) {
       return ok({ inputs: inputs.value, reservation: reservation.value });
     }
@@ -77,6 +85,7 @@
   }
 
   async #runStages(
+    { sameBuildAs }: TargetChoice,
     signal: AbortSignal,
   ): Promise<Result<StagedInputs, Unprepared>> {
     const { req, route, pool, catalog, priority, ageMs, sizeRank } =
@@ -94,7 +103,7 @@
       sizeRank,
       resultDomain: affinity === undefined
         ? undefined
-        : this.#deps.tracker.preferredDomain(pool, affinity),
+        : this.#deps.tracker.preferredDomain(pool, affinity, sameBuildAs),
       signal,
     });
     const remainingMs = this.#deadlineAt - monotonicMs();
@@ -104,18 +113,20 @@
     }));
   }
 
-  #reserve(exclude: ReadonlySet<string>): Result<Reservation, Unprepared> {
+  #reserve(choice: TargetChoice): Result<Reservation, Unprepared> {
     if (this.#deadlineAt - monotonicMs() < MIN_SEND_MS) {
       return err({ reason: "its time has passed", retryAfterMs: 0 });
     }
     const { req, pool } = this.#admitted;
     const reservation = this.#deps.tracker.reserve(pool, {
       affinity: affinityOf(req),
-      exclude,
+      ...choice,
     });
     if (reservation) return ok(reservation);
     return err({
-      reason: "no target is open",
+      reason: choice.sameBuildAs
+        ? "no target of the stream's build is open"
+        : "no target is open",
       retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
     });
   }
