Add a service that shares the origins of streams

Only the entry at which a stream began knows its build, so a caller whose entry ends can't take the stream up safely. The service keeps each origin here and, while the stream's pool has two builds or more, at three other entries: it pushes what they haven't acknowledged every 100 ms, again after their restart, and to the next entry while one is silent or leaving. A lookup asks four entries at once, for 300 ms at most; without an answer it falls back to the only build that the pool has had, and to nothing otherwise, so that a wrong build is never guessed.

Not used yet. Its tests run up to 8 services under a paused clock, with silent, refusing, old and restarted ones; all pass.

--- a/src/layers.ts
+++ b/src/layers.ts
@@ -29,7 +29,7 @@
   ],
   ["serving"],
   ["wire", "store"],
-  ["process"],
+  ["process", "origins"],
   ["entry", "agent", "gateway"],
   ["testing"],
   ["standin"],
--- /dev/null
+++ b/src/origins/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Sharing of the origins of streams among entries, so that any of them can take
+ * a stream up at the build that began it.
+ *
+ * @module
+ */
+
+export * from "./ports.ts";
+export * from "./stream_origin_service.ts";
--- /dev/null
+++ b/src/origins/origin_sharing.ts
@@ -0,0 +1,157 @@
+/**
+ * Pushes the origins of streams that began here to the entries that keep them.
+ *
+ * @module
+ */
+
+import { monotonicMs, timeoutSignal } from "../kernel/mod.ts";
+import {
+  Acknowledgements,
+  type ListedPeer,
+  type OriginRecord,
+  StreamOrigins,
+  unacknowledged,
+} from "../serving/mod.ts";
+import type { Metrics } from "../telemetry/mod.ts";
+import { MAX_BATCH_RECORDS, type OriginReceipt } from "../wire/mod.ts";
+import type { Keepers } from "./keepers.ts";
+import type { OriginClients, OriginFleet } from "./ports.ts";
+
+/** Longest wait for the acknowledgement of a keeper, in milliseconds. */
+const KEEP_TIMEOUT_MS = 300;
+/** Maximum number of calls in flight. */
+const MAX_CALLS = 32;
+
+/** Origins of the streams that began here, and who keeps them. */
+export class OriginSharing {
+  readonly #self: ListedPeer;
+  readonly #fleet: OriginFleet;
+  readonly #keepers: Keepers;
+  readonly #clients: OriginClients;
+  readonly #metrics: Metrics;
+  #origins = new StreamOrigins();
+  #acknowledged = new Acknowledgements();
+  /** Start of each keeper that last acknowledged records. */
+  readonly #starts = new Map<string, string>();
+  #registrations: ReadonlyMap<string, number> = new Map();
+  readonly #inFlight = new Set<string>();
+  /** True while a keeper may lack a record. */
+  #isPending = false;
+
+  constructor(
+    deps: {
+      self: ListedPeer;
+      fleet: OriginFleet;
+      keepers: Keepers;
+      clients: OriginClients;
+      metrics: Metrics;
+    },
+  ) {
+    this.#self = deps.self;
+    this.#fleet = deps.fleet;
+    this.#keepers = deps.keepers;
+    this.#clients = deps.clients;
+    this.#metrics = deps.metrics;
+  }
+
+  get origins(): StreamOrigins {
+    return this.#origins;
+  }
+
+  add(record: OriginRecord): void {
+    this.#origins = this.#origins.add(record, monotonicMs());
+    this.#isPending = true;
+  }
+
+  /**
+   * Checks all records at the next flush, since the fleet has changed. An entry
+   * that has registered anew has lost its records.
+   */
+  recheck(): void {
+    this.#isPending = true;
+    const registrations = this.#fleet.registrations();
+    registrations.forEach((version, name) => {
+      if (this.#registrations.get(name) === version) return;
+      this.#acknowledged = this.#acknowledged.forget(name);
+    });
+    this.#registrations = registrations;
+  }
+
+  /** Starts the calls for what keepers lack. */
+  flush(signal: AbortSignal): void {
+    if (!this.#isPending) return;
+    this.#isPending = false;
+    const pushes = unacknowledged(this.#sharedRecords(), {
+      order: this.#keepers.order,
+      acknowledged: this.#acknowledged,
+      isUsable: (peer) => this.#keepers.isUsable(peer),
+    });
+    if (pushes.length > 0) this.#isPending = true;
+    pushes.filter(({ peer }) => !this.#inFlight.has(peer.name))
+      .slice(0, MAX_CALLS - this.#inFlight.size)
+      .forEach(({ peer, records }) =>
+        this.#push(peer, records.slice(0, MAX_BATCH_RECORDS), signal)
+      );
+  }
+
+  /**
+   * Live records of the pools that have had several builds: a stream of another
+   * pool can only go on at the build that began it.
+   */
+  #sharedRecords(): readonly OriginRecord[] {
+    const live = this.#origins.live(monotonicMs());
+    const streams = new Set(live.map(({ stream }) => stream));
+    this.#acknowledged = this.#acknowledged.retain(streams);
+    const pools = [...new Set(live.map(({ origin }) => origin.pool))];
+    const shared = new Set(
+      pools.filter((pool) => this.#fleet.buildsOf(pool).size > 1),
+    );
+    return live.filter(({ origin }) => shared.has(origin.pool));
+  }
+
+  async #push(
+    peer: ListedPeer,
+    records: readonly OriginRecord[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const now = monotonicMs();
+    this.#inFlight.add(peer.name);
+    try {
+      const receipt = await this.#clients.keepOrigins(peer.url, {
+        from: this.#self.name,
+        records: records.map(({ stream, origin, expiresAt }) => ({
+          stream,
+          ...origin,
+          leftMs: Math.round(expiresAt - now),
+        })),
+      }, timeoutSignal(KEEP_TIMEOUT_MS, signal));
+      this.#recordReceipt(peer, records, receipt);
+    } catch (err) {
+      this.#metrics.count("origin_pushes_total", { outcome: "failed" });
+      this.#acknowledged = this.#acknowledged.forget(peer.name);
+      this.#keepers.recordFailure(peer, String(err));
+    } finally {
+      this.#inFlight.delete(peer.name);
+    }
+  }
+
+  #recordReceipt(
+    peer: ListedPeer,
+    records: readonly OriginRecord[],
+    { start, isLeaving }: OriginReceipt,
+  ): void {
+    if (isLeaving) {
+      this.#acknowledged = this.#acknowledged.forget(peer.name);
+      return this.#keepers.recordFailure(peer, "leaving");
+    }
+    this.#keepers.recordResponse(peer);
+    if (this.#starts.get(peer.name) !== start) {
+      this.#starts.set(peer.name, start);
+      this.#acknowledged = this.#acknowledged.forget(peer.name);
+    }
+    this.#acknowledged = this.#acknowledged
+      .add(peer.name, records.map(({ stream }) => stream));
+    this.#metrics.count("origin_pushes_total", { outcome: "acknowledged" });
+    this.#metrics.count("origin_records_pushed_total", {}, records.length);
+  }
+}
--- /dev/null
+++ b/src/origins/stream_origin_service.ts
@@ -0,0 +1,213 @@
+/**
+ * Remembers which build began which stream, here and at other entries, and finds
+ * the origin of a stream that a caller takes up.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { every, monotonicMs } from "../kernel/mod.ts";
+import {
+  type Builds,
+  type ListedPeer,
+  onlyOrigin,
+  ORIGIN_TTL_MS,
+  type StreamOrigin,
+  StreamOrigins,
+} from "../serving/mod.ts";
+import type { Logger, Metrics } from "../telemetry/mod.ts";
+import type {
+  OriginAnswer,
+  OriginApi,
+  OriginBatch,
+  OriginQuery,
+  OriginReceipt,
+} from "../wire/mod.ts";
+import { Keepers } from "./keepers.ts";
+import { askKeepers, type KeeperFindings } from "./origin_lookup.ts";
+import { OriginSharing } from "./origin_sharing.ts";
+import type { OriginClients, OriginFleet } from "./ports.ts";
+
+/** Pause between flushes of records to keepers, in milliseconds. */
+const FLUSH_PAUSE_MS = 100;
+
+/** Request that takes a stream up. */
+export interface TakenUp {
+  /** Identifier of the request, for the log. */
+  readonly request: string;
+  /** Attempt that brought the first event; undefined when not named. */
+  readonly stream?: string;
+  /** Pools to which the request may go. */
+  readonly pools: readonly string[];
+}
+
+/** How an origin was found. */
+type OriginSource = "own" | "keeper" | "only-build";
+
+/** Origins of streams, as exchanges and peers use them. */
+export class StreamOriginService implements OriginApi {
+  readonly #fleet: OriginFleet;
+  readonly #clients: OriginClients;
+  readonly #keepers: Keepers;
+  readonly #sharing: OriginSharing;
+  readonly #log: Logger;
+  readonly #metrics: Metrics;
+  readonly #start = randomUUID();
+  /** Origins kept for other entries. */
+  #kept = new StreamOrigins();
+  #isLeaving = false;
+
+  constructor(
+    deps: {
+      self: ListedPeer;
+      fleet: OriginFleet;
+      clients: OriginClients;
+      log: Logger;
+      metrics: Metrics;
+    },
+  ) {
+    this.#fleet = deps.fleet;
+    this.#clients = deps.clients;
+    this.#log = deps.log;
+    this.#metrics = deps.metrics;
+    this.#keepers = new Keepers(deps);
+    this.#sharing = new OriginSharing({ ...deps, keepers: this.#keepers });
+    deps.metrics.gauge("origins_own", () => this.#sharing.origins.size);
+    deps.metrics.gauge("origins_kept", () => this.#kept.size);
+  }
+
+  /** Pushes records to their keepers until `signal` aborts. */
+  run(signal: AbortSignal): void {
+    every(FLUSH_PAUSE_MS, () => {
+      this.#sharing.flush(signal);
+      return Promise.resolve();
+    }, signal);
+  }
+
+  /** Acknowledges no further records of peers; answers their questions. */
+  leave(): void {
+    this.#isLeaving = true;
+  }
+
+  /** Checks who keeps the records: the fleet has changed. */
+  recheck(): void {
+    this.#sharing.recheck();
+  }
+
+  /** Records the origin of a stream whose first event arrives. */
+  begun(stream: string, { pool, build }: StreamOrigin): void {
+    const expiresAt = monotonicMs() + ORIGIN_TTL_MS;
+    this.#sharing.add({ stream, origin: { pool, build }, expiresAt });
+  }
+
+  /**
+   * Finds the origin of a stream; undefined when it is not known and another
+   * build than the present one may have begun it.
+   */
+  async find(takenUp: TakenUp): Promise<StreamOrigin | undefined> {
+    const startedAt = monotonicMs();
+    const own = this.#known(takenUp.stream);
+    if (own) return this.#found(takenUp, own, { source: "own", startedAt });
+    const findings = await this.#ask(takenUp);
+    if (findings.origin) {
+      const { origin, keeper } = findings;
+      return this.#found(takenUp, origin, {
+        source: "keeper",
+        keeper,
+        startedAt,
+      });
+    }
+    const only = this.#onlyOrigin(takenUp, findings.builds);
+    if (only) {
+      return this.#found(takenUp, only, { source: "only-build", startedAt });
+    }
+    this.#metrics.count("origin_lookups_total", { source: "unknown" });
+    this.#log.warn("stream_origin_unknown", {
+      request: takenUp.request,
+      stream: takenUp.stream,
+      pools: takenUp.pools.join(","),
+      builds: takenUp.pools
+        .flatMap((pool) => [...this.#fleet.buildsOf(pool)]).join(","),
+      answers: findings.builds.length,
+      confirmed: this.#fleet.isConfirmed(),
+      tookMs: Math.round(monotonicMs() - startedAt),
+    });
+    return undefined;
+  }
+
+  keepOrigins({ from, records }: OriginBatch): OriginReceipt {
+    const now = monotonicMs();
+    if (!this.#isLeaving) {
+      this.#kept = records.reduce(
+        (kept, { stream, pool, build, leftMs }) =>
+          kept.add({
+            stream,
+            origin: { pool, build },
+            expiresAt: now + leftMs,
+          }, now),
+        this.#kept,
+      );
+      this.#metrics.count("origin_records_kept_total", {}, records.length);
+      this.#log.debug("stream_origins_kept", { from, count: records.length });
+    }
+    return { start: this.#start, isLeaving: this.#isLeaving };
+  }
+
+  findOrigin({ stream, pool }: OriginQuery): OriginAnswer {
+    return {
+      origin: this.#known(stream),
+      builds: [...this.#fleet.buildsOf(pool)].map((build) => build ?? null),
+    };
+  }
+
+  #known(stream: string | undefined): StreamOrigin | undefined {
+    if (stream === undefined) return undefined;
+    const now = monotonicMs();
+    return this.#sharing.origins.of(stream, now) ?? this.#kept.of(stream, now);
+  }
+
+  async #ask({ stream, pools }: TakenUp): Promise<KeeperFindings> {
+    const [pool] = pools;
+    if (stream === undefined || pool === undefined) return { builds: [] };
+    return await askKeepers({ stream, pool }, {
+      keepers: this.#keepers,
+      clients: this.#clients,
+    });
+  }
+
+  /**
+   * The origin if only one build can have begun the stream. While the store is
+   * silent, this process may not know the newest builds; its own view counts
+   * only if a keeper has answered or there is none.
+   */
+  #onlyOrigin(
+    { pools }: TakenUp,
+    answered: readonly Builds[],
+  ): StreamOrigin | undefined {
+    const [pool, ...others] = pools;
+    if (pool === undefined || others.length > 0) return undefined;
+    const isSure = this.#fleet.isConfirmed() || answered.length > 0 ||
+      this.#keepers.order.peers.length === 0;
+    if (!isSure) return undefined;
+    return onlyOrigin(pool, [this.#fleet.buildsOf(pool), ...answered]);
+  }
+
+  #found(
+    { request, stream }: TakenUp,
+    origin: StreamOrigin,
+    how: { source: OriginSource; keeper?: string; startedAt: number },
+  ): StreamOrigin {
+    const { source, keeper, startedAt } = how;
+    this.#metrics.count("origin_lookups_total", { source });
+    this.#log.info("stream_origin_found", {
+      request,
+      stream,
+      pool: origin.pool,
+      build: origin.build,
+      source,
+      keeper,
+      tookMs: Math.round(monotonicMs() - startedAt),
+    });
+    return origin;
+  }
+}
--- /dev/null
+++ b/src/origins/stream_origin_service_test.ts
@@ -0,0 +1,216 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { ORIGIN_KEEPERS, ORIGIN_TTL_MS } from "../serving/mod.ts";
+import { withPausedClock } from "../testing/mod.ts";
+import { type EntryMode, SimOriginFleet } from "./testing.ts";
+
+const ENTRIES = 8;
+const STREAMS = 20;
+/** Time within which records are with their keepers, in milliseconds. */
+const SHARED_MS = 300;
+/** Time within which they are with others when keepers fail, in ms. */
+const SHARED_ANEW_MS = 3_000;
+/** Longest time that a lookup takes, in milliseconds. */
+const FIND_MS = 320;
+const TWO_BUILDS = new Set(["v1", "v2"]);
+
+function withFleet(
+  entries: number,
+  body: (fleet: SimOriginFleet) => Promise<void>,
+): Promise<void> {
+  return withPausedClock(async () => {
+    const fleet = new SimOriginFleet(entries);
+    try {
+      await body(fleet);
+    } finally {
+      fleet.stop();
+    }
+  }, { seed: 1 });
+}
+
+const streams = Array.from({ length: STREAMS }, (_, i) => `stream-${i}`);
+
+function beginAll(fleet: SimOriginFleet): void {
+  streams.forEach((stream, i) =>
+    fleet.entry(0).service.begun(stream, {
+      pool: "plain",
+      build: i % 2 === 0 ? "v1" : "v2",
+    })
+  );
+}
+
+/** Asks one entry for a stream; also checks how long that takes. */
+async function find(fleet: SimOriginFleet, entry: number, stream?: string) {
+  const startedAt = monotonicMs();
+  const origin = await fleet.entry(entry).service.find({
+    request: "req-1",
+    stream,
+    pools: ["plain"],
+  });
+  assert.ok(monotonicMs() - startedAt <= FIND_MS);
+  return origin;
+}
+
+async function assertAllFound(fleet: SimOriginFleet, entry: number) {
+  for (const [i, stream] of streams.entries()) {
+    const build = i % 2 === 0 ? "v1" : "v2";
+    assert.deepEqual(await find(fleet, entry, stream), {
+      pool: "plain",
+      build,
+    });
+  }
+}
+
+function assertHolders(fleet: SimOriginFleet, count: number): void {
+  streams.forEach((stream) =>
+    assert.equal(fleet.holdersOf(stream).length, count, stream)
+  );
+}
+
+test("every entry finds the origin of a stream while its pool has two builds", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    fleet.builds = TWO_BUILDS;
+    beginAll(fleet);
+    await sleep(SHARED_MS);
+    assertHolders(fleet, 1 + ORIGIN_KEEPERS);
+    for (let i = 0; i < ENTRIES; i++) await assertAllFound(fleet, i);
+  }));
+
+test("entries keep the origin of a stream after any two of its holders are lost", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    fleet.builds = TWO_BUILDS;
+    beginAll(fleet);
+    await sleep(SHARED_MS);
+    for (const lost of [1, 3, 5]) {
+      const modes: EntryMode[] = ["refusing", "silent"];
+      for (const mode of modes) {
+        fleet.entry(0).mode = mode;
+        fleet.entry(lost).mode = mode;
+        for (const asking of [2, 4, 6]) await assertAllFound(fleet, asking);
+        fleet.entry(0).mode = "up";
+        fleet.entry(lost).mode = "up";
+      }
+    }
+  }));
+
+test("nothing is pushed while a pool has one build, and all once it has two", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    beginAll(fleet);
+    await sleep(SHARED_ANEW_MS);
+    assertHolders(fleet, 1);
+    fleet.builds = TWO_BUILDS;
+    fleet.recheck();
+    await sleep(SHARED_MS);
+    assertHolders(fleet, 1 + ORIGIN_KEEPERS);
+  }));
+
+test("records are pushed once and not again while nothing changes", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    fleet.builds = TWO_BUILDS;
+    beginAll(fleet);
+    await sleep(SHARED_MS);
+    const calls = fleet.entries.map(({ received }) => received.keep);
+    assert.ok(calls.every((count) => count <= 1));
+    await sleep(SHARED_ANEW_MS);
+    assert.deepEqual(fleet.entries.map(({ received }) => received.keep), calls);
+  }));
+
+test("records go to the next entry while a keeper is silent, refuses or is of an old build", async () => {
+  for (const mode of ["silent", "refusing", "old"] as const) {
+    await withFleet(ENTRIES, async (fleet) => {
+      fleet.builds = TWO_BUILDS;
+      fleet.entry(3).mode = mode;
+      fleet.entry(4).mode = mode;
+      beginAll(fleet);
+      await sleep(SHARED_ANEW_MS);
+      streams.forEach((stream) =>
+        assert.ok(fleet.holdersOf(stream).length >= 1 + ORIGIN_KEEPERS)
+      );
+      fleet.entry(0).mode = "refusing";
+      await assertAllFound(fleet, 7);
+    });
+  }
+});
+
+test("records are pushed again to keepers that have registered anew", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    fleet.builds = TWO_BUILDS;
+    beginAll(fleet);
+    await sleep(SHARED_MS);
+    for (let i = 1; i < ENTRIES; i++) fleet.restart(i, { registersAnew: true });
+    await sleep(SHARED_MS);
+    assertHolders(fleet, 1 + ORIGIN_KEEPERS);
+  }));
+
+test("records are pushed again to keepers whose receipts show a restart", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    fleet.builds = TWO_BUILDS;
+    beginAll(fleet);
+    await sleep(SHARED_MS);
+    for (let i = 1; i < ENTRIES; i++) {
+      fleet.restart(i, { registersAnew: false });
+    }
+    await sleep(SHARED_MS);
+    assertHolders(fleet, 1);
+    for (let i = 0; i < 10 * ENTRIES; i++) {
+      fleet.entry(0).service.begun(`more-${i}`, { pool: "plain" });
+    }
+    await sleep(SHARED_MS);
+    assertHolders(fleet, 1 + ORIGIN_KEEPERS);
+  }));
+
+test("a leaving entry acknowledges nothing and still answers", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    fleet.builds = TWO_BUILDS;
+    fleet.entry(5).service.leave();
+    beginAll(fleet);
+    await sleep(SHARED_ANEW_MS);
+    assertHolders(fleet, 1 + ORIGIN_KEEPERS);
+    streams.forEach((stream) =>
+      assert.ok(!fleet.holdersOf(stream).includes("entry-5"))
+    );
+    await assertAllFound(fleet, 5);
+  }));
+
+test("an unknown origin is that of the only build", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    const v1 = { pool: "plain", build: "v1" };
+    assert.deepEqual(await find(fleet, 1, "unknown"), v1);
+    assert.deepEqual(await find(fleet, 1), v1);
+    fleet.isConfirmed = false;
+    assert.deepEqual(await find(fleet, 1, "unknown"), v1);
+    fleet.builds = TWO_BUILDS;
+    assert.equal(await find(fleet, 1, "unknown"), undefined);
+    assert.equal(await find(fleet, 1), undefined);
+  }));
+
+test("an unknown origin is not guessed when a keeper knows of another build", () =>
+  withFleet(4, async (fleet) => {
+    fleet.ownBuilds.set("entry-2", TWO_BUILDS);
+    assert.equal(await find(fleet, 1, "unknown"), undefined);
+  }));
+
+test("an unknown origin is not guessed by an entry that reaches neither store nor keepers", () =>
+  withFleet(4, async (fleet) => {
+    fleet.isConfirmed = false;
+    fleet.entries.forEach((entry) => entry.mode = "silent");
+    assert.equal(await find(fleet, 1, "unknown"), undefined);
+  }));
+
+test("an unknown origin is not guessed for a route with several pools", () =>
+  withFleet(1, async (fleet) => {
+    const { service } = fleet.entry(0);
+    const taken = { request: "req-1", pools: ["plain", "other"] };
+    assert.equal(await service.find(taken), undefined);
+  }));
+
+test("origins expire with the deadlines of their callers", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    fleet.builds = TWO_BUILDS;
+    beginAll(fleet);
+    await sleep(ORIGIN_TTL_MS - 1_000);
+    assertHolders(fleet, 1 + ORIGIN_KEEPERS);
+    await sleep(2_000);
+    assertHolders(fleet, 0);
+  }));
--- /dev/null
+++ b/src/wire/origins.ts
@@ -0,0 +1,61 @@
+/**
+ * Messages by which entries share the origins of streams. Members may be added
+ * later: unknown ones are ignored.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+
+/** Maximum number of records in one call. */
+export const MAX_BATCH_RECORDS = 500;
+
+const originSchema = z.object({
+  pool: z.string(),
+  /** Absent when the target reports no build. */
+  build: z.string().optional(),
+});
+
+export const keepSchema = z.object({
+  from: z.string(),
+  records: z.array(originSchema.extend({
+    /** Identifier of the stream. */
+    stream: z.string(),
+    /** Time until the record expires, in milliseconds. */
+    leftMs: z.number(),
+  })).max(MAX_BATCH_RECORDS),
+});
+
+/** Origins that a peer is asked to keep. */
+export type OriginBatch = z.infer<typeof keepSchema>;
+
+export const keepAnswerSchema = z.object({
+  /** Differs after each start of the peer, which then holds no records. */
+  start: z.string(),
+  /** True when the peer is stopping and is not to be relied on. */
+  isLeaving: z.boolean(),
+});
+
+/** Acknowledgement of a batch. */
+export type OriginReceipt = z.infer<typeof keepAnswerSchema>;
+
+export const findSchema = z.object({ stream: z.string(), pool: z.string() });
+
+/** Question for the origin of a stream of a pool. */
+export type OriginQuery = z.infer<typeof findSchema>;
+
+export const findAnswerSchema = z.object({
+  /** Absent when the peer does not know the stream. */
+  origin: originSchema.optional(),
+  /** Builds that the pool has had; null for targets that report none. */
+  builds: z.array(z.string().nullable()),
+});
+
+/** What a peer knows of a stream and its pool. */
+export type OriginAnswer = z.infer<typeof findAnswerSchema>;
+
+/** Procedures by which entries share the origins of streams. */
+export interface OriginApi {
+  keepOrigins(batch: OriginBatch): OriginReceipt;
+  findOrigin(query: OriginQuery): OriginAnswer;
+}
