--- a/src/serving/origin_keepers.ts
+++ b/src/serving/origin_keepers.ts
@@ -7,7 +7,7 @@
  */
 
 import { hashOf, rendezvousOrder } from "../routing/mod.ts";
-import type { ListedPeer } from "./fleet_state.ts";
+import type { ListedPeer } from "./state_change.ts";
 import type {
   Acknowledgements,
   OriginRecord,
--- a/src/serving/origin_keepers_test.ts
+++ b/src/serving/origin_keepers_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import type { ListedPeer } from "./fleet_state.ts";
+import type { ListedPeer } from "./state_change.ts";
 import {
   KeeperOrder,
   onlyOrigin,
