Take streams up at the build that began them

Callers that took a stream up after a broken connection got events of two builds: the gateway chose any target of the pool, since only the gateway at which the stream began knew the build.

At the first event that it forwards, a gateway now gives the pool and build of the target to StreamOriginService, which shares them among gateways. A request with a last event is bound to the origin of the stream before its stages run: it goes to the pool and build that began the stream, and is refused as not run with Retry-After when no gateway knows them and more than one build may have begun it, or when its route has left the pool. Keepers also report the builds that they know, so a gateway whose view is old doesn't take its only build for that of the stream.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -24,10 +24,12 @@
 } from "./ports.ts";
 import { type Admitted, type AttemptEnd, Relay } from "./relay.ts";
 import { discardAttempt, Replacement } from "./replacement.ts";
+import { streamOf, type StreamOriginMemory } from "./stream_binding.ts";
 
 /** Services that exchanges use. */
 export interface ExchangeDeps extends PreparerDeps {
   readonly client: TargetClient;
+  readonly origins: StreamOriginMemory;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
@@ -60,6 +62,8 @@
   #lastEventId: string | undefined;
   /** Target that began the stream; only its build may go on with it. */
   #origin: BuildHolder | undefined;
+  /** True once an event was forwarded. */
+  #hasEvents = false;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -72,6 +76,7 @@
     this.#response = response;
     this.#deps = deps;
     this.#lastEventId = req.lastEventId;
+    this.#origin = admitted.origin;
     this.#deadlineAt = req.receivedAt +
       Math.min(route.timeoutMs, req.deadlineMs ?? route.timeoutMs);
     this.#preparer = new AttemptPreparer(admitted, this.#deadlineAt, deps);
@@ -197,7 +202,7 @@
         isResumed: this.#response.hasBegun,
         isOver: () => this.#ended.signal.aborted,
         onEvent: (id) => {
-          this.#origin ??= target;
+          this.#recordOrigin(target);
           this.#lastEventId = id ?? this.#lastEventId;
         },
         onSilent: (ms) => this.#replaceSilent(relay, target.id, ms),
@@ -223,6 +228,16 @@
     });
   }
 
+  /** Remembers which build the stream keeps to, at its first event here. */
+  #recordOrigin({ build }: BuildHolder): void {
+    if (this.#hasEvents) return;
+    this.#hasEvents = true;
+    this.#origin ??= { build };
+    const { req, route, pool } = this.#admitted;
+    if (!route.isResumable) return;
+    this.#deps.origins.begun(streamOf(req), { pool: pool.name, build });
+  }
+
   #recordAttempt(target: string, end: AttemptEnd): void {
     this.#call = undefined;
     const isAttempt = end.kind !== "unsent" &&
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -95,15 +95,21 @@
     return monotonicMs() - this.#targetsReadAt;
   }
 
+  /** True while the builds of all pools are known as of a short time ago. */
+  get knowsBuilds(): boolean {
+    return this.versionOf(StatePart.Peers) > 0 &&
+      this.targetsAgeMs < BUILD_VIEW_MS;
+  }
+
   /**
    * Returns the build that all streams of a pool have begun at; undefined when
    * it has lately had several, or when this process can't tell.
    */
   onlyBuildOf(pool: string): BuildHolder | undefined {
-    const isKnown = this.versionOf(StatePart.Peers) > 0 &&
-      this.targetsAgeMs < BUILD_VIEW_MS;
     const builds = this.#state.buildsOf(pool, monotonicMs());
-    return isKnown && builds.length === 1 ? { build: builds[0] } : undefined;
+    return this.knowsBuilds && builds.length === 1
+      ? { build: builds[0] }
+      : undefined;
   }
 
   /** Calls `listener` after each change. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
   RefusalKind,
 } from "./ports.ts";
 import type { Admitted } from "./relay.ts";
+import { bindToOrigin } from "./stream_binding.ts";
 
 /**
  * Time after which callers may retry while this process is not ready, in ms.
@@ -69,7 +70,10 @@
     if (admitted.isErr()) return this.#refuse(req, response, admitted.error);
     this.#inHand += 1;
     try {
-      await new Exchange(admitted.value, response, this.#deps).run();
+      const bound = await bindToOrigin(admitted.value, this.#deps.origins);
+      if (bound.isErr()) return this.#refuse(req, response, bound.error);
+      if (response.gone.aborted) return this.#logGone(req);
+      await new Exchange(bound.value, response, this.#deps).run();
     } finally {
       this.#inHand -= 1;
     }
@@ -118,6 +122,15 @@
     return history;
   }
 
+  /** Logs that the caller left while the origin of its stream was sought. */
+  #logGone({ id }: CallerRequest): void {
+    this.#deps.log.info("request_ended", {
+      request: id,
+      outcome: "caller-gone",
+      attempts: 0,
+    });
+  }
+
   #refuse(
     req: CallerRequest,
     response: CallerResponse,
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -124,7 +124,7 @@
    * owner ends, and not again when it returns.
    */
   ownerOf(group: string): ListedPeer | undefined {
-    const usable = this.#bySeniority().filter((peer) => this.#isUsable(peer));
+    const usable = this.#bySeniority().filter((peer) => this.isUsable(peer));
     const groups = this.#view.state.catalog?.stageGroups ?? [];
     const index = Math.max(0, groups.indexOf(group));
     const owner = usable[index % Math.max(1, usable.length)];
@@ -211,7 +211,7 @@
     const order = this.#bySeniority();
     const ownerCount = STANDBY_OWNERS +
       (this.#view.state.catalog?.stageGroups.length ?? 0);
-    const usable = order.filter((peer) => this.#isUsable(peer));
+    const usable = order.filter((peer) => this.isUsable(peer));
     const lastOwner = usable[Math.min(ownerCount, usable.length) - 1];
     const owners = order.slice(0, lastOwner ? order.indexOf(lastOwner) + 1 : 0);
     const neighbours = rendezvousOrder(others, {
@@ -279,7 +279,8 @@
     return created;
   }
 
-  #isUsable({ name }: ListedPeer): boolean {
+  /** False for a peer that is silent, leaving or much slower than the others. */
+  isUsable({ name }: ListedPeer): boolean {
     if (name === this.#self.name) return !this.#isLeaving;
     const record = this.#records.get(name);
     if (!record) return true;
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -6,6 +6,7 @@
 
 import { monotonicMs, Watchdog } from "../kernel/mod.ts";
 import {
+  type BuildHolder,
   type Catalog,
   EventSplitter,
   type Organisation,
@@ -38,6 +39,8 @@
   readonly ageMs: number;
   /** Share of the requests of the route that are smaller. */
   readonly sizeRank: number;
+  /** Build that began the stream which the request takes up. */
+  readonly origin?: BuildHolder;
 }
 
 /** How one attempt at a target ended. */
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -14,6 +14,7 @@
 } from "../kernel/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
 import { type Logger, Metrics, monitorStalls } from "../telemetry/mod.ts";
+import { StreamOriginService } from "../origins/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
 import { BuildRecorder } from "./build_recorder.ts";
 import { ChainClient } from "./chain_client.ts";
@@ -25,6 +26,7 @@
 import { Peers } from "./peers.ts";
 import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
 import { StageBatcher } from "./stage_batcher.ts";
+import { originFleet } from "./stream_binding.ts";
 import { type RetryBudget, TargetTracker } from "./target_tracker.ts";
 
 /** Configuration of a gateway. */
@@ -104,9 +106,17 @@
     processes: () => peers.processNames,
     log,
   });
+  const origins = new StreamOriginService({
+    self: cfg.self,
+    fleet: originFleet(view, peers),
+    clients,
+    log,
+    metrics,
+  });
   const gateway = new Gateway({
     view,
     peers,
+    origins,
     tracker,
     chains,
     client: targets,
@@ -118,6 +128,7 @@
   view.onChange(({ catalog, targets: listed }) => {
     if (catalog) front.setLimits(catalog.spec.limits);
     tracker.prune();
+    origins.recheck();
     targets.retainConnections(
       new Set(
         [...listed.values()].flatMap(({ target }) =>
@@ -146,16 +157,22 @@
               isLeaving
                 ? Promise.resolve({ kind: "leaving" })
                 : runner.run(chain, gone),
+            keepOrigins: (batch) => origins.keepOrigins(batch),
+            findOrigin: (query) => origins.findOrigin(query),
           })),
           cfg.control,
           signal,
         );
         peers.run(signal);
+        origins.run(signal);
         register(source, cfg.self, { peers, log, signal });
         recorder.run(signal);
         return peers;
       },
-      leave: () => peers.leave(),
+      leave: () => {
+        peers.leave();
+        origins.leave();
+      },
       end: () => clients.close(),
     }),
     service({
--- a/src/origins/ports.ts
+++ b/src/origins/ports.ts
@@ -22,7 +22,7 @@
   isUsable(peer: ListedPeer): boolean;
   /** Builds that a pool may have had within the life of a stream. */
   buildsOf(pool: string): Builds;
-  /** True when the store has recently confirmed the listed targets. */
+  /** True when the builds of all pools are known as of a short time ago. */
   isConfirmed(): boolean;
 }
 
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -83,6 +83,13 @@
       .flatMap(({ peer }) => peer ? [peer] : []);
   }
 
+  /** Versions of the registrations by entry; a restart changes its version. */
+  get registrations(): ReadonlyMap<string, number> {
+    return new Map(
+      [...this.#records.peers].map(([name, { version }]) => [name, version]),
+    );
+  }
+
   /** Returns the state after changes received at monotonic time `now`. */
   apply(changes: readonly StateChange[], now: number): FleetState {
     const records = changes.reduce(
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -1,6 +1,7 @@
 /**
  * Protocol between entries that call their targets directly: it exchanges the
- * state of the fleet and passes chains of stages to the owners of their pools.
+ * state of the fleet, passes chains of stages to the owners of their pools and
+ * shares the origins of streams.
  *
  * @module
  */
@@ -13,6 +14,17 @@
 import { z } from "zod";
 import { timeoutSignal } from "../kernel/mod.ts";
 import type { StateChange } from "../serving/mod.ts";
+import {
+  findAnswerSchema,
+  findSchema,
+  keepAnswerSchema,
+  keepSchema,
+  type OriginAnswer,
+  type OriginApi,
+  type OriginBatch,
+  type OriginQuery,
+  type OriginReceipt,
+} from "./origins.ts";
 
 const versionsSchema = z.record(z.string(), z.number());
 
@@ -76,7 +88,7 @@
   | { readonly kind: "leaving" };
 
 /** Procedures that an entry serves to its peers. */
-export interface EntryPeerApi {
+export interface EntryPeerApi extends OriginApi {
   /** Releases results that are no longer read. */
   freeResults(results: readonly ChainResults[]): void;
   sync(request: SyncRequest): SyncResponse;
@@ -95,6 +107,10 @@
     runChain: trpc.procedure.input(chainSchema).mutation((
       { input, signal },
     ) => api.runChain(input, signal ?? new AbortController().signal)),
+    keepOrigins: trpc.procedure.input(keepSchema)
+      .mutation(({ input }) => api.keepOrigins(input)),
+    findOrigin: trpc.procedure.input(findSchema)
+      .mutation(({ input }) => api.findOrigin(input)),
   });
 }
 
@@ -150,6 +166,28 @@
     await this.#clientOf(url).freeResults.mutate([...results], { signal });
   }
 
+  /** Gives the origins of streams to a peer that keeps them. */
+  async keepOrigins(
+    url: string,
+    batch: OriginBatch,
+    signal: AbortSignal,
+  ): Promise<OriginReceipt> {
+    return keepAnswerSchema.parse(
+      await this.#clientOf(url).keepOrigins.mutate(batch, { signal }),
+    );
+  }
+
+  /** Asks a peer for the origin of a stream. */
+  async findOrigin(
+    url: string,
+    query: OriginQuery,
+    signal: AbortSignal,
+  ): Promise<OriginAnswer> {
+    return findAnswerSchema.parse(
+      await this.#clientOf(url).findOrigin.mutate(query, { signal }),
+    );
+  }
+
   close(): Promise<void> {
     return this.#agent.destroy();
   }
