--- a/src/gateway/build_recorder.ts
+++ b/src/gateway/build_recorder.ts
@@ -13,7 +13,7 @@
 import { StatePart, type StateSource } from "./ports.ts";
 
 /**
- * Time after the start of the first check, in milliseconds: by then the entries
+ * Time from the start to the first check, in milliseconds: by then the entries
  * that start together know each other.
  */
 const START_PAUSE_MS = 3_000;
