--- a/src/gateway/http_front_test.ts
+++ b/src/gateway/http_front_test.ts
@@ -86,3 +86,19 @@
   await once(socket, "close");
   assert.ok(monotonicMs() - startedAt < 20 * IDLE_TIMEOUT_MS);
 });
+
+test("a raised idle timeout holds for connections that are already idle", async (t) => {
+  const { front, port } = await startFront();
+  t.after(() => front.drain(0));
+  const socket = connect(port, "127.0.0.1");
+  t.after(() => socket.destroy());
+  let isClosed = false;
+  socket.on("close", () => isClosed = true);
+  socket.write(REQUEST);
+  await once(socket, "data");
+  front.setLimits({ ...INITIAL_LIMITS, idleTimeoutMs: 2 * STALL_MS });
+  await sleep(1.6 * STALL_MS);
+  assert.equal(isClosed, false);
+  await sleep(STALL_MS);
+  assert.equal(isClosed, true);
+});
