Keep pieces of stages while a slow call may still finish them

Callers got "not run" although targets had nearly finished the pieces of their request.

Cause: a call that is silent for twice its expected time is slow, and its pieces are queued for other targets. The third slow call of a piece counted as its last failure and refused the request at once, with three calls still running. A repeat that was shed from the queue, or expired there, also refused the request while the slow call itself went on. Silence of a sound target thus ended accepted work without a replacement.

Change: each piece counts its open tasks (queued or running). A slow call only starts a repeat. A request is refused when one of its pieces has no open task left.

Measured: on the old code the new tests "a piece whose calls are all silent for a while is not refused" and "a piece is not refused while its slow call runs and its repeat waits" both end in "refused"; with the change both end in "done". The gateway's other tests and the adapter's stages pass.

--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -24,7 +24,9 @@
 } from "./ports.ts";
 import { StagePool } from "./stage_pool.ts";
 import {
+  closeTask,
   isPending,
+  openTask,
   type PieceTask,
   refused,
   type StageOutcome,
@@ -73,6 +75,8 @@
  */
 const INPUT_READ_MS = 80;
 
+const PIECES_FAILED = "pieces failed";
+
 /** Forms the calls to the targets of batched pools. */
 export class StageBatcher {
   readonly #state: () => FleetState;
@@ -143,6 +147,7 @@
         results: work.pieces.map(() => undefined),
         queuedAt: monotonicMs(),
         unsentPieces: work.pieces.length,
+        openTasks: work.pieces.map(() => 1),
         settle: resolve,
       };
       signal.addEventListener(
@@ -254,10 +259,11 @@
       minOnTime: limits.maxPieces * pool.servers.countActive(now),
     });
     pool.queue = queue;
-    new Set([...expired, ...overdue].map(({ item }) => item.submission))
-      .forEach((submission) =>
-        this.#settle(pool, submission, refused("its time has passed"))
-      );
+    this.#closeTasks(
+      pool,
+      [...expired, ...overdue].map(({ item }) => item),
+      "its time has passed",
+    );
   }
 
   async #call(
@@ -334,9 +340,11 @@
       );
       if (lacksResultMemory) pool.recordOutOfMemory(limits, target.id, now);
       outcome.value.forEach((one, i) =>
-        this.#onPieceOutcome(pool, tasks[i], one)
+        this.#onPieceOutcome(pool, tasks[i], one, isSlow.value)
       );
-    } else if (!isSlow.value) {
+    } else if (isSlow.value) {
+      this.#closeTasks(pool, tasks, PIECES_FAILED);
+    } else {
       this.#onCallFailed(pool, target, tasks, outcome.error);
     }
     this.#dispatch(pool);
@@ -360,7 +368,10 @@
     );
   }
 
-  /** Retries the pieces of a slow call at other targets while it continues. */
+  /**
+   * Retries the pieces of a slow call at other targets while it continues. A
+   * piece without attempts left waits for its running calls.
+   */
   #onSlowCall(
     pool: StagePool,
     target: ListedTarget,
@@ -372,7 +383,11 @@
       pieces: tasks.length,
     });
     pool.servers = pool.servers.failed(target.id, monotonicMs());
-    this.#retry(pool, tasks);
+    const repeats = tasks.filter((task) =>
+      isPending(task) && hasAttemptLeft(task)
+    );
+    repeats.forEach(openTask);
+    this.#enqueue(pool, repeats.map(nextAttempt));
     this.#dispatch(pool);
   }
 
@@ -400,16 +415,25 @@
     this.#retry(pool, tasks);
   }
 
+  /** Queues pieces again whose tasks failed. */
   #retry(pool: StagePool, tasks: readonly PieceTask[]): void {
-    const pending = tasks.filter(isPending);
-    pending.filter(({ attempts }) => attempts + 1 >= MAX_PIECE_ATTEMPTS)
-      .forEach(({ submission }) =>
-        this.#settle(pool, submission, refused("pieces failed"))
-      );
+    const last = tasks.filter((task) => !hasAttemptLeft(task));
+    this.#closeTasks(pool, last, PIECES_FAILED);
     this.#enqueue(
       pool,
-      pending.filter(isPending)
-        .map((task) => ({ ...task, attempts: task.attempts + 1 })),
+      tasks.filter((task) => isPending(task) && hasAttemptLeft(task))
+        .map(nextAttempt),
+    );
+  }
+
+  /** Refuses the submissions of which a piece has no open task left. */
+  #closeTasks(
+    pool: StagePool,
+    tasks: readonly PieceTask[],
+    reason: string,
+  ): void {
+    tasks.filter(closeTask).forEach(({ submission }) =>
+      this.#settle(pool, submission, refused(reason))
     );
   }
 
@@ -417,6 +441,7 @@
     pool: StagePool,
     task: PieceTask | undefined,
     outcome: PieceOutcome,
+    wasSlow: boolean,
   ): void {
     if (!task) return;
     const { submission, index } = task;
@@ -444,7 +469,8 @@
       if (isPending(task)) this.#enqueue(pool, [task]);
       return;
     }
-    this.#retry(pool, [task]);
+    if (wasSlow) this.#closeTasks(pool, [task], PIECES_FAILED);
+    else this.#retry(pool, [task]);
   }
 
   async #release(
@@ -489,3 +515,11 @@
     return this.#state().catalog?.pool(pool)?.batch;
   }
 }
+
+function hasAttemptLeft({ attempts }: PieceTask): boolean {
+  return attempts + 1 < MAX_PIECE_ATTEMPTS;
+}
+
+function nextAttempt(task: PieceTask): PieceTask {
+  return { ...task, attempts: task.attempts + 1 };
+}
--- /dev/null
+++ b/src/gateway/stage_batcher_test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ok } from "neverthrow";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { batchPool, catalogChange, targetChange } from "../serving/testing.ts";
+import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
+import { withPausedClock } from "../testing/mod.ts";
+import type { PieceOutcome, TargetClient } from "./ports.ts";
+import { StageBatcher } from "./stage_batcher.ts";
+import type { StageOutcome, StageWork } from "./stage_work.ts";
+import { stateOf } from "./testing.ts";
+
+/** A call of one piece is expected to take 260 ms and is slow after 520 ms. */
+const POOL = batchPool("parts", { callMs: 240, pieceMs: 20 });
+
+/** Batcher of three targets whose calls take `callMs(n)`, n counted from 1. */
+function setup(callMs: (n: number) => Promise<void>) {
+  const state = stateOf([
+    catalogChange({ pools: [POOL] }),
+    ...[1, 2, 3].map((i) =>
+      targetChange(`t${i}`, 1 + i, {
+        pool: "parts",
+        address: `10.0.0.${i}:80`,
+      })
+    ),
+  ]);
+  let calls = 0;
+  const client: TargetClient = {
+    send: () => {
+      throw new Error("not used");
+    },
+    runPieces: async (target, pieces) => {
+      const n = ++calls;
+      await callMs(n);
+      return ok(pieces.map((): PieceOutcome => ({
+        result: `${target.address}/${n}`,
+      })));
+    },
+    freeResults: () => Promise.resolve(),
+    retainConnections: () => {},
+    close: () => Promise.resolve(),
+  };
+  const batcher = new StageBatcher({
+    state: () => state,
+    client,
+    log: SILENT_LOGGER,
+    metrics: new Metrics(),
+  });
+  return { batcher, calls: () => calls };
+}
+
+function submit(
+  batcher: StageBatcher,
+  overrides: Partial<StageWork> = {},
+): Promise<StageOutcome> {
+  const now = monotonicMs();
+  return batcher.submit({
+    pool: "parts",
+    priority: 0,
+    dueAt: now + 1_000,
+    expiresAt: now + 10_000,
+    resultBytes: 1,
+    pieces: [{ requestId: "r", stage: 0, segment: 0, key: "k" }],
+    onInputsRead: () => {},
+    ...overrides,
+  }, new AbortController().signal);
+}
+
+test("a piece whose calls are all silent for a while is not refused", () =>
+  withPausedClock(async () => {
+    const { batcher, calls } = setup(() => sleep(1_900));
+    const outcome = await submit(batcher);
+    assert.equal(outcome.kind, "done");
+    assert.equal(calls(), 3);
+  }, { seed: 1 }));
+
+test("a piece is not refused while its slow call runs and its repeat waits", () =>
+  withPausedClock(async () => {
+    const { batcher, calls } = setup((n) => sleep(n === 1 ? 900 : 5_000));
+    const first = submit(batcher, { expiresAt: monotonicMs() + 600 });
+    await sleep(10);
+    submit(batcher);
+    submit(batcher);
+    assert.equal((await first).kind, "done");
+    assert.equal(calls(), 3);
+  }, { seed: 1 }));
--- a/src/gateway/stage_work.ts
+++ b/src/gateway/stage_work.ts
@@ -38,6 +38,8 @@
   readonly queuedAt: number;
   /** Number of pieces that no call has carried yet. */
   unsentPieces: number;
+  /** Number of tasks that are queued or running, by piece. */
+  readonly openTasks: number[];
   /** Reports the outcome; undefined once that is done. */
   settle?: (outcome: StageOutcome) => void;
 }
@@ -56,6 +58,21 @@
   return { kind: "refused", reason };
 }
 
+/** Records that a task is queued besides those of its piece that are open. */
+export function openTask({ submission, index }: PieceTask): void {
+  submission.openTasks[index] = (submission.openTasks[index] ?? 0) + 1;
+}
+
+/**
+ * Records that a task has ended without a result. Returns true when its piece
+ * has no open task left, so that it gets no result any more.
+ */
+export function closeTask(task: PieceTask): boolean {
+  const { submission: { openTasks }, index } = task;
+  openTasks[index] = (openTasks[index] ?? 0) - 1;
+  return isPending(task) && openTasks[index] <= 0;
+}
+
 /** True while the piece has no result and its submission is not settled. */
 export function isPending({ submission, index }: PieceTask): boolean {
   return submission.settle !== undefined &&
