Count no stall of the process as a slow call of pieces

Callers got "the queue is too long" after a stall of an entry, for example while it parsed a large configuration.

Cause: Node runs expired timers before it reads the sockets. After a stall every call in flight counted as slow: all targets of the pool were paused as failed, got trial calls only, and all pieces were sent twice.

--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { monotonicMs, timeoutSignal } from "../kernel/mod.ts";
+import { monotonicMs, timeoutSignal, Watchdog } from "../kernel/mod.ts";
 import {
   type BatchLimits,
   expectedCallMs,
@@ -285,11 +285,12 @@
       tasks.length,
     );
     this.#scheduleInputsRead(tasks);
-    const isSlow = { value: false };
-    const slowTimer = setTimeout(() => {
-      isSlow.value = true;
-      this.#onSlowCall(pool, target, tasks);
-    }, Math.max(MIN_SLOW_CALL_MS, expectedMs * SLOW_CALL_RATIO));
+    const watchdog = new Watchdog(
+      Math.max(MIN_SLOW_CALL_MS, expectedMs * SLOW_CALL_RATIO),
+    );
+    watchdog.signal.addEventListener("abort", () => {
+      if (watchdog.isExpired) this.#onSlowCall(pool, target, tasks);
+    });
     const outcome = await this.#client.runPieces(
       target,
       tasks.map(({ piece, submission }) => ({
@@ -300,7 +301,8 @@
         Math.max(MIN_SLOW_CALL_MS, expectedMs) * CALL_TIMEOUT_RATIO,
       ),
     );
-    clearTimeout(slowTimer);
+    watchdog.end();
+    const { isExpired: wasSlow } = watchdog;
     const tookMs = monotonicMs() - now;
     this.#metrics.durations("stage_call", { pool: pool.name }).record(tookMs);
     this.#log.info("stage_call", {
@@ -333,16 +335,16 @@
         id: target.id,
         resultCount: results.length,
         tookMs,
-        wasSlow: isSlow.value,
+        wasSlow,
       }, now);
       const lacksResultMemory = outcome.value.some((one) =>
         "fault" in one && one.fault === PieceFault.ResultMemoryFull
       );
       if (lacksResultMemory) pool.recordOutOfMemory(limits, target.id, now);
       outcome.value.forEach((one, i) =>
-        this.#onPieceOutcome(pool, tasks[i], one, isSlow.value)
+        this.#onPieceOutcome(pool, tasks[i], one, wasSlow)
       );
-    } else if (isSlow.value) {
+    } else if (wasSlow) {
       this.#closeTasks(pool, tasks, PIECES_FAILED);
     } else {
       this.#onCallFailed(pool, target, tasks, outcome.error);
--- a/src/gateway/stage_batcher_test.ts
+++ b/src/gateway/stage_batcher_test.ts
@@ -84,3 +84,15 @@
     assert.equal((await first).kind, "done");
     assert.equal(calls(), 3);
   }, { seed: 1 }));
+
+test("a stall of the process makes no call slow", async () => {
+  const { batcher, calls } = setup(async () => {
+    await new Promise(setImmediate);
+    await sleep(100);
+  });
+  const outcome = submit(batcher);
+  const endAt = monotonicMs() + 800;
+  while (monotonicMs() < endAt);
+  assert.equal((await outcome).kind, "done");
+  assert.equal(calls(), 1);
+});
