Keep a silent call until another target has taken the request

Callers lost the answer of a sound server that was silent for longer than a stream's silence, or got 502 from an idempotent route, when the target that was to replace it refused the request.

Cause: a reserved target was taken as certain. The silent call was aborted before the other target had said anything, and its stages ran before a retry of the budget was known to be left.

Change: Handover sends the next attempt while the silent call goes on. A refusal, a break or progress of the silent target leaves the request with it. The retry is paid first.

--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -36,6 +36,12 @@
   readonly reservation: Reservation;
 }
 
+/** Returns the target and the results of an attempt that is not made. */
+export function discardAttempt(attempt: PreparedAttempt): void {
+  attempt.reservation.discarded();
+  attempt.inputs.release();
+}
+
 /** Why no attempt can be made now. */
 export interface Unprepared {
   readonly reason: string;
@@ -44,8 +50,8 @@
 
 /** Services that prepare attempts. */
 export interface PreparerDeps {
-  readonly tracker: TargetTracker;
-  readonly chains: ChainClient;
+  readonly tracker: Pick<TargetTracker, "reserve" | "preferredDomain">;
+  readonly chains: Pick<ChainClient, "run">;
   readonly firstByteTimes: FirstByteTimes;
 }
 
@@ -72,6 +78,10 @@
   ): Promise<Result<PreparedAttempt, Unprepared>> {
     const inputs = await this.#runStages(choice, signal);
     if (inputs.isErr()) return err(inputs.error);
+    if (signal.aborted) {
+      inputs.value.release();
+      return err({ reason: "no longer needed", retryAfterMs: 0 });
+    }
     const reservation = this.#reserve(choice);
     if (reservation.isOk()) {
       return ok({ inputs: inputs.value, reservation: reservation.value });
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,31 +7,29 @@
 import type { Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
 import { type BuildHolder, RouteKind } from "../serving/mod.ts";
-import type { Logger, Metrics } from "../telemetry/mod.ts";
 import {
   AttemptPreparer,
+  discardAttempt,
   NO_TARGET_RETRY_AFTER_MS,
   type PreparedAttempt,
   type PreparerDeps,
   type Unprepared,
 } from "./attempt_preparer.ts";
-import {
-  type CallerResponse,
-  type Refusal,
-  RefusalKind,
-  type RunningCall,
-  type TargetClient,
-} from "./ports.ts";
+import { Conclusion, type ConclusionDeps } from "./conclusion.ts";
+import { Handover, type RunningAttempt } from "./handover.ts";
+import type { CallerResponse, TargetClient } from "./ports.ts";
 import { type Admitted, type AttemptEnd, Relay } from "./relay.ts";
-import { discardAttempt, Replacement } from "./replacement.ts";
 import { streamOf, type StreamOriginMemory } from "./stream_binding.ts";
+import type { TargetTracker } from "./target_tracker.ts";
 
 /** Services that exchanges use. */
-export interface ExchangeDeps extends PreparerDeps {
-  readonly client: TargetClient;
+export interface ExchangeDeps extends PreparerDeps, ConclusionDeps {
+  readonly tracker: Pick<
+    TargetTracker,
+    "reserve" | "preferredDomain" | "request" | "spendRetry"
+  >;
+  readonly client: Pick<TargetClient, "send">;
   readonly origins: StreamOriginMemory;
-  readonly log: Logger;
-  readonly metrics: Metrics;
 }
 
 /**
@@ -39,10 +37,6 @@
  * refused.
  */
 const MAX_UNSENT_ATTEMPTS = 3;
-/**
- * Time after which callers may retry after a target refused, in milliseconds.
- */
-const TARGET_FULL_RETRY_AFTER_MS = 200;
 
 /** Serves one request. */
 export class Exchange {
@@ -51,20 +45,21 @@
   readonly #deps: ExchangeDeps;
   readonly #deadlineAt: number;
   readonly #preparer: AttemptPreparer;
-  readonly #ended = new AbortController();
+  readonly #conclusion: Conclusion;
   readonly #tried = new Set<string>();
+  /** Attempts that have not ended. */
+  readonly #open = new Set<Relay>();
   #attempts = 0;
   #unsentAttempts = 0;
   /** True once a target may have begun to run the request. */
   #mayHaveRun = false;
-  #call: RunningCall | undefined;
-  #replacement: Replacement | undefined;
+  #current: RunningAttempt | undefined;
+  #handover: Handover | undefined;
   #lastEventId: string | undefined;
   /** Target that began the stream; only its build may go on with it. */
   #origin: BuildHolder | undefined;
   /** True once an event was forwarded. */
   #hasEvents = false;
-  #timer: NodeJS.Timeout | undefined;
 
   constructor(
     admitted: Admitted,
@@ -80,105 +75,105 @@
     this.#deadlineAt = req.receivedAt +
       Math.min(route.timeoutMs, req.deadlineMs ?? route.timeoutMs);
     this.#preparer = new AttemptPreparer(admitted, this.#deadlineAt, deps);
+    const history = () => ({
+      attempts: this.#attempts,
+      mayHaveRun: this.#mayHaveRun,
+      build: this.#origin?.build,
+    });
+    this.#conclusion = new Conclusion(admitted, response, history, deps);
   }
 
   /**
    * Resolves when the final response was sent or the caller has disconnected.
    */
   async run(): Promise<void> {
-    this.#timer = setTimeout(
-      () => this.#onDeadline(),
+    const timer = setTimeout(
+      () => this.#conclusion.timedOut(this.#open.size > 0),
       Math.max(0, this.#deadlineAt - monotonicMs()),
     );
-    this.#response.gone.addEventListener("abort", () => this.#onCallerGone(), {
-      once: true,
+    this.#conclusion.signal.addEventListener("abort", () => {
+      clearTimeout(timer);
+      this.#handover?.cancel();
+      this.#open.forEach((relay) => relay.abort());
     });
+    this.#response.gone.addEventListener(
+      "abort",
+      () => this.#conclusion.callerGone(),
+      { once: true },
+    );
     this.#deps.tracker.request(this.#admitted.pool.name);
-    let attempt = await this.#usable(this.#prepare(this.#ended.signal));
-    while (attempt) {
-      const end = await this.#send(attempt);
-      attempt.inputs.release();
-      attempt = await this.#nextAttempt(end);
+    this.#current = await this.#startNext();
+    while (this.#current) {
+      const end = await this.#current.ended;
+      this.#current = await this.#next(end);
     }
   }
 
-  #prepare(
-    signal: AbortSignal,
-  ): Promise<Result<PreparedAttempt, Unprepared>> {
-    const choice = { exclude: this.#tried, sameBuildAs: this.#origin };
-    return this.#preparer.prepare(choice, signal);
+  /** Returns the attempt that follows one that has ended, if any does. */
+  async #next(end: AttemptEnd): Promise<RunningAttempt | undefined> {
+    const handover = this.#handover;
+    this.#handover = undefined;
+    if (this.#conclusion.isOver) return undefined;
+    const taken = await handover?.adopt();
+    if (taken) return taken;
+    return this.#shouldRetry(end) ? await this.#startNext() : undefined;
   }
 
-  /** Waits for an attempt; ends the exchange if it cannot be made. */
-  async #usable(
-    prepared: Promise<Result<PreparedAttempt, Unprepared>>,
-  ): Promise<PreparedAttempt | undefined> {
-    const result = await prepared;
-    if (result.isErr()) {
-      const { reason, retryAfterMs } = result.error;
-      this.#abandon(reason, retryAfterMs);
+  /** Sends the request to a target; ends the exchange when that can't be. */
+  async #startNext(): Promise<RunningAttempt | undefined> {
+    const prepared = await this.#prepare(this.#conclusion.signal);
+    if (prepared.isErr()) {
+      const { reason, retryAfterMs } = prepared.error;
+      this.#conclusion.abandon(reason, retryAfterMs);
       return undefined;
     }
-    if (!this.#ended.signal.aborted) return result.value;
-    discardAttempt(result.value);
+    if (!this.#conclusion.isOver) return this.#start(prepared.value, () => {});
+    discardAttempt(prepared.value);
     return undefined;
   }
 
-  /** Returns the attempt after one that has ended, if another is made. */
-  async #nextAttempt(end: AttemptEnd): Promise<PreparedAttempt | undefined> {
-    const replacement = this.#replacement;
-    this.#replacement = undefined;
-    if (replacement?.isTaken || this.#shouldRetry(end)) {
-      return await this.#usable(
-        replacement?.prepared ?? this.#prepare(this.#ended.signal),
-      );
-    }
-    replacement?.cancel();
-    return undefined;
+  #prepare(
+    signal: AbortSignal,
+  ): Promise<Result<PreparedAttempt, Unprepared>> {
+    const choice = { exclude: this.#tried, sameBuildAs: this.#origin };
+    return this.#preparer.prepare(choice, signal);
   }
 
   /**
-   * Prepares the next attempt while a target is silent. The call to it ends
-   * only once another target is certain to get the request: the silent one may
-   * go on, and nothing else may be able to serve the request.
+   * Looks for another target while one is silent. The silent one may go on, and
+   * no other may be able to serve the request, so the call to it ends only when
+   * another target has taken the request.
    */
   #replaceSilent(relay: Relay, target: string, silentMs: number): void {
+    if (this.#conclusion.isOver || relay !== this.#current?.relay) return;
     this.#log("target_silent", { target, silentMs });
-    if (this.#replacement || !this.#mayReplace()) return;
-    const replacement = new Replacement((signal) =>
-      this.#prepare(AbortSignal.any([signal, this.#ended.signal]))
-    );
-    this.#replacement = replacement;
-    replacement.prepared.then((result) => {
-      // An attempt that ended meanwhile has passed it on to the next one.
-      const isCurrent = this.#replacement === replacement;
-      if (!isCurrent && !replacement.isCancelled) return;
-      if (result.isErr()) {
-        this.#log("replacement_failed", { reason: result.error.reason });
-      } else if (isCurrent && this.#spendRetry()) {
-        replacement.take();
-        return relay.giveUp(`silent for ${silentMs} ms`);
-      } else {
-        discardAttempt(result.value);
-      }
-      if (isCurrent) this.#replacement = undefined;
-    }).catch((err: unknown) =>
-      this.#log("replacement_failed", { reason: String(err) })
-    );
-  }
-
-  #mayReplace(): boolean {
-    return this.#isRepeatable &&
+    const mayReplace = this.#isRepeatable &&
       this.#attempts + 1 < this.#admitted.route.maxAttempts;
+    if (this.#handover || !mayReplace || !this.#spendRetry()) return;
+    const { signal } = this.#conclusion;
+    this.#handover = new Handover({
+      prepare: (cancelled) =>
+        this.#prepare(AbortSignal.any([cancelled, signal])),
+      start: (attempt, onAccepted) => this.#start(attempt, onAccepted),
+      onTaken: () => relay.giveUp(`silent for ${silentMs} ms`),
+      onFailed: (reason) => {
+        this.#handover = undefined;
+        this.#log("handover_failed", { reason });
+      },
+    });
   }
 
-  #cancelReplacement(): void {
-    this.#replacement?.cancel();
-    this.#replacement = undefined;
+  #cancelHandover(relay: Relay): void {
+    if (relay !== this.#current?.relay) return;
+    this.#handover?.cancel();
+    this.#handover = undefined;
   }
 
   /** Sends the request to one target. */
-  #send({ inputs, reservation }: PreparedAttempt): Promise<AttemptEnd> {
+  #start(
+    { inputs, reservation }: PreparedAttempt,
+    onAccepted: () => void,
+  ): RunningAttempt {
     const { req, route, organisation } = this.#admitted;
     const remainingMs = Math.floor(this.#deadlineAt - monotonicMs());
     const { target } = reservation;
@@ -190,40 +185,42 @@
       tried: this.#tried.size,
     });
     this.#tried.add(target.id);
-    return new Promise((resolve) => {
-      const relay = new Relay({
-        admitted: this.#admitted,
-        response: this.#response,
-        reservation,
-        inputs,
-        usualMs: this.#deps.firstByteTimes.of(route.name),
-        isResumed: this.#response.hasBegun,
-        isOver: () => this.#ended.signal.aborted,
-        onEvent: (id) => {
-          this.#recordOrigin(target);
-          this.#lastEventId = id ?? this.#lastEventId;
-        },
-        onSilent: (ms) => this.#replaceSilent(relay, target.id, ms),
-        onProgress: () => this.#cancelReplacement(),
-        onFirstBytes: (ms) => this.#deps.firstByteTimes.observe(route.name, ms),
-        onEnd: (end) => {
-          this.#recordAttempt(target.id, end);
-          resolve(end);
-        },
-      });
-      const call = this.#deps.client.send({
-        target,
-        req,
-        remainingMs,
-        organisation: organisation?.name,
-        urgency: (organisation?.priority ?? 0) + route.priority,
-        inputs: route.stages.length > 0 ? inputs.results : undefined,
-        lastEventId: this.#lastEventId,
-        maxConnections: reservation.maxConnections,
-      }, relay);
-      this.#call = call;
-      relay.attach(call);
+    const { promise, resolve } = withResolvers<AttemptEnd>();
+    const relay: Relay = new Relay({
+      admitted: this.#admitted,
+      response: this.#response,
+      reservation,
+      inputs,
+      usualMs: this.#deps.firstByteTimes.of(route.name),
+      isResumed: this.#response.hasBegun,
+      isOver: () => this.#conclusion.isOver,
+      onAccepted,
+      onEvent: (id) => {
+        this.#recordOrigin(target);
+        this.#lastEventId = id ?? this.#lastEventId;
+      },
+      onSilent: (ms) => this.#replaceSilent(relay, target.id, ms),
+      onProgress: () => this.#cancelHandover(relay),
+      onFirstBytes: (ms) => this.#deps.firstByteTimes.observe(route.name, ms),
+      onEnd: (end) => {
+        inputs.release();
+        this.#open.delete(relay);
+        this.#recordAttempt(target.id, end);
+        resolve(end);
+      },
     });
+    this.#open.add(relay);
+    relay.attach(this.#deps.client.send({
+      target,
+      req,
+      remainingMs,
+      organisation: organisation?.name,
+      urgency: (organisation?.priority ?? 0) + route.priority,
+      inputs: route.stages.length > 0 ? inputs.results : undefined,
+      lastEventId: this.#lastEventId,
+      maxConnections: reservation.maxConnections,
+    }, relay));
+    return { relay, ended: promise };
   }
 
   /** Remembers which build the stream keeps to, at its first event here. */
@@ -237,18 +234,18 @@
   }
 
   #recordAttempt(target: string, end: AttemptEnd): void {
-    this.#call = undefined;
+    if (end.kind === "over") {
+      this.#attempts += 1;
+      if (!this.#conclusion.isOver) this.#conclusion.answered(target);
+      return;
+    }
     const isAttempt = end.kind !== "unsent" &&
       !(end.kind === "not-run" && !end.isAttempt);
     if (isAttempt) this.#attempts += 1;
     else this.#unsentAttempts += 1;
-    if (end.kind === "broken" || end.kind === "error-answer") {
+    if (end.kind !== "unsent" && end.kind !== "not-run") {
       this.#mayHaveRun = true;
     }
-    if (end.kind === "over") {
-      if (!this.#ended.signal.aborted) this.#finish("answered", { target });
-      return;
-    }
     this.#log("attempt_failed", {
       target,
       outcome: end.kind,
@@ -262,15 +259,21 @@
    * response.
    */
   #shouldRetry(end: AttemptEnd): boolean {
-    if (this.#ended.signal.aborted || end.kind === "over") return false;
-    if (end.kind === "unsent") return this.#retryUnsent(end.detail);
+    if (this.#conclusion.isOver || end.kind === "over") return false;
+    if (end.kind === "unsent") return this.#mayRetryUnsent(end.detail);
     if (end.kind === "not-run" && !end.isAttempt) {
-      return this.#retryUnsent("other target at the address");
+      return this.#mayRetryUnsent("other target at the address");
     }
     const mayRetry = end.kind === "not-run" || this.#isRepeatable;
     const hasAttemptLeft = this.#attempts < this.#admitted.route.maxAttempts;
     if (mayRetry && hasAttemptLeft && this.#spendRetry()) return true;
-    this.#finishFailed(end);
+    this.#conclusion.failed(end);
+    return false;
+  }
+
+  #mayRetryUnsent(detail: string): boolean {
+    if (this.#unsentAttempts < MAX_UNSENT_ATTEMPTS) return true;
+    this.#conclusion.abandon(detail, NO_TARGET_RETRY_AFTER_MS);
     return false;
   }
 
@@ -285,92 +288,6 @@
     return this.#deps.tracker.spendRetry(this.#admitted.pool.name);
   }
 
-  #retryUnsent(detail: string): boolean {
-    if (this.#unsentAttempts < MAX_UNSENT_ATTEMPTS) return true;
-    if (this.#response.hasBegun) this.#breakOff(detail);
-    else this.#abandon(detail, NO_TARGET_RETRY_AFTER_MS);
-    return false;
-  }
-
-  /** Sends the final response after the last attempt failed. */
-  #finishFailed(end: AttemptEnd): void {
-    if (this.#response.hasBegun) return this.#breakOff(end.kind);
-    if (end.kind === "not-run") {
-      return this.#abandon("the target refused", TARGET_FULL_RETRY_AFTER_MS);
-    }
-    if (end.kind === "error-answer") {
-      this.#response.begin(end.head);
-      this.#response.write(end.body, () => {});
-      this.#response.end();
-      return this.#finish("error-answer", { status: end.head.status });
-    }
-    const reason = "detail" in end ? end.detail : end.kind;
-    this.#refuse({ kind: RefusalKind.Unknown, reason });
-  }
-
-  /**
-   * Ends a request that is not sent again: refuses it as not run, as unknown
-   * when a target may have run it, or aborts a response that has begun.
-   */
-  #abandon(reason: string, retryAfterMs: number): void {
-    if (this.#ended.signal.aborted) return;
-    if (this.#response.hasBegun) return this.#breakOff(reason);
-    if (this.#mayHaveRun) {
-      return this.#refuse({ kind: RefusalKind.Unknown, reason });
-    }
-    this.#refuse({ kind: RefusalKind.NotRun, reason, retryAfterMs });
-  }
-
-  #refuse(refusal: Refusal): void {
-    if (this.#ended.signal.aborted) return;
-    this.#response.refuse(refusal);
-    this.#finish(refusal.kind, {
-      reason: refusal.reason,
-      retryAfterMs: refusal.retryAfterMs,
-    });
-  }
-
-  #breakOff(reason: string): void {
-    this.#response.cut();
-    this.#finish("cut", { reason });
-  }
-
-  #onDeadline(): void {
-    if (this.#ended.signal.aborted) return;
-    if (this.#response.hasBegun) return this.#breakOff("its time has passed");
-    const isSent = this.#call !== undefined || this.#mayHaveRun;
-    this.#refuse({
-      kind: isSent ? RefusalKind.TimedOut : RefusalKind.NotRun,
-      reason: "its time has passed",
-    });
-  }
-
-  #onCallerGone(): void {
-    if (this.#ended.signal.aborted) return;
-    this.#finish("caller-gone", {});
-  }
-
-  #finish(
-    outcome: string,
-    fields: Record<string, string | number | undefined>,
-  ) {
-    clearTimeout(this.#timer);
-    this.#ended.abort();
-    this.#cancelReplacement();
-    this.#call?.abort(outcome);
-    const { route } = this.#admitted;
-    const tookMs = monotonicMs() - this.#admitted.req.receivedAt;
-    this.#deps.metrics.count("requests_total", { route: route.name, outcome });
-    this.#deps.metrics.durations("request", { outcome }).record(tookMs);
-    this.#log("request_ended", {
-      outcome,
-      tookMs: Math.round(tookMs),
-      attempts: this.#attempts,
-      build: this.#origin?.build,
-      ...fields,
-    });
-  }
-
   #log(
     event: string,
     fields: Record<string, string | number | undefined>,
@@ -378,3 +295,13 @@
     this.#deps.log.info(event, { request: this.#admitted.req.id, ...fields });
   }
 }
+
+/** Returns a promise with the function that resolves it. */
+function withResolvers<T>(): {
+  promise: Promise<T>;
+  resolve: (value: T) => void;
+} {
+  let resolve: (value: T) => void = () => {};
+  const promise = new Promise<T>((settle) => resolve = settle);
+  return { promise, resolve };
+}
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -60,6 +60,8 @@
     readonly head: ResponseHead;
     readonly body: Buffer;
   }
+  /** This process no longer needs the attempt. */
+  | { readonly kind: "cancelled" }
   /** The call failed or was aborted, and the request may have run. */
   | { readonly kind: "broken"; readonly detail: string };
 
@@ -89,6 +91,8 @@
   readonly isResumed: boolean;
   /** True once the exchange has ended for another reason. */
   isOver(): boolean;
+  /** Called before a usable response is forwarded or collected. */
+  onAccepted(): void;
   onEvent(lastId: string | undefined): void;
   /** Called each time that the target has been silent for `ms`. */
   onSilent(ms: number): void;
@@ -125,12 +129,22 @@
     this.#expectProgress(this.#overdueMs);
   }
 
-  /** Ends the call to a silent target, as the next attempt is certain. */
+  /** Ends the call to a silent target: another one has taken the request. */
   giveUp(detail: string): void {
     this.#isGivenUp = true;
     this.#breakOff(detail);
   }
 
+  /** Ends a call that is no longer needed. */
+  cancel(): void {
+    this.#stop({ kind: "cancelled" });
+  }
+
+  /** Aborts the call, since the exchange has ended. */
+  abort(): void {
+    this.#call?.abort("the request has ended");
+  }
+
   /** Time after which the head of the response is overdue, in milliseconds. */
   get #overdueMs(): number {
     const { route } = this.#deps.admitted;
@@ -163,6 +177,7 @@
         this.#isStream && route.isResumable ? silenceMsOf(route) : undefined,
       );
     }
+    if (head.status < 500) this.#deps.onAccepted();
     if (this.#isStream && !this.#deps.isResumed) {
       this.#deps.response.begin(head);
     }
@@ -259,14 +274,22 @@
     this.#stop({ kind: "broken", detail });
   }
 
-  /** Fixes the outcome before the call has ended; a broken call is aborted. */
+  /** Fixes the outcome before the call has ended. */
   #stop(outcome: AttemptEnd): void {
     if (this.#outcome || this.#isEnded) return;
     this.#outcome = outcome;
-    if (outcome.kind === "broken") {
-      this.#call?.abort(outcome.detail);
-      this.#end(outcome);
-    }
+    // The connection stays usable if the rest of a refusal is read.
+    if (outcome.kind !== "not-run") this.#abort(outcome);
+  }
+
+  #abort(outcome: AttemptEnd): void {
+    this.#call?.abort("detail" in outcome ? outcome.detail : outcome.kind);
+    this.#end(outcome);
+  }
+
+  /** True when an end counts against the target; silence did before. */
+  #isFault({ kind }: AttemptEnd): boolean {
+    return kind !== "not-run" && kind !== "cancelled" && !this.#isGivenUp;
   }
 
   /** Ends a call that this process aborted without a fault of the target. */
@@ -280,10 +303,9 @@
     this.#isEnded = true;
     this.#watchdog?.end();
     const { reservation } = this.#deps;
-    const serviceMs = monotonicMs() - this.#startedAt;
-    if (end.kind === "over") reservation.done(serviceMs);
-    else if (end.kind === "not-run" || this.#isGivenUp) reservation.discarded();
-    else reservation.failed();
+    if (end.kind === "over") reservation.done(monotonicMs() - this.#startedAt);
+    else if (this.#isFault(end)) reservation.failed();
+    else reservation.discarded();
     this.#deps.onEnd(end);
   }
 }
