End a refusal whose body does not end

Callers waited until their deadline although their request was known not to have run, and the target kept a place that was never given back.

Cause: after a refusal's head the relay reads the rest, so that the connection stays usable, and had no limit for it.

Change: a refusal that is silent for as long as an overdue response ends its call, and the request is retried.

--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -257,6 +257,7 @@
   }
 
   #reportSilence(ms: number): void {
+    if (this.#outcome) return this.#abort(this.#outcome);
     this.#expectProgress(ms);
     if (!this.#isSilent) this.#deps.reservation.overdue();
     this.#isSilent = true;
