Fetch an overdue response from another server while its body arrives

Callers of idempotent routes waited for a body that arrived byte by byte, up to their deadline, although another server was free.

Change: only the head of such a response, and the bytes of a stream, are progress.

--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -186,11 +186,11 @@
   data(bytes: Buffer): boolean {
     if (this.#outcome) return true;
     this.#recordFirstBytes();
-    this.#recordProgress();
     if (!this.#isStream) {
       this.#chunks.push(bytes);
       return true;
     }
+    this.#recordProgress();
     const complete = this.#splitter.push(bytes);
     if (!complete) return true;
     this.#deps.onEvent(complete.lastId);
