Keep origins at a keeper that was silent for a moment

Also, each flush asked the health of every peer for every record. The health of a peer is asked once in a flush. New test: a keeper that is silent for a moment causes no copies at others; it adds the experiment stream-origins to npm run bench.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -17,6 +17,7 @@
 import { shares } from "./shares.ts";
 import { silentConnections } from "./silent_connections.ts";
 import { storeOutage } from "./store_outage.ts";
+import { streamOrigins } from "./stream_origins.ts";
 
 const EXPERIMENTS: readonly Experiment[] = [
   claims,
@@ -30,6 +31,7 @@
   prefix,
   silentConnections,
   storeOutage,
+  streamOrigins,
 ];
 
 const DEFAULT_SEED = 1;
--- a/src/origins/origin_sharing.ts
+++ b/src/origins/origin_sharing.ts
@@ -8,6 +8,7 @@
 import {
   Acknowledgements,
   type ListedPeer,
+  type OriginPush,
   type OriginRecord,
   StreamOrigins,
   unacknowledged,
@@ -21,6 +22,8 @@
 const KEEP_TIMEOUT_MS = 300;
 /** Maximum number of calls in flight. */
 const MAX_CALLS = 32;
+/** Pause between removals of acknowledgements of expired records, in ms. */
+const PRUNE_PAUSE_MS = 5_000;
 
 /** Origins of the streams that began here, and who keeps them. */
 export class OriginSharing {
@@ -37,6 +40,7 @@
   readonly #inFlight = new Set<string>();
   /** True while a keeper may lack a record. */
   #isPending = false;
+  #pruneAt = 0;
 
   constructor(
     deps: {
@@ -77,21 +81,27 @@
     this.#registrations = registrations;
   }
 
-  /** Starts the calls for what keepers lack. */
+  /** Starts the calls for what keepers lack, and those that try lost ones. */
   flush(signal: AbortSignal): void {
-    if (!this.#isPending) return;
-    this.#isPending = false;
+    const probes = this.#keepers.dueProbes()
+      .map((peer) => ({ peer, records: [] }));
+    [...probes, ...this.#pending()]
+      .filter(({ peer }) => !this.#inFlight.has(peer.name))
+      .slice(0, MAX_CALLS - this.#inFlight.size)
+      .forEach(({ peer, records }) =>
+        this.#push(peer, records.slice(0, MAX_BATCH_RECORDS), signal)
+      );
+  }
+
+  #pending(): readonly OriginPush[] {
+    if (!this.#isPending) return [];
     const pushes = unacknowledged(this.#sharedRecords(), {
       order: this.#keepers.order,
       acknowledged: this.#acknowledged,
       isUsable: (peer) => this.#keepers.isUsable(peer),
     });
-    if (pushes.length > 0) this.#isPending = true;
-    pushes.filter(({ peer }) => !this.#inFlight.has(peer.name))
-      .slice(0, MAX_CALLS - this.#inFlight.size)
-      .forEach(({ peer, records }) =>
-        this.#push(peer, records.slice(0, MAX_BATCH_RECORDS), signal)
-      );
+    this.#isPending = pushes.length > 0;
+    return pushes;
   }
 
   /**
@@ -99,9 +109,9 @@
    * pool can only go on at the build that began it.
    */
   #sharedRecords(): readonly OriginRecord[] {
-    const live = this.#origins.live(monotonicMs());
-    const streams = new Set(live.map(({ stream }) => stream));
-    this.#acknowledged = this.#acknowledged.retain(streams);
+    const now = monotonicMs();
+    const live = this.#origins.live(now);
+    this.#pruneAcknowledged(live, now);
     const pools = [...new Set(live.map(({ origin }) => origin.pool))];
     const shared = new Set(
       pools.filter((pool) => this.#fleet.buildsOf(pool).size > 1),
@@ -109,6 +119,13 @@
     return live.filter(({ origin }) => shared.has(origin.pool));
   }
 
+  #pruneAcknowledged(live: readonly OriginRecord[], now: number): void {
+    if (now < this.#pruneAt) return;
+    this.#pruneAt = now + PRUNE_PAUSE_MS;
+    const streams = new Set(live.map(({ stream }) => stream));
+    this.#acknowledged = this.#acknowledged.retain(streams);
+  }
+
   async #push(
     peer: ListedPeer,
     records: readonly OriginRecord[],
@@ -128,13 +145,23 @@
       this.#recordReceipt(peer, records, receipt);
     } catch (err) {
       this.#metrics.count("origin_pushes_total", { outcome: "failed" });
-      this.#acknowledged = this.#acknowledged.forget(peer.name);
-      this.#keepers.recordFailure(peer, String(err));
+      this.#recordFailure(peer, String(err));
     } finally {
       this.#inFlight.delete(peer.name);
     }
   }
 
+  /**
+   * Passes a keeper over for new records. The ones that it has count as lost
+   * only after a second failure: a sound entry may be silent for a second, and
+   * all of its records would go to others at once.
+   */
+  #recordFailure(peer: ListedPeer, detail: string): void {
+    this.#isPending = true;
+    if (!this.#keepers.recordFailure(peer, detail)) return;
+    this.#acknowledged = this.#acknowledged.forget(peer.name);
+  }
+
   #recordReceipt(
     peer: ListedPeer,
     records: readonly OriginRecord[],
@@ -142,9 +169,10 @@
   ): void {
     if (isLeaving) {
       this.#acknowledged = this.#acknowledged.forget(peer.name);
-      return this.#keepers.recordFailure(peer, "leaving");
+      return this.#recordFailure(peer, "leaving");
     }
     this.#keepers.recordResponse(peer);
+    this.#isPending = true;
     if (this.#starts.get(peer.name) !== start) {
       this.#starts.set(peer.name, start);
       this.#acknowledged = this.#acknowledged.forget(peer.name);
--- a/src/origins/stream_origin_service_test.ts
+++ b/src/origins/stream_origin_service_test.ts
@@ -133,6 +133,24 @@
   }
 });
 
+test("a keeper that is silent for a moment causes no copies at others", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    fleet.builds = TWO_BUILDS;
+    beginAll(fleet);
+    await sleep(SHARED_MS);
+    fleet.entry(3).mode = "silent";
+    for (let i = 0; i < STREAMS; i++) {
+      fleet.entry(0).service.begun(`late-${i}`, { pool: "plain" });
+    }
+    await sleep(2 * SHARED_MS);
+    fleet.entry(3).mode = "up";
+    await sleep(SHARED_ANEW_MS);
+    assertHolders(fleet, 1 + ORIGIN_KEEPERS);
+    for (let i = 0; i < STREAMS; i++) {
+      assert.ok(fleet.holdersOf(`late-${i}`).length > ORIGIN_KEEPERS);
+    }
+  }));
+
 test("records are pushed again to keepers that have registered anew", () =>
   withFleet(ENTRIES, async (fleet) => {
     fleet.builds = TWO_BUILDS;
--- a/src/origins/testing.ts
+++ b/src/origins/testing.ts
@@ -77,7 +77,7 @@
     this.entries.forEach(({ service }) => service.recheck());
   }
 
-  /** Number of other entries that know a stream without asking. */
+  /** Names of the entries that know a stream without asking. */
   holdersOf(stream: string): readonly string[] {
     return this.entries
       .filter(({ service }) =>
--- a/src/serving/origin_keepers.ts
+++ b/src/serving/origin_keepers.ts
@@ -72,8 +72,9 @@
 }
 
 /**
- * Returns what the keepers of the records have not acknowledged: the first
- * `ORIGIN_KEEPERS` usable peers in the order of each stream.
+ * Returns what the keepers of the records have not acknowledged. The keepers of
+ * a record are the first `ORIGIN_KEEPERS` peers in the order of its stream that
+ * are usable or have acknowledged it.
  */
 export function unacknowledged(
   records: readonly OriginRecord[],
@@ -87,16 +88,24 @@
     string,
     { peer: ListedPeer; records: OriginRecord[] }
   >();
+  const usable = new Map<string, boolean>();
+  const isUsable = (peer: ListedPeer): boolean => {
+    const known = usable.get(peer.name) ?? opts.isUsable(peer);
+    usable.set(peer.name, known);
+    return known;
+  };
   records.forEach((record) => {
-    opts.order.of(record.stream)
-      .filter((peer) => opts.isUsable(peer))
-      .slice(0, ORIGIN_KEEPERS)
-      .filter(({ name }) => !opts.acknowledged.has(name, record.stream))
-      .forEach((peer) => {
-        const push = pushes.get(peer.name) ?? { peer, records: [] };
-        push.records.push(record);
-        pushes.set(peer.name, push);
-      });
+    let keepers = 0;
+    for (const peer of opts.order.of(record.stream)) {
+      if (keepers === ORIGIN_KEEPERS) break;
+      const isHeld = opts.acknowledged.has(peer.name, record.stream);
+      if (!isHeld && !isUsable(peer)) continue;
+      keepers += 1;
+      if (isHeld) continue;
+      const push = pushes.get(peer.name) ?? { peer, records: [] };
+      push.records.push(record);
+      pushes.set(peer.name, push);
+    }
   });
   return [...pushes.values()];
 }
