--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -7,12 +7,15 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
-import type { BuildHolder } from "../serving/mod.ts";
 import type { ChainClient, StagedInputs } from "./chain_client.ts";
 import type { FirstByteTimes } from "./first_byte_times.ts";
 import type { CallerRequest } from "./ports.ts";
 import type { Admitted } from "./relay.ts";
-import type { Reservation, TargetTracker } from "./target_tracker.ts";
+import type {
+  Reservation,
+  TargetChoice,
+  TargetTracker,
+} from "./target_tracker.ts";
 
 /**
  * Time after which callers may retry when no target is open, in milliseconds.
@@ -27,13 +30,6 @@
 /** Shortest remaining time in which a request is worth sending, in ms. */
 const MIN_SEND_MS = 20;
 
-/** Targets of the pool that an attempt may use. */
-export interface TargetChoice {
-  readonly exclude: ReadonlySet<string>;
-  /** Set once the stream has begun: only targets of its build may go on. */
-  readonly sameBuildAs?: BuildHolder;
-}
-
 /** Everything that one attempt at a target needs. */
 export interface PreparedAttempt {
   readonly inputs: StagedInputs;
@@ -67,8 +63,8 @@
   }
 
   /**
-   * Runs the stages, then reserves a target of the choice. The caller has to use
-   * or discard what it returns.
+   * Runs the stages, then reserves a target. The caller has to use or discard
+   * what it returns.
    */
   async prepare(
     choice: TargetChoice,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -105,10 +105,8 @@
   #prepare(
     signal: AbortSignal,
   ): Promise<Result<PreparedAttempt, Unprepared>> {
-    return this.#preparer.prepare(
-      { exclude: this.#tried, sameBuildAs: this.#origin },
-      signal,
-    );
+    const choice = { exclude: this.#tried, sameBuildAs: this.#origin };
+    return this.#preparer.prepare(choice, signal);
   }
 
   /** Waits for an attempt; ends the exchange if it cannot be made. */
--- a/src/gateway/target_tracker.ts
+++ b/src/gateway/target_tracker.ts
@@ -59,6 +59,14 @@
 /** Half-life of a failure share without requests, in milliseconds. */
 const FAILURE_HALF_LIFE_MS = 2_000;
 
+/** Targets among which one is chosen. */
+export interface TargetChoice {
+  /** Targets that are not chosen. */
+  readonly exclude: ReadonlySet<string>;
+  /** Only a target of the same build is chosen. */
+  readonly sameBuildAs?: BuildHolder;
+}
+
 /** A chosen target, reserved until the call to it has ended. */
 export interface Reservation {
   readonly target: ListedTarget;
@@ -122,12 +130,7 @@
   /** Chooses a target of a pool; undefined when none is open. */
   reserve(
     pool: Pool,
-    opts: {
-      affinity?: string;
-      exclude: ReadonlySet<string>;
-      /** Only a target of the same build is chosen. */
-      sameBuildAs?: BuildHolder;
-    },
+    opts: TargetChoice & { readonly affinity?: string },
   ): Reservation | undefined {
     const now = monotonicMs();
     const usable = this.#state().usable(pool.name, now);
