Guess no origin on the smaller side of a partition

While the store is silent, an entry took its only build for that of a stream of unknown origin as soon as any keeper answered. Entries that are cut off together answer each other and may all not know a newer build. Now the view of this entry or of a keeper that answered has to be recent, or more than half of the first four keepers have to answer, which the smaller side of a partition doesn't have.

The new test fails with the condition before: the unknown stream was taken for one of v1 on the smaller side. It passes now, as do the tests of the takeover.

--- a/src/bench/stream_origins.ts
+++ b/src/bench/stream_origins.ts
@@ -238,7 +238,7 @@
       registrations: () => new Map(),
       isUsable: () => true,
       buildsOf: () => TWO_BUILDS,
-      isConfirmed: () => true,
+      knowsBuilds: () => true,
     },
     clients,
     log: SILENT_LOGGER,
--- a/src/gateway/stream_binding.ts
+++ b/src/gateway/stream_binding.ts
@@ -71,6 +71,6 @@
     registrations: () => view.state.registrations,
     isUsable: (peer) => peers.isUsable(peer),
     buildsOf: (pool) => new Set(view.state.buildsOf(pool, monotonicMs())),
-    isConfirmed: () => view.knowsBuilds,
+    knowsBuilds: () => view.knowsBuilds,
   };
 }
--- a/src/origins/origin_lookup.ts
+++ b/src/origins/origin_lookup.ts
@@ -30,8 +30,19 @@
   readonly keeper?: string;
   /** Builds of the pool by the keepers that answered without knowing it. */
   readonly builds: readonly Builds[];
+  /**
+   * True when the builds are those of a keeper with a recent view, or of most of
+   * the first keepers, which are not all on this side of a partition.
+   */
+  readonly areBuildsSure: boolean;
 }
 
+/** Findings of a lookup that asks nobody. */
+export const NOBODY_ASKED: KeeperFindings = {
+  builds: [],
+  areBuildsSure: false,
+};
+
 /**
  * Asks the first keepers of a stream, and further ones in place of those that
  * fail; the silent ones last. Resolves with the first answer that knows the origin, or when all have
@@ -48,7 +59,10 @@
     ...order.filter((peer) => keepers.isUsable(peer)),
     ...order.filter((peer) => !keepers.isUsable(peer)),
   ].values();
+  const first = order.slice(0, ASKED_KEEPERS);
   const builds: Builds[] = [];
+  let firstAnswers = 0;
+  let hasRecent = false;
   let isFound = false;
   const ask = async (peer: ListedPeer): Promise<OriginAnswer | undefined> => {
     try {
@@ -65,9 +79,13 @@
       const answer = await ask(peer);
       if (answer?.origin) {
         isFound = true;
-        return { origin: answer.origin, keeper: peer.name, builds };
+        return { ...NOBODY_ASKED, origin: answer.origin, keeper: peer.name };
+      }
+      if (answer) {
+        builds.push(new Set(answer.builds.map(fromWire)));
+        hasRecent ||= answer.isRecent;
+        if (first.includes(peer)) firstAnswers += 1;
       }
-      if (answer) builds.push(new Set(answer.builds.map(fromWire)));
       if (answer || isFound || signal.aborted) break;
     }
     throw new Error("No keeper that was asked knows the stream");
@@ -77,7 +95,10 @@
       Array.from({ length: ASKED_KEEPERS }, askUntilAnswered),
     );
   } catch {
-    return { builds };
+    return {
+      builds,
+      areBuildsSure: hasRecent || firstAnswers > first.length / 2,
+    };
   }
 }
 
--- a/src/origins/ports.ts
+++ b/src/origins/ports.ts
@@ -23,7 +23,7 @@
   /** Builds that a pool may have had within the life of a stream. */
   buildsOf(pool: string): Builds;
   /** True when the builds of all pools are known as of a short time ago. */
-  isConfirmed(): boolean;
+  knowsBuilds(): boolean;
 }
 
 /** Calls other entries; the calls reject when they fail. */
--- a/src/origins/stream_origin_service.ts
+++ b/src/origins/stream_origin_service.ts
@@ -8,7 +8,6 @@
 import { randomUUID } from "node:crypto";
 import { every, monotonicMs } from "../kernel/mod.ts";
 import {
-  type Builds,
   type ListedPeer,
   onlyOrigin,
   ORIGIN_TTL_MS,
@@ -24,7 +23,11 @@
   OriginReceipt,
 } from "../wire/mod.ts";
 import { Keepers } from "./keepers.ts";
-import { askKeepers, type KeeperFindings } from "./origin_lookup.ts";
+import {
+  askKeepers,
+  type KeeperFindings,
+  NOBODY_ASKED,
+} from "./origin_lookup.ts";
 import { OriginSharing } from "./origin_sharing.ts";
 import type { OriginClients, OriginFleet } from "./ports.ts";
 
@@ -117,7 +120,7 @@
         startedAt,
       });
     }
-    const only = this.#onlyOrigin(takenUp, findings.builds);
+    const only = this.#onlyOrigin(takenUp, findings);
     if (only) {
       return this.#found(takenUp, only, { source: "only-build", startedAt });
     }
@@ -129,7 +132,7 @@
       builds: takenUp.pools
         .flatMap((pool) => [...this.#fleet.buildsOf(pool)]).join(","),
       answers: findings.builds.length,
-      confirmed: this.#fleet.isConfirmed(),
+      recent: this.#fleet.knowsBuilds(),
       tookMs: Math.round(monotonicMs() - startedAt),
     });
     return undefined;
@@ -157,6 +160,7 @@
     return {
       origin: this.#known(stream),
       builds: [...this.#fleet.buildsOf(pool)].map((build) => build ?? null),
+      isRecent: this.#fleet.knowsBuilds(),
     };
   }
 
@@ -168,7 +172,7 @@
 
   async #ask({ stream, pools }: TakenUp): Promise<KeeperFindings> {
     const [pool] = pools;
-    if (stream === undefined || pool === undefined) return { builds: [] };
+    if (stream === undefined || pool === undefined) return NOBODY_ASKED;
     return await askKeepers({ stream, pool }, {
       keepers: this.#keepers,
       clients: this.#clients,
@@ -177,19 +181,19 @@
 
   /**
    * The origin if only one build can have begun the stream. While the store is
-   * silent, this process may not know the newest builds; its own view counts
-   * only if a keeper has answered or there is none.
+   * silent, this process may not know the newest builds; then the views of other
+   * entries decide, if there are any.
    */
   #onlyOrigin(
     { pools }: TakenUp,
-    answered: readonly Builds[],
+    { builds, areBuildsSure }: KeeperFindings,
   ): StreamOrigin | undefined {
     const [pool, ...others] = pools;
     if (pool === undefined || others.length > 0) return undefined;
-    const isSure = this.#fleet.isConfirmed() || answered.length > 0 ||
+    const isSure = this.#fleet.knowsBuilds() || areBuildsSure ||
       this.#keepers.order.peers.length === 0;
     if (!isSure) return undefined;
-    return onlyOrigin(pool, [this.#fleet.buildsOf(pool), ...answered]);
+    return onlyOrigin(pool, [this.#fleet.buildsOf(pool), ...builds]);
   }
 
   #found(
--- a/src/origins/stream_origin_service_test.ts
+++ b/src/origins/stream_origin_service_test.ts
@@ -196,7 +196,7 @@
     const v1 = { pool: "plain", build: "v1" };
     assert.deepEqual(await find(fleet, 1, "unknown"), v1);
     assert.deepEqual(await find(fleet, 1), v1);
-    fleet.isConfirmed = false;
+    fleet.stale = fleet.names;
     assert.deepEqual(await find(fleet, 1, "unknown"), v1);
     fleet.builds = TWO_BUILDS;
     assert.equal(await find(fleet, 1, "unknown"), undefined);
@@ -211,11 +211,27 @@
 
 test("an unknown origin is not guessed by an entry that reaches neither store nor keepers", () =>
   withFleet(4, async (fleet) => {
-    fleet.isConfirmed = false;
+    fleet.stale = fleet.names;
     fleet.entries.forEach((entry) => entry.mode = "silent");
     assert.equal(await find(fleet, 1, "unknown"), undefined);
   }));
 
+test("an unknown origin is not guessed on the smaller side of a partition", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    fleet.stale = fleet.names;
+    fleet.entries.slice(3).forEach((entry) => entry.mode = "refusing");
+    for (let i = 0; i < STREAMS; i++) {
+      const answers = ["entry-0", "entry-1", "entry-2"];
+      for (const entry of answers.keys()) {
+        const origin = await find(fleet, entry, `unknown-${i}`);
+        assert.equal(origin, undefined);
+      }
+    }
+    fleet.stale = fleet.names.filter((name) => name !== "entry-2");
+    const origin = await find(fleet, 1, "unknown");
+    assert.deepEqual(origin, { pool: "plain", build: "v1" });
+  }));
+
 test("an unknown origin is not guessed for a route with several pools", () =>
   withFleet(1, async (fleet) => {
     const { service } = fleet.entry(0);
--- a/src/origins/testing.ts
+++ b/src/origins/testing.ts
@@ -34,7 +34,8 @@
   builds: ReadonlySet<string | undefined> = new Set(["v1"]);
   /** Names of entries whose view differs, and the builds that they know. */
   readonly ownBuilds = new Map<string, ReadonlySet<string | undefined>>();
-  isConfirmed = true;
+  /** Names of entries whose view is not recent. */
+  stale: readonly string[] = [];
   #registrations: ReadonlyMap<string, number>;
 
   constructor(count: number, domains = 3) {
@@ -77,6 +78,11 @@
     this.entries.forEach(({ service }) => service.recheck());
   }
 
+  /** Names of all entries. */
+  get names(): readonly string[] {
+    return this.entries.map(({ peer }) => peer.name);
+  }
+
   /** Names of the entries that know a stream without asking. */
   holdersOf(stream: string): readonly string[] {
     return this.entries
@@ -99,7 +105,7 @@
         registrations: () => this.#registrations,
         isUsable: () => true,
         buildsOf: () => this.ownBuilds.get(peer.name) ?? this.builds,
-        isConfirmed: () => this.isConfirmed,
+        knowsBuilds: () => !this.stale.includes(peer.name),
       },
       clients: this.#clients(),
       log: SILENT_LOGGER,
--- a/src/wire/origins.ts
+++ b/src/wire/origins.ts
@@ -49,6 +49,8 @@
   origin: originSchema.optional(),
   /** Builds that the pool has had; null for targets that report none. */
   builds: z.array(z.string().nullable()),
+  /** True when the peer knows the builds as of a short time ago. */
+  isRecent: z.boolean().default(false),
 });
 
 /** What a peer knows of a stream and its pool. */
--- a/src/wire/origins_test.ts
+++ b/src/wire/origins_test.ts
@@ -36,6 +36,7 @@
     findOrigin: ({ stream }) => ({
       origin: stream === "s1" ? { pool: "plain", build: "v1" } : undefined,
       builds: ["v1", null],
+      isRecent: true,
     }),
   }));
   await new Promise<void>((resolve) =>
@@ -61,6 +62,7 @@
     assert.deepEqual(await clients.findOrigin(url, query, signal()), {
       origin: { pool: "plain", build: "v1" },
       builds: ["v1", null],
+      isRecent: true,
     });
     const unknown = { stream: "s2", pool: "plain" };
     const answer = await clients.findOrigin(url, unknown, signal());
