Keep a chain at a silent owner until its repeat is done

Callers got "the queue is too long" although the stages of their request were running at a sound owner.

Silence alone thus ended accepted chains without a certain replacement.

Change: silence starts a repeat at the next owner. The first of the two that is done ends the other; a refused repeat leaves the first call running. Results that come too late are released.

Measured: on the old code "a chain at an owner that is silent for a while is done though its repeat is refused" ends in a refusal and "a silent owner that finishes first ends the repeat of its chain" fails; with the change both pass, as do the gateway's and the adapter's other tests.

--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -76,6 +76,12 @@
   readonly owner?: ListedPeer;
 }
 
+/** A call in a race, and the controller that ends it. */
+interface RacingCall<T> {
+  readonly end: Promise<T>;
+  readonly abort: AbortController;
+}
+
 /** Sends the chain of a request to the owner of its stages. */
 export class ChainClient {
   readonly #runner: Pick<ChainRunner, "run" | "release">;
@@ -129,29 +135,82 @@
     const owner = attempt < MAX_ATTEMPTS
       ? this.#peers.ownerOf(group)
       : undefined;
-    const chain = chainOf(request);
     if (!owner) {
-      return { response: await this.#runner.run(chain, request.signal) };
+      const response = await this.#runner
+        .run(chainOf(request), request.signal);
+      return { response };
+    }
+    const call = new AbortController();
+    const end = this.#callOwner(owner, request, call.signal);
+    const loss = this.#peers.lossSignalOf(owner);
+    if (await isAbortedBefore(loss, end)) {
+      this.#log.warn("chain_owner_silent", {
+        request: request.req.id,
+        owner: owner.name,
+      });
+      const repeat = new AbortController();
+      const signal = AbortSignal.any([request.signal, repeat.signal]);
+      return await this.#firstDone(
+        { end, abort: call },
+        {
+          end: this.#submit({ ...request, signal }, group, attempt + 1),
+          abort: repeat,
+        },
+      );
     }
+    const owned = await end;
+    if (owned) return owned;
+    this.#peers.markFailed(owner);
+    return this.#submit(request, group, attempt + 1);
+  }
+
+  /** Runs a chain at an owner; undefined when the owner did not take it. */
+  async #callOwner(
+    owner: ListedPeer,
+    request: ChainRequest,
+    signal: AbortSignal,
+  ): Promise<OwnedResponse | undefined> {
     try {
-      const signal = AbortSignal.any([
-        request.signal,
-        this.#peers.lossSignalOf(owner),
-      ]);
-      const response = await this.#clients.runChain(owner.url, chain, signal);
-      if (response.kind !== "leaving") return { response, owner };
+      const response = await this.#clients.runChain(
+        owner.url,
+        chainOf(request),
+        AbortSignal.any([request.signal, signal]),
+      );
+      return response.kind === "leaving" ? undefined : { response, owner };
     } catch (cause) {
-      if (request.signal.aborted) {
-        return { response: CALLER_GONE };
-      }
+      if (request.signal.aborted) return { response: CALLER_GONE };
+      if (signal.aborted) return undefined;
       this.#log.warn("chain_owner_failed", {
         request: request.req.id,
         owner: owner.name,
         detail: String(cause),
       });
+      return undefined;
     }
-    this.#peers.markFailed(owner);
-    return this.#submit(request, group, attempt + 1);
+  }
+
+  /**
+   * Returns the first complete results of a call to a silent owner and its
+   * repeat, and ends the other one; without results, the repeat's refusal.
+   */
+  async #firstDone(
+    silent: RacingCall<OwnedResponse | undefined>,
+    repeat: RacingCall<OwnedResponse>,
+  ): Promise<OwnedResponse> {
+    const calls = [silent, repeat];
+    const done = await Promise.any(calls.map(async ({ end }) => {
+      const owned = await end;
+      if (owned?.response.kind !== "done") throw new Error("not done");
+      return owned;
+    })).catch(() => undefined);
+    if (!done) return await repeat.end;
+    calls.forEach(async ({ end, abort }) => {
+      abort.abort();
+      const late = await end.catch(() => undefined);
+      if (!late || late === done || late.response.kind !== "done") return;
+      this.#release(late.owner, late.response.results);
+    });
+    return done;
   }
 
   /**
@@ -177,6 +236,23 @@
   }
 }
 
+/** Resolves with true if `signal` aborts before `work` settles. */
+async function isAbortedBefore(
+  signal: AbortSignal,
+  work: Promise<unknown>,
+): Promise<boolean> {
+  const settled = new AbortController();
+  const aborted = new Promise<boolean>((resolve) => {
+    if (signal.aborted) resolve(true);
+    signal.addEventListener("abort", () => resolve(true), {
+      signal: settled.signal,
+    });
+  });
+  const result = await Promise.race([aborted, work.then(() => false)]);
+  settled.abort();
+  return result;
+}
+
 function chainOf(request: ChainRequest): StageChain {
   const { req, route } = request;
   const now = monotonicMs();
--- a/src/gateway/chain_client_test.ts
+++ b/src/gateway/chain_client_test.ts
@@ -5,7 +5,8 @@
 import { SILENT_LOGGER } from "../telemetry/mod.ts";
 import type { ChainResponse } from "../wire/mod.ts";
 import { ChainClient } from "./chain_client.ts";
-import { monotonicMs } from "../kernel/mod.ts";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { withPausedClock } from "../testing/mod.ts";
 import type { CallerRequest } from "./ports.ts";
 
 const RESULTS = [{ pool: "parts", results: ["10.0.0.1:80/r1"] }];
@@ -46,9 +47,13 @@
 }
 
 async function runChain(client: ChainClient) {
+  return (await submitChain(client))._unsafeUnwrap();
+}
+
+async function submitChain(client: ChainClient) {
   const catalog = new Catalog(catalogSpec());
   const now = monotonicMs();
-  const outcome = await client.run({
+  return await client.run({
     req: { id: "r", pieces: [1] } as unknown as CallerRequest,
     route: route({
       stages: [{ pool: "parts", after: [], resultBytes: 1 }],
@@ -60,9 +65,113 @@
     sizeRank: 1,
     signal: new AbortController().signal,
   });
-  return outcome._unsafeUnwrap();
 }
 
+const REFUSED: ChainResponse = { kind: "refused", reason: "queue" };
+
+/** How one owner responds to a chain. */
+interface OwnerScript {
+  readonly name: string;
+  readonly afterMs: number;
+  readonly response: ChainResponse;
+  /** Time at which the owner becomes silent, in milliseconds. */
+  readonly silentAtMs?: number;
+}
+
+/** Client whose owners respond by script, the next one after each failure. */
+function setupOwners(...scripts: readonly OwnerScript[]) {
+  const calls: string[] = [];
+  const silent = new Set<string>();
+  const losses = new Map(scripts.map(({ name, silentAtMs }) => {
+    const loss = new AbortController();
+    if (silentAtMs !== undefined) {
+      setTimeout(() => {
+        silent.add(name);
+        loss.abort();
+      }, silentAtMs);
+    }
+    return [name, loss] as const;
+  }));
+  const client = new ChainClient({
+    runner: {
+      run: () => Promise.resolve(REFUSED),
+      release: () => calls.push("free self"),
+    },
+    peers: {
+      ownerOf: () => {
+        const next = scripts.find(({ name }) => !silent.has(name));
+        return next && peer(next.name);
+      },
+      lossSignalOf: ({ name }) =>
+        losses.get(name)?.signal ?? new AbortController().signal,
+      markFailed: ({ name }) => silent.add(name),
+    },
+    clients: {
+      runChain: async (url, _chain, signal) => {
+        const script = scripts.find(({ name }) => url === `http://${name}`);
+        await sleep(script?.afterMs ?? 0, signal);
+        if (!signal.aborted) return script?.response ?? REFUSED;
+        calls.push(`abort ${url}`);
+        throw signal.reason;
+      },
+      freeResults: (url) => {
+        calls.push(`free ${url}`);
+        return Promise.resolve();
+      },
+    },
+    targets: { freeResults: () => Promise.resolve() },
+    log: SILENT_LOGGER,
+  });
+  return { client, calls };
+}
+
+test("a chain at an owner that is silent for a while is done though its repeat is refused", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners(
+      { name: "a", afterMs: 1_500, silentAtMs: 1_000, response: DONE },
+      { name: "b", afterMs: 10, response: REFUSED },
+    );
+    const inputs = await runChain(client);
+    inputs.release();
+    assert.deepEqual(calls, ["free http://a"]);
+  }, { seed: 1 }));
+
+test("the repeat of a chain ends the call to its silent owner when it is done", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners(
+      { name: "a", afterMs: 5_000, silentAtMs: 1_000, response: DONE },
+      { name: "b", afterMs: 500, response: DONE },
+    );
+    const inputs = await runChain(client);
+    await sleep(0);
+    assert.deepEqual(calls, ["abort http://a"]);
+    inputs.release();
+    assert.deepEqual(calls, ["abort http://a", "free http://b"]);
+  }, { seed: 1 }));
+
+test("a silent owner that finishes first ends the repeat of its chain", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners(
+      { name: "a", afterMs: 1_500, silentAtMs: 1_000, response: DONE },
+      { name: "b", afterMs: 5_000, response: DONE },
+    );
+    await runChain(client);
+    await sleep(0);
+    assert.deepEqual(calls, ["abort http://b"]);
+  }, { seed: 1 }));
+
+test("a chain that its silent owner and its repeat refuse is refused", () =>
+  withPausedClock(async () => {
+    const { client } = setupOwners(
+      { name: "a", afterMs: 1_500, silentAtMs: 1_000, response: REFUSED },
+      { name: "b", afterMs: 10, response: REFUSED },
+    );
+    assert.equal(
+      (await submitChain(client))._unsafeUnwrapErr().reason,
+      "queue",
+    );
+  }, { seed: 1 }));
+
 test("ChainClient releases results where their chain was run", async () => {
   const { client, calls, owners } = setup();
   owners.current = peer("a");
