Keep a silent attempt at a stage until its repeat is done

Callers of an entry got "went silent" (502) although the target would have answered within the deadline; a text that they were reading broke off.

Cause: an agent's response without an event for 1.6 s ended the attempt. The retry could then be refused by the budget or the next target, and there is none once text was passed on. Silence alone ended the answer.

Change: silence makes the target suspect and starts a repeat, within the same budgets and number of attempts. The first one that is done ends the others; without one, the attempt goes on until the deadline. The attempt at a filing goes on while the record of its key is read.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -28,7 +28,10 @@
 import type { AdmissionService } from "./admission_service.ts";
 import type { Directory } from "./directory.ts";
 
-/** Longest gap between two events of a response stream, in milliseconds. */
+/**
+ * Gap between two events of a response stream after which it counts as silent,
+ * in milliseconds.
+ */
 export const STREAM_IDLE_TIMEOUT_MS = 1_600;
 const RETRY_AFTER_MS = 1_000;
 
@@ -61,6 +64,8 @@
   readonly signal: AbortSignal;
   /** Receives generated text. */
   readonly onText?: (text: string) => void;
+  /** Called once when the response is silent; the attempt goes on. */
+  readonly onSilent?: () => void;
 }
 
 /** One attempt at a stage call, at one target. */
@@ -80,11 +85,10 @@
   /** Sends the call and returns the outcome of the attempt. */
   async run(opts: AttemptOptions): Promise<AttemptOutcome> {
     const watchdog = new Watchdog(STREAM_IDLE_TIMEOUT_MS);
-    const signal = timeoutSignal(
-      this.#call.remainingMs,
-      opts.signal,
-      watchdog.signal,
-    );
+    watchdog.signal.addEventListener("abort", () => {
+      if (watchdog.isExpired) this.#reportSilence(opts);
+    });
+    const signal = timeoutSignal(this.#call.remainingMs, opts.signal);
     try {
       return await untilAborted(
         this.#readEvents(opts, { watchdog, signal }),
@@ -97,6 +101,15 @@
     }
   }
 
+  /** Lets further calls avoid the target and its connections. */
+  #reportSilence({ onSilent }: AttemptOptions): void {
+    const { directory } = this.#deps;
+    this.#count("connections_silent_total");
+    directory.suspect(this.#target);
+    directory.client(this.#target).renew?.();
+    onSilent?.();
+  }
+
   #recordLoad(load: TargetLoad): void {
     const { directory, admission } = this.#deps;
     directory.recordLoad(this.#target, load);
@@ -160,9 +173,6 @@
       return { outcome: err(this.#unreachable()), unsettled: false };
     }
     if (watchdog.isExpired) {
-      this.#count("connections_silent_total");
-      directory.suspect(this.#target);
-      directory.client(this.#target).renew?.();
       return unsettled(responseLost(`${this.#target.id} went silent`));
     }
     if (caller.aborted) return unsettled(cancelledByCaller());
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -40,7 +40,13 @@
   type SettledOutcome,
 } from "./key_record.ts";
 import { type HealthOutcome, healthOutcomeOf } from "./pool_router.ts";
-import { firstSuccess, type StartedAttempt } from "./race.ts";
+import {
+  areAllSilent,
+  attemptsSilent,
+  firstResult,
+  firstSuccess,
+  type StartedAttempt,
+} from "./race.ts";
 import {
   type DispatchOptions,
   organisationBudgetName,
@@ -89,38 +95,44 @@
     opts: DispatchOptions,
   ): Promise<Result<StageResult, Refusal>> {
     const stage = new StageDispatch(req, opts);
-    return this.#runWithRetries(stage);
+    return this.#runWithRetries(stage, opts.signal);
   }
 
   async #runWithRetries(
     stage: StageDispatch,
+    signal: AbortSignal,
   ): Promise<Result<StageResult, Refusal>> {
     while (true) {
       const { attempts } = stage;
       const outcome = stage.req.idempotent
-        ? await this.#runHedged(stage)
+        ? await this.#runHedged(stage, signal)
         : await this.#runSingle(stage);
       if (outcome.isOk()) return outcome;
       const { error: refusal } = outcome;
       const wasSent = stage.attempts > attempts;
       if (wasSent || attempts === 0) stage.refusals.push(refusal);
-      if (!wasSent || !this.#acquireRetry(stage, refusal)) {
+      if (!wasSent || !this.#acquireRetry(stage, refusal, signal)) {
         return err(finalRefusal(stage.refusals));
       }
-      this.#count("retries_total", stage);
-      this.#deps.costs?.add(stage.req, { retries: 1 });
-      await sleep(RETRY_DELAY_MS, stage.opts.signal);
+      await sleep(RETRY_DELAY_MS, signal);
     }
   }
 
   /** Takes a retry from the budgets; false when no retry is allowed. */
-  #acquireRetry(stage: StageDispatch, refusal: Refusal): boolean {
-    const { req, opts, attempts: attempt } = stage;
-    if (stage.streamed || opts.signal.aborted || stage.isOverdue) return false;
+  #acquireRetry(
+    stage: StageDispatch,
+    refusal: Refusal,
+    signal: AbortSignal,
+  ): boolean {
+    const { req, attempts: attempt } = stage;
+    if (stage.streamed || signal.aborted || stage.isOverdue) return false;
     if (!mayRetry(refusal, { idempotent: req.idempotent, attempt })) {
       return false;
     }
-    return this.#spendBudget(stage);
+    if (!this.#spendBudget(stage)) return false;
+    this.#count("retries_total", stage);
+    this.#deps.costs?.add(stage.req, { retries: 1 });
+    return true;
   }
 
   #spendBudget(stage: StageDispatch): boolean {
@@ -134,20 +146,37 @@
   }
 
   /**
-   * Runs one attempt at a non-idempotent call. If the response is lost, the
-   * record of the key settles the outcome.
+   * Runs one attempt at a non-idempotent call. If the response is lost or
+   * silent, the record of the key settles the outcome.
    */
   async #runSingle(
     stage: StageDispatch,
   ): Promise<Result<StageResult, Refusal>> {
     const ready = await this.#refreshClaimVersion(stage);
     if (ready.isErr()) return err(ready.error);
-    const started = this.#startAttempt(stage, stage.opts.signal);
+    const abort = new AbortController();
+    const signal = AbortSignal.any([abort.signal, stage.opts.signal]);
+    const started = this.#startAttempt(stage, signal);
     if (started.isErr()) return err(started.error);
-    const { call, completion } = started.value;
-    const { outcome, unsettled } = await completion;
+    const { call, completion, silent } = started.value;
     const { record } = this.#deps;
-    if (!unsettled || !record) return outcome;
+    const early = await Promise.race([completion, silent]);
+    if (!record) return (await completion).outcome;
+    if (early && !early.unsettled) return early.outcome;
+    // A silent attempt goes on while its outcome is read from the record.
+    const settled = this.#settle(record, call, stage);
+    const outcome = completion.then(({ outcome, unsettled }) =>
+      unsettled ? settled : outcome
+    );
+    return await Promise.race([outcome, settled])
+      .finally(() => abort.abort());
+  }
+
+  async #settle(
+    record: KeyRecord,
+    call: StageCall,
+    stage: StageDispatch,
+  ): Promise<Result<StageResult, Refusal>> {
     const settled = await record.settle(call, stage.opts);
     this.#count("calls_settled_total", stage);
     return settledOutcome(settled, stage);
@@ -180,33 +209,54 @@
   /** Runs an attempt at an idempotent call, and a second one if it is slow. */
   async #runHedged(
     stage: StageDispatch,
+    callerSignal: AbortSignal,
   ): Promise<Result<StageResult, Refusal>> {
     const abort = new AbortController();
-    const signal = AbortSignal.any([abort.signal, stage.opts.signal]);
+    const signal = AbortSignal.any([abort.signal, callerSignal]);
     const first = this.#startAttempt(stage, signal);
     if (first.isErr()) return err(first.error);
     try {
       const attempts = [first.value];
       const hedgeDelayMs = this.#hedgeDelayMs(stage);
-      const earlyOutcome = hedgeDelayMs === undefined
-        ? await first.value.completion
-        : await Promise.race([
-          first.value.completion,
-          sleep(hedgeDelayMs, signal),
-        ]);
-      const mayHedge = !earlyOutcome && !stage.streamed &&
-        !this.#isCongested(stage);
+      const { completion, silent } = first.value;
+      const early = await Promise.race([
+        completion,
+        silent.then(() => "silent" as const),
+        ...hedgeDelayMs === undefined ? [] : [sleep(hedgeDelayMs, signal)],
+      ]);
+      const mayHedge = !early && !stage.streamed && !this.#isCongested(stage);
       if (mayHedge && this.#spendBudget(stage)) {
         this.#count("hedges_total", stage);
         this.#deps.costs?.add(stage.req, { hedges: 1 });
         this.#startAttempt(stage, signal).map((hedge) => attempts.push(hedge));
       }
-      return await firstSuccess(attempts, stage);
+      return await this.#firstOf(attempts, { stage, signal });
     } finally {
       abort.abort();
     }
   }
 
+  /**
+   * Returns the first result of the attempts or, once they are silent, of a
+   * repeat. A refused repeat leaves the silent attempts until the deadline.
+   */
+  async #firstOf(
+    attempts: readonly StartedAttempt[],
+    { stage, signal }: { stage: StageDispatch; signal: AbortSignal },
+  ): Promise<Result<StageResult, Refusal>> {
+    const result = firstSuccess(attempts, stage);
+    const isSilent = await Promise.race([
+      result.then(() => false),
+      areAllSilent(attempts),
+    ]);
+    const refusal = attemptsSilent();
+    if (!isSilent || !this.#acquireRetry(stage, refusal, signal)) {
+      return await result;
+    }
+    stage.refusals.push(refusal);
+    return await firstResult([this.#runWithRetries(stage, signal), result]);
+  }
+
   /**
    * True when calls queue at the pool's gates, where a hedge would only take
    * the place of another call.
@@ -232,7 +282,7 @@
   ): Result<StartedAttempt, Refusal> {
     const { req, opts } = stage;
     if (stage.isOverdue) return err(deadlinePassed());
-    if (opts.signal.aborted) return err(callerCancelled());
+    if (signal.aborted) return err(callerCancelled());
     const { directory } = this.#deps;
     const target = directory.choose(opts.pool, {
       tried: stage.tried,
@@ -252,22 +302,27 @@
       remainingMs: opts.deadlineAt - monotonicMs(),
       traceparent: span.traceparent,
     };
-    const completion = this.#runAttempt({ stage, call, target, signal })
+    let onSilent = () => {};
+    const silent = new Promise<void>((resolve) => onSilent = resolve);
+    const completion = this.#runAttempt(
+      { stage, call, target, signal, onSilent },
+    )
       .then((result) => {
         span.end(
           result.outcome.isErr() ? result.outcome.error.reason : undefined,
         );
         return result;
       });
-    return ok({ call, completion });
+    return ok({ call, completion, silent });
   }
 
   async #runAttempt(
-    { stage, call, target, signal }: {
+    { stage, call, target, signal, onSilent }: {
       stage: StageDispatch;
       call: StageCall;
       target: Target;
       signal: AbortSignal;
+      onSilent: () => void;
     },
   ): Promise<AttemptOutcome> {
     const { directory, metrics, admission } = this.#deps;
@@ -279,7 +334,7 @@
       target,
     );
     const onText = stage.textSink(call.callId);
-    const result = await attempt.run({ signal, onText });
+    const result = await attempt.run({ signal, onText, onSilent });
     endCall(targetHealthOutcome(stage, result.outcome));
     this.#recordAttempt(stage, {
       ms: monotonicMs() - startedAt,
--- a/src/entry/race.ts
+++ b/src/entry/race.ts
@@ -1,5 +1,5 @@
 /**
- * Race between the first attempt at an idempotent call and its hedge.
+ * Races between the attempts at one idempotent call.
  *
  * @module
  */
@@ -22,6 +22,8 @@
 export interface StartedAttempt {
   readonly call: StageCall;
   readonly completion: Promise<AttemptOutcome>;
+  /** Resolves when the response is silent. */
+  readonly silent: Promise<void>;
 }
 
 /**
@@ -38,6 +40,38 @@
     if (!stage.mayWin(call)) throw new AttemptError(otherAttemptStreamed());
     return outcome.value;
   });
+  return await anyResult(results);
+}
+
+/** Returns the first result; when there is none, the final refusal. */
+export async function firstResult(
+  outcomes: readonly Promise<Result<StageResult, Refusal>>[],
+): Promise<Result<StageResult, Refusal>> {
+  return await anyResult(outcomes.map(async (pending) => {
+    const outcome = await pending;
+    if (outcome.isErr()) throw new AttemptError(outcome.error);
+    return outcome.value;
+  }));
+}
+
+/** Resolves with true once no attempt makes progress and one has not ended. */
+export async function areAllSilent(
+  attempts: readonly StartedAttempt[],
+): Promise<boolean> {
+  const states = await Promise.all(
+    attempts.map(({ completion, silent }) =>
+      Promise.race([
+        completion.then(({ outcome }) => outcome.isOk() ? "done" : "failed"),
+        silent.then(() => "silent"),
+      ])
+    ),
+  );
+  return states.includes("silent") && !states.includes("done");
+}
+
+async function anyResult(
+  results: readonly Promise<StageResult>[],
+): Promise<Result<StageResult, Refusal>> {
   try {
     return ok(await Promise.any(results));
   } catch (failure) {
@@ -57,6 +91,15 @@
   }
 }
 
+/** Refusal of attempts whose responses are silent. */
+export function attemptsSilent(): Refusal {
+  return outcomeUnknown(
+    RefusalReason.Silent,
+    "The responses of all attempts are silent",
+    RETRY_AFTER_MS,
+  );
+}
+
 function otherAttemptStreamed(): Refusal {
   return outcomeUnknown(
     RefusalReason.Cancelled,
