Let a leaving owner finish the chains that it has accepted

At each planned stop of an owner of stages, the chains in flight at it were sent a second time, and could be refused there.

Cause: the answer "leaving" to one new chain marked the owner as silent, which ended all other chains at it. The owner finishes these.

Change: the answer marks the owner as leaving only; new chains go to the next owner.

Measured: on the old code "the chains in flight at an owner that begins to leave are not repeated" sees the first chain run at both owners; with the change it runs at the first one only.

--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -66,7 +66,10 @@
 }
 
 /** Owners of the groups of pools, and their failures. */
-type ChainOwners = Pick<Peers, "ownerOf" | "lossSignalOf" | "markFailed">;
+type ChainOwners = Pick<
+  Peers,
+  "ownerOf" | "lossSignalOf" | "markFailed" | "markLeaving"
+>;
 /** Client of the owners of stages. */
 type ChainOwnerClients = Pick<EntryPeerClients, "runChain" | "freeResults">;
 
@@ -159,12 +162,13 @@
       );
     }
     const owned = await end;
-    if (owned) return owned;
-    this.#peers.markFailed(owner);
+    if (owned && owned.response.kind !== "leaving") return owned;
+    if (owned) this.#peers.markLeaving(owner);
+    else this.#peers.markFailed(owner);
     return this.#submit(request, group, attempt + 1);
   }
 
-  /** Runs a chain at an owner; undefined when the owner did not take it. */
+  /** Runs a chain at an owner; undefined when the call failed. */
   async #callOwner(
     owner: ListedPeer,
     request: ChainRequest,
@@ -176,7 +180,7 @@
         chainOf(request),
         AbortSignal.any([request.signal, signal]),
       );
-      return response.kind === "leaving" ? undefined : { response, owner };
+      return { response, owner };
     } catch (cause) {
       if (request.signal.aborted) return { response: CALLER_GONE };
       if (signal.aborted) return undefined;
--- a/src/gateway/chain_client_test.ts
+++ b/src/gateway/chain_client_test.ts
@@ -29,6 +29,7 @@
       ownerOf: () => owners.current,
       lossSignalOf: () => new AbortController().signal,
       markFailed: () => {},
+      markLeaving: () => {},
     },
     clients: {
       runChain: (url) => {
@@ -76,11 +77,14 @@
   readonly response: ChainResponse;
   /** Time at which the owner becomes silent, in milliseconds. */
   readonly silentAtMs?: number;
+  /** Time from which the owner accepts no chains, in milliseconds. */
+  readonly leavesAtMs?: number;
 }
 
 /** Client whose owners respond by script, the next one after each failure. */
 function setupOwners(...scripts: readonly OwnerScript[]) {
   const calls: string[] = [];
+  const startedAt = monotonicMs();
   const silent = new Set<string>();
   const losses = new Map(scripts.map(({ name, silentAtMs }) => {
     const loss = new AbortController();
@@ -104,11 +108,18 @@
       },
       lossSignalOf: ({ name }) =>
         losses.get(name)?.signal ?? new AbortController().signal,
-      markFailed: ({ name }) => silent.add(name),
+      markFailed: ({ name }) => {
+        silent.add(name);
+        losses.get(name)?.abort();
+      },
+      markLeaving: ({ name }) => silent.add(name),
     },
     clients: {
       runChain: async (url, _chain, signal) => {
         const script = scripts.find(({ name }) => url === `http://${name}`);
+        const leavesAt = startedAt + (script?.leavesAtMs ?? Infinity);
+        if (monotonicMs() >= leavesAt) return { kind: "leaving" };
+        calls.push(`run ${url}`);
         await sleep(script?.afterMs ?? 0, signal);
         if (!signal.aborted) return script?.response ?? REFUSED;
         calls.push(`abort ${url}`);
@@ -133,7 +144,7 @@
     );
     const inputs = await runChain(client);
     inputs.release();
-    assert.deepEqual(calls, ["free http://a"]);
+    assert.equal(calls.at(-1), "free http://a");
   }, { seed: 1 }));
 
 test("the repeat of a chain ends the call to its silent owner when it is done", () =>
@@ -144,9 +155,9 @@
     );
     const inputs = await runChain(client);
     await sleep(0);
-    assert.deepEqual(calls, ["abort http://a"]);
+    assert.deepEqual(calls, ["run http://a", "run http://b", "abort http://a"]);
     inputs.release();
-    assert.deepEqual(calls, ["abort http://a", "free http://b"]);
+    assert.equal(calls.at(-1), "free http://b");
   }, { seed: 1 }));
 
 test("a silent owner that finishes first ends the repeat of its chain", () =>
@@ -157,7 +168,20 @@
     );
     await runChain(client);
     await sleep(0);
-    assert.deepEqual(calls, ["abort http://b"]);
+    assert.deepEqual(calls, ["run http://a", "run http://b", "abort http://b"]);
+  }, { seed: 1 }));
+
+test("the chains in flight at an owner that begins to leave are not repeated", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners(
+      { name: "a", afterMs: 1_000, leavesAtMs: 500, response: DONE },
+      { name: "b", afterMs: 10, response: DONE },
+    );
+    const first = runChain(client);
+    await sleep(600);
+    await runChain(client);
+    await first;
+    assert.deepEqual(calls, ["run http://a", "run http://b"]);
   }, { seed: 1 }));
 
 test("a chain that its silent owner and its repeat refuse is refused", () =>
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -157,6 +157,11 @@
     this.#markSilent(peer.name, "call failed");
   }
 
+  /** Records that a peer accepts no further work; it finishes what it has. */
+  markLeaving({ name }: ListedPeer): void {
+    this.#record(name).isLeaving = true;
+  }
+
   /** True while peers are known and none of the contacted ones responds. */
   get isIsolated(): boolean {
     const synced = this.#peersToSync()
