--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { every, monotonicMs } from "../kernel/mod.ts";
+import { every, monotonicMs, Watchdog } from "../kernel/mod.ts";
 import { rendezvousOrder } from "../routing/mod.ts";
 import {
   type ListedPeer,
@@ -41,8 +41,8 @@
 const NEIGHBOURS = 2;
 
 interface PeerRecord {
-  /** Monotonic time of the first request without a response. */
-  requestedAt?: number;
+  /** Expires when the peer has been silent since an unanswered request. */
+  silence?: Watchdog;
   isLeaving: boolean;
   isSilent: boolean;
   /** Aborts when the peer becomes silent. */
@@ -161,6 +161,11 @@
     this.#markSilent(peer.name, "call failed");
   }
 
+  /** Records that a peer accepts no further work; it finishes what it has. */
+  markLeaving({ name }: ListedPeer): void {
+    this.#record(name).isLeaving = true;
+  }
+
   /** True while peers are known and none of the contacted ones responds. */
   get isIsolated(): boolean {
     const synced = this.#peersToSync()
@@ -172,6 +177,9 @@
   /** Exchanges state with peers until `signal` aborts. */
   run(signal: AbortSignal): void {
     every(SYNC_PAUSE_MS, () => this.#round(), signal);
+    signal.addEventListener("abort", () => {
+      this.#records.forEach(({ silence }) => silence?.end());
+    });
   }
 
   /** Responds to a peer's state request with the changes that it lacks. */
@@ -225,7 +233,7 @@
 
   async #syncWith(peer: { name?: string; url: string }): Promise<void> {
     const record = peer.name ? this.#record(peer.name) : undefined;
-    if (record) record.requestedAt ??= monotonicMs();
+    if (record) record.silence ??= new Watchdog(SILENT_AFTER_MS);
     const request = { from: this.#self.name, versions: this.#versions() };
     const startedAt = monotonicMs();
     try {
@@ -238,8 +246,7 @@
       this.#view.merge(changes, versions, startedAt - targetsAgeMs);
     } catch (err) {
       this.#metrics.count("peer_failures_total");
-      const silentMs = monotonicMs() - (record?.requestedAt ?? 0);
-      if (peer.name && silentMs > SILENT_AFTER_MS) {
+      if (peer.name && record?.silence?.isExpired) {
         this.#markSilent(peer.name, String(err));
       }
     }
@@ -254,7 +261,8 @@
       this.#log.info("peer_leaving", { peer: name, on: response.isLeaving });
     }
     record.startedAt = monotonicMs() - response.upMs;
-    record.requestedAt = undefined;
+    record.silence?.end();
+    record.silence = undefined;
     record.isSilent = false;
     record.isLeaving = response.isLeaving;
   }
