Bound what a gateway takes of an answer that has no end

What callers saw: a server whose bytes never end (blank lines, a status line or interim heads in place of a head; a body without a length, an endless chunk or event, a body after a refusal) kept its caller until the deadline and filled the memory of the entry, which all callers share.

Cause: only the fields of a head were bounded (by undici). The relay held plain bodies whole, `EventSplitter.push` copied the unfinished event for each chunk (quadratic time), a refusal waited for the end of its body, responses to stage calls and of the store were read whole.

Change: `boundedClient` counts the bytes of a connection outside of bodies and closes it beyond 192 KiB plus one byte for each byte of the body. `AnswerBody` holds a body up to 8 MiB and all of a process up to 16 MiB; a larger one that states its length is passed on with backpressure, a larger one without a length is broken. The unfinished event of a stream is held in a `ByteBuffer`, up to 2 MiB since the last event with an id. `requestText` bounds stage and store responses; the limits are decided in `src/gateway/response_limits.ts`. The adapter's import check allows the new library `src/http`.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -8,6 +8,7 @@
 import { monotonicMs } from "../kernel/mod.ts";
 import { type BuildHolder, RouteKind } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
+import type { HeldBytes } from "./answer_body.ts";
 import {
   AttemptPreparer,
   NO_TARGET_RETRY_AFTER_MS,
@@ -30,6 +31,7 @@
 export interface ExchangeDeps extends PreparerDeps {
   readonly client: TargetClient;
   readonly origins: StreamOriginMemory;
+  readonly heldBytes: HeldBytes;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
@@ -196,6 +198,7 @@
         response: this.#response,
         reservation,
         inputs,
+        heldBytes: this.#deps.heldBytes,
         usualMs: this.#deps.firstByteTimes.of(route.name),
         isResumed: this.#response.hasBegun,
         isOver: () => this.#ended.signal.aborted,
@@ -277,8 +280,8 @@
   /** True when the request may be sent again after it may have run. */
   get #isRepeatable(): boolean {
     const { route } = this.#admitted;
-    return route.kind === RouteKind.Idempotent ||
-      (route.kind === RouteKind.Stream && route.isResumable);
+    if (route.kind === RouteKind.Stream) return route.isResumable;
+    return route.kind === RouteKind.Idempotent && !this.#response.hasBegun;
   }
 
   #spendRetry(): boolean {
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -7,5 +7,6 @@
 
 export * from "./fleet_view.ts";
 export * from "./ports.ts";
+export * from "./response_limits.ts";
 export * from "./settings.ts";
 export * from "./start.ts";
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -162,6 +162,8 @@
   readonly isOtherTarget: boolean;
   /** Number of requests running and waiting at the target, if reported. */
   readonly load?: number;
+  /** Length of the body in bytes, if the head states it. */
+  readonly bodyBytes?: number;
 }
 
 /** Failure of a call to a target. */
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -14,6 +14,12 @@
   type Route,
   RouteKind,
 } from "../serving/mod.ts";
+import {
+  AnswerBody,
+  BodyStep,
+  type HeldBytes,
+  HeldShare,
+} from "./answer_body.ts";
 import type { StagedInputs } from "./chain_client.ts";
 import type {
   CallerRequest,
@@ -77,12 +83,16 @@
 /** Shortest time after which a response is overdue, in milliseconds. */
 const MIN_OVERDUE_MS = 800;
 
+/** Bytes read of a refusal's body before its call is aborted. */
+const MAX_REFUSAL_BYTES = 64 * 1024;
+
 /** Dependencies of a relay. */
 export interface RelayDeps {
   readonly admitted: Admitted;
   readonly response: CallerResponse;
   readonly reservation: Reservation;
   readonly inputs: StagedInputs;
+  readonly heldBytes: HeldBytes;
   /** Usual time until the first bytes of a response, in milliseconds. */
   readonly usualMs: number;
   /** True when the response continues after events of another target. */
@@ -104,7 +114,9 @@
   readonly #deps: RelayDeps;
   readonly #startedAt = monotonicMs();
   readonly #splitter = new EventSplitter();
-  readonly #chunks: Buffer[] = [];
+  readonly #held: HeldShare;
+  readonly #body: AnswerBody;
+  #refusalBytes = 0;
   #call: RunningCall | undefined;
   #head: ResponseHead | undefined;
   #isStream = false;
@@ -117,6 +129,8 @@
 
   constructor(deps: RelayDeps) {
     this.#deps = deps;
+    this.#held = new HeldShare(deps.heldBytes);
+    this.#body = new AnswerBody(this.#held);
   }
 
   attach(call: RunningCall): void {
@@ -169,18 +183,54 @@
   }
 
   data(bytes: Buffer): boolean {
-    if (this.#outcome) return true;
+    if (this.#outcome) return this.#skip(bytes, this.#outcome);
     this.#recordFirstBytes();
     this.#recordProgress();
-    if (!this.#isStream) {
-      this.#chunks.push(bytes);
-      return true;
-    }
+    if (!this.#isStream) return this.#holdOrForward(bytes);
     const complete = this.#splitter.push(bytes);
-    if (!complete) return true;
+    const canHold = this.#held.tryHold(this.#splitter.rest.length);
+    if (this.#splitter.isOverlong || !canHold) {
+      this.#breakOff("event is too large");
+    }
+    if (this.#outcome || !complete) return true;
     this.#deps.onEvent(complete.lastId);
+    return this.#forward(complete.bytes);
+  }
+
+  /** Skips the body of a refusal; the target fails if it has no end. */
+  #skip(bytes: Buffer, refusal: AttemptEnd): boolean {
+    this.#refusalBytes += bytes.length;
+    if (this.#isEnded || this.#refusalBytes <= MAX_REFUSAL_BYTES) return true;
+    this.#call?.abort("refusal without end");
+    this.#deps.reservation.failed();
+    this.#end(refusal);
+    return true;
+  }
+
+  #holdOrForward(bytes: Buffer): boolean {
+    const head = this.#head;
+    if (!head) return true;
+    const step = this.#body.push(bytes, head.bodyBytes);
+    if (step === BodyStep.Hold) return true;
+    if (step === BodyStep.Endless || head.status >= 500) {
+      this.#breakOff("body is too large");
+      return true;
+    }
+    this.#forwardHeld(head);
+    return this.#forward(bytes);
+  }
+
+  /** Forwards the head, unless it was, and what is held of the body. */
+  #forwardHeld(head: ResponseHead): void {
+    const { response } = this.#deps;
+    if (!response.hasBegun) response.begin(head);
+    const held = this.#body.take();
+    if (held.length > 0) response.write(held, () => {});
+  }
+
+  #forward(bytes: Buffer): boolean {
     const mayContinue = this.#deps.response.write(
-      complete.bytes,
+      bytes,
       () => this.#resume(),
     );
     // Nothing arrives while the call is paused for a slow caller.
@@ -198,12 +248,10 @@
     if (this.#isStream) return this.#streamEnded();
     const head = this.#head;
     if (!head) return this.#end({ kind: "broken", detail: "no answer" });
-    const body = Buffer.concat(this.#chunks);
     if (head.status >= 500) {
-      return this.#end({ kind: "error-answer", head, body });
+      return this.#end({ kind: "error-answer", head, body: this.#body.take() });
     }
-    this.#deps.response.begin(head);
-    if (body.length > 0) this.#deps.response.write(body, () => {});
+    this.#forwardHeld(head);
     this.#deps.response.end();
     this.#end({ kind: "over" });
   }
@@ -279,6 +327,7 @@
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#watchdog?.end();
+    this.#held.tryHold(0);
     const { reservation } = this.#deps;
     const serviceMs = monotonicMs() - this.#startedAt;
     if (end.kind === "over") reservation.done(serviceMs);
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -16,6 +16,7 @@
 import { type Logger, Metrics, monitorStalls } from "../telemetry/mod.ts";
 import { StreamOriginService } from "../origins/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
+import { HeldBytes } from "./answer_body.ts";
 import { BuildRecorder } from "./build_recorder.ts";
 import { ChainClient } from "./chain_client.ts";
 import { ChainRunner } from "./chain_runner.ts";
@@ -120,6 +121,7 @@
     tracker,
     chains,
     client: targets,
+    heldBytes: new HeldBytes(),
     firstByteTimes: new FirstByteTimes(),
     log,
     metrics,
--- /dev/null
+++ b/src/http/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * HTTP clients that take a limited number of bytes from their peers.
+ *
+ * @module
+ */
+
+export * from "./bounded_client.ts";
+export * from "./text_request.ts";
--- a/src/kernel/mod.ts
+++ b/src/kernel/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./byte_buffer.ts";
 export * from "./invariant.ts";
 export * from "./kernel.ts";
 export * from "./queue.ts";
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -14,7 +14,7 @@
   ["telemetry"],
   ["model"],
   ["config"],
-  ["tls"],
+  ["tls", "http"],
   [
     "routing",
     "admission",
@@ -53,7 +53,7 @@
  * gateway and does not depend on entries and agents.
  */
 const ADAPTER_IMPORTS =
-  /^(?:\.\.\/)+src\/(config|gateway|serving|standin|telemetry|testing|kernel)\/mod\.ts$/;
+  /^(?:\.\.\/)+src\/(config|gateway|http|serving|standin|telemetry|testing|kernel)\/mod\.ts$/;
 
 /** Returns the imports of an adapter file that violate the layer rule. */
 export function checkAdapterImports(
--- a/src/serving/event_splitter.ts
+++ b/src/serving/event_splitter.ts
@@ -5,40 +5,60 @@
  * @module
  */
 
+import { ByteBuffer } from "../kernel/mod.ts";
+
 /** Bytes of one or more whole events and the last event identifier. */
 export interface WholeEvents {
   readonly bytes: Buffer;
   readonly lastId?: string;
 }
 
+/**
+ * Most bytes of a stream after its last event with an identifier; an event
+ * holds a few tokens.
+ */
+const MAX_EVENT_BYTES = 2 * 1024 * 1024;
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
 /** Buffers an incomplete event until the rest of it has arrived. */
 export class EventSplitter {
-  #rest: Buffer = Buffer.alloc(0);
+  readonly #rest = new ByteBuffer();
+  #unidentifiedBytes = 0;
 
   /** Returns the events that `chunk` completes; undefined when none. */
   push(chunk: Buffer): WholeEvents | undefined {
-    const all = this.#rest.length === 0
-      ? chunk
-      : Buffer.concat([this.#rest, chunk]);
-    const end = endOfLastEvent(all);
-    this.#rest = all.subarray(end);
+    const searched = this.#rest.length;
+    this.#rest.append(chunk);
+    this.#unidentifiedBytes += chunk.length;
+    const all = this.#rest.bytes;
+    const end = endOfLastEvent(all, searched);
     if (end === 0) return undefined;
+    this.#rest.replace(all.subarray(end));
     const bytes = all.subarray(0, end);
-    return { bytes, lastId: lastIdOf(bytes) };
+    const lastId = lastIdOf(bytes);
+    if (lastId !== undefined) this.#unidentifiedBytes = this.#rest.length;
+    return { bytes, lastId };
+  }
+
+  /** True when the bytes since the last identified event are no event. */
+  get isOverlong(): boolean {
+    return this.#unidentifiedBytes > MAX_EVENT_BYTES;
   }
 
   /** Bytes of the incomplete event. */
   get rest(): Buffer {
-    return this.#rest;
+    return this.#rest.bytes;
   }
 }
 
-/** Returns the offset after the last blank line; 0 when there is none. */
-function endOfLastEvent(bytes: Buffer): number {
-  for (let at = bytes.length - 1; at > 0; at--) {
+/**
+ * Returns the offset after the last blank line; 0 when there is none. No blank
+ * line ends in the first `searched` bytes.
+ */
+function endOfLastEvent(bytes: Buffer, searched: number): number {
+  for (let at = bytes.length - 1; at >= Math.max(1, searched); at--) {
     if (bytes[at] !== LINE_FEED) continue;
     if (bytes[at - 1] === LINE_FEED) return at + 1;
     if (bytes[at - 1] === CARRIAGE_RETURN && bytes[at - 2] === LINE_FEED) {
--- a/src/serving/event_splitter_test.ts
+++ b/src/serving/event_splitter_test.ts
@@ -44,3 +44,18 @@
   assert.equal(whole?.lastId, "1");
   assert.equal(splitter.rest.toString(), "id: 2\nda");
 });
+
+test("EventSplitter.isOverlong tells bytes that complete no event", () => {
+  const splitter = new EventSplitter();
+  const push = (text: string, times: number) => {
+    for (let i = 0; i < times; i++) splitter.push(Buffer.from(text));
+  };
+  push(`id: 1\ndata: ${"x".repeat(1_000_000)}\n\n`, 5);
+  assert.equal(splitter.isOverlong, false);
+  for (const text of ["\n".repeat(1_000), "data: x\n".repeat(1_000)]) {
+    push(text, 3_000);
+    assert.equal(splitter.isOverlong, true);
+    push("\n\nid: 2\ndata: x\n\n", 1);
+    assert.equal(splitter.isOverlong, false);
+  }
+});
