--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,6 +7,7 @@
 import type { Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
 import { type BuildHolder, RouteKind } from "../serving/mod.ts";
+import type { HeldBytes } from "./answer_body.ts";
 import {
   AttemptPreparer,
   discardAttempt,
@@ -30,6 +31,7 @@
   >;
   readonly client: Pick<TargetClient, "send">;
   readonly origins: StreamOriginMemory;
+  readonly heldBytes: HeldBytes;
 }
 
 /**
@@ -191,6 +193,7 @@
       response: this.#response,
       reservation,
       inputs,
+      heldBytes: this.#deps.heldBytes,
       usualMs: this.#deps.firstByteTimes.of(route.name),
       isResumed: this.#response.hasBegun,
       isOver: () => this.#conclusion.isOver,
@@ -280,8 +283,8 @@
   /** True when the request may be sent again after it may have run. */
   get #isRepeatable(): boolean {
     const { route } = this.#admitted;
-    return route.kind === RouteKind.Idempotent ||
-      (route.kind === RouteKind.Stream && route.isResumable);
+    if (route.kind === RouteKind.Stream) return route.isResumable;
+    return route.kind === RouteKind.Idempotent && !this.#response.hasBegun;
   }
 
   #spendRetry(): boolean {
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -6,6 +6,7 @@
 import { catalogSpec, pool, route, targetChange } from "../serving/testing.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
+import { HeldBytes } from "./answer_body.ts";
 import { Exchange } from "./exchange.ts";
 import { FirstByteTimes } from "./first_byte_times.ts";
 import type {
@@ -105,6 +106,7 @@
           },
         },
         firstByteTimes: new FirstByteTimes(),
+        heldBytes: new HeldBytes(),
         origins: {
           begun: () => {},
           find: () => Promise.resolve(undefined),
