--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,7 +6,7 @@
 
 import type { Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
-import { RouteKind } from "../serving/mod.ts";
+import { type BuildHolder, RouteKind } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import {
   AttemptPreparer,
@@ -24,10 +24,12 @@
 } from "./ports.ts";
 import { type Admitted, type AttemptEnd, Relay } from "./relay.ts";
 import { discardAttempt, Replacement } from "./replacement.ts";
+import { streamOf, type StreamOriginMemory } from "./stream_binding.ts";
 
 /** Services that exchanges use. */
 export interface ExchangeDeps extends PreparerDeps {
   readonly client: TargetClient;
+  readonly origins: StreamOriginMemory;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
@@ -58,6 +60,10 @@
   #call: RunningCall | undefined;
   #replacement: Replacement | undefined;
   #lastEventId: string | undefined;
+  /** Target that began the stream; only its build may go on with it. */
+  #origin: BuildHolder | undefined;
+  /** True once an event was forwarded. */
+  #hasEvents = false;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -70,6 +76,7 @@
     this.#response = response;
     this.#deps = deps;
     this.#lastEventId = req.lastEventId;
+    this.#origin = admitted.origin;
     this.#deadlineAt = req.receivedAt +
       Math.min(route.timeoutMs, req.deadlineMs ?? route.timeoutMs);
     this.#preparer = new AttemptPreparer(admitted, this.#deadlineAt, deps);
@@ -98,7 +105,8 @@
   #prepare(
     signal: AbortSignal,
   ): Promise<Result<PreparedAttempt, Unprepared>> {
-    return this.#preparer.prepare(this.#tried, signal);
+    const choice = { exclude: this.#tried, sameBuildAs: this.#origin };
+    return this.#preparer.prepare(choice, signal);
   }
 
   /** Waits for an attempt; ends the exchange if it cannot be made. */
@@ -176,6 +184,7 @@
     const { target } = reservation;
     this.#log("sent", {
       target: target.id,
+      build: target.build,
       attempt: this.#attempts + 1,
       remainingMs,
       tried: this.#tried.size,
@@ -190,7 +199,10 @@
         usualMs: this.#deps.firstByteTimes.of(route.name),
         isResumed: this.#response.hasBegun,
         isOver: () => this.#ended.signal.aborted,
-        onEvent: (id) => this.#lastEventId = id ?? this.#lastEventId,
+        onEvent: (id) => {
+          this.#recordOrigin(target);
+          this.#lastEventId = id ?? this.#lastEventId;
+        },
         onSilent: (ms) => this.#replaceSilent(relay, target.id, ms),
         onProgress: () => this.#cancelReplacement(),
         onFirstBytes: (ms) => this.#deps.firstByteTimes.observe(route.name, ms),
@@ -214,6 +226,16 @@
     });
   }
 
+  /** Remembers which build the stream keeps to, at its first event here. */
+  #recordOrigin({ build }: BuildHolder): void {
+    if (this.#hasEvents) return;
+    this.#hasEvents = true;
+    this.#origin ??= { build };
+    const { req, route, pool } = this.#admitted;
+    if (!route.isResumable) return;
+    this.#deps.origins.begun(streamOf(req), { pool: pool.name, build });
+  }
+
   #recordAttempt(target: string, end: AttemptEnd): void {
     this.#call = undefined;
     const isAttempt = end.kind !== "unsent" &&
@@ -344,6 +366,7 @@
       outcome,
       tookMs: Math.round(tookMs),
       attempts: this.#attempts,
+      build: this.#origin?.build,
       ...fields,
     });
   }
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -6,6 +6,7 @@
 
 import { monotonicMs, Watchdog } from "../kernel/mod.ts";
 import {
+  type BuildHolder,
   type Catalog,
   EventSplitter,
   type Organisation,
@@ -38,6 +39,8 @@
   readonly ageMs: number;
   /** Share of the requests of the route that are smaller. */
   readonly sizeRank: number;
+  /** Build that began the stream which the request takes up. */
+  readonly origin?: BuildHolder;
 }
 
 /** How one attempt at a target ended. */
@@ -109,8 +112,6 @@
   #isEnded = false;
   #outcome: AttemptEnd | undefined;
   #watchdog: Watchdog | undefined;
-  /** Time after which the target counts as silent; undefined if it never does. */
-  #silenceMs: number | undefined;
   #isSilent = false;
   #isGivenUp = false;
 
@@ -183,13 +184,12 @@
       () => this.#resume(),
     );
     // Nothing arrives while the call is paused for a slow caller.
-    if (!mayContinue) this.#watchdog?.end();
+    if (!mayContinue) this.#watchdog?.suspend();
     return mayContinue;
   }
 
   #resume(): void {
-    if (this.#isEnded) return;
-    this.#expectProgress(this.#silenceMs);
+    this.#watchdog?.resume();
     this.#call?.resume();
   }
 
@@ -233,7 +233,6 @@
   /** Reports each silence of this length from now on; undefined: none. */
   #expectProgress(silenceMs: number | undefined): void {
     this.#watchdog?.end();
-    this.#silenceMs = silenceMs;
     if (silenceMs === undefined) return;
     const watchdog = new Watchdog(silenceMs);
     this.#watchdog = watchdog;
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -8,14 +8,18 @@
  */
 
 export * from "./batch_queue.ts";
+export * from "./builds.ts";
 export * from "./catalog.ts";
 export * from "./choice.ts";
 export * from "./fleet_state.ts";
+export * from "./origin_keepers.ts";
 export * from "./pressure.ts";
 export * from "./priority_slack.ts";
 export * from "./result_memory.ts";
 export * from "./route_history.ts";
 export * from "./shares.ts";
+export * from "./state_change.ts";
 export * from "./stage_plan.ts";
 export * from "./stage_targets.ts";
+export * from "./stream_origins.ts";
 export * from "./event_splitter.ts";
