Report a silent target to the entry instead of ending its call

Callers of an entry got "the target made no progress" (502) from a sound target that would have answered within the deadline, for example after a long prefill or from a service that takes longer than 2 s.

Cause: the agent aborted an idempotent call after 2 s without text. The entry could retry it only within its budget, and not at all once text had been passed on.

Change: the agent goes on with the call and marks its heartbeats (`isSilent`, optional on the wire). The entry then starts a repeat, as for a silent response. An abort after the silence counts as a failure of the target at the gate, as before.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -126,12 +126,13 @@
   ): AsyncGenerator<CallEvent> {
     const { gate } = this.#deps;
     const events = new AsyncQueue<CallEvent>();
-    const stream: ResponseStream = { events, chunks: 0 };
+    const stream: ResponseStream = { events, chunks: 0, isSilent: false };
     const timer = setInterval(
       () =>
         events.push({
           kind: "heartbeat",
           load: gate.loadFor(call.organisation),
+          isSilent: stream.isSilent,
         }),
       HEARTBEAT_MS,
     );
--- a/src/agent/call_runner.ts
+++ b/src/agent/call_runner.ts
@@ -29,13 +29,12 @@
   claimedAfterDeadline,
   deadlinePassed,
   refusalOf,
-  targetSilent,
 } from "./run_refusals.ts";
 import type { TargetClient, TargetResponse } from "./target_client.ts";
 
 /**
- * Time without progress after which an idempotent call is aborted, in
- * milliseconds.
+ * Time without progress after which the target of an idempotent call is
+ * reported as silent, in milliseconds. The call goes on.
  */
 const TARGET_SILENCE_TIMEOUT_MS = 2_000;
 
@@ -115,12 +114,16 @@
       attributes: { call: call.callId, target: call.target },
     });
     this.#deps.cache?.recordCall(call);
-    const watchdog = new Watchdog(silenceTimeoutMs(call));
+    const watchdog = new Watchdog(TARGET_SILENCE_TIMEOUT_MS);
+    watchdog.signal.addEventListener("abort", () => {
+      stream.isSilent = watchdog.isExpired && call.idempotent;
+    });
     const response = await this.#deps.client.run(call, {
       traceparent: span.traceparent,
-      signal: this.#runSignal(permitted, watchdog),
+      signal: this.#runSignal(permitted),
       onText: (text) => {
         watchdog.recordProgress();
+        stream.isSilent = false;
         pushText(stream, call, text);
       },
       onProgress: (progress) => permit.reportProgress(progress),
@@ -135,11 +138,10 @@
       })
       .mapErr((failure) => {
         permit.release(
-          permitted.signal.aborted
+          permitted.signal.aborted && !stream.isSilent
             ? { kind: "abandoned" }
             : { kind: "failed", serviceMs, cold: failure.cold },
         );
-        if (watchdog.isExpired) return targetSilent();
         return monotonicMs() >= deadlineAt && failure.mayHaveRun
           ? deadlinePassed()
           : refusalOf(failure);
@@ -151,14 +153,11 @@
    * non-idempotent call continues after its caller has gone, and for a limited
    * time after its deadline, so that its outcome can be recorded.
    */
-  #runSignal(
-    { call, signal, deadlineAt }: PermittedCall,
-    watchdog: Watchdog,
-  ): AbortSignal {
+  #runSignal({ call, signal, deadlineAt }: PermittedCall): AbortSignal {
     const remainingMs = deadlineAt - monotonicMs();
     return call.idempotent
-      ? timeoutSignal(remainingMs, signal, watchdog.signal)
-      : timeoutSignal(remainingMs + OUTCOME_GRACE_MS, watchdog.signal);
+      ? timeoutSignal(remainingMs, signal)
+      : timeoutSignal(remainingMs + OUTCOME_GRACE_MS);
   }
 
   #result(
@@ -198,12 +197,8 @@
   readonly events: AsyncQueue<CallEvent>;
   /** Number of chunks queued so far. */
   chunks: number;
-}
-
-/** Returns how long a call may go without progress, in milliseconds. */
-function silenceTimeoutMs(call: StageCall): number {
-  return call.idempotent ? TARGET_SILENCE_TIMEOUT_MS : call.remainingMs +
-    OUTCOME_GRACE_MS;
+  /** True while the target makes no progress with an idempotent call. */
+  isSilent: boolean;
 }
 
 /**
--- a/src/agent/run_refusals.ts
+++ b/src/agent/run_refusals.ts
@@ -14,15 +14,6 @@
 
 const RETRY_AFTER_MS = 1_000;
 
-/** Returns the refusal of a call during which the target made no progress. */
-export function targetSilent(): Refusal {
-  return outcomeUnknown(
-    RefusalReason.Silent,
-    "The target made no progress",
-    RETRY_AFTER_MS,
-  );
-}
-
 /**
  * Returns the refusal of a call that passed its deadline while the target may
  * have been running it.
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -64,7 +64,7 @@
   readonly signal: AbortSignal;
   /** Receives generated text. */
   readonly onText?: (text: string) => void;
-  /** Called once when the response is silent; the attempt goes on. */
+  /** Called when the response is silent; the attempt goes on. */
   readonly onSilent?: () => void;
 }
 
@@ -102,11 +102,14 @@
   }
 
   /** Lets further calls avoid the target and its connections. */
-  #reportSilence({ onSilent }: AttemptOptions): void {
-    const { directory } = this.#deps;
+  #reportSilence(opts: AttemptOptions): void {
     this.#count("connections_silent_total");
-    directory.suspect(this.#target);
-    directory.client(this.#target).renew?.();
+    this.#deps.directory.client(this.#target).renew?.();
+    this.#suspectTarget(opts);
+  }
+
+  #suspectTarget({ onSilent }: AttemptOptions): void {
+    this.#deps.directory.suspect(this.#target);
     onSilent?.();
   }
 
@@ -127,6 +130,7 @@
       watchdog.recordProgress();
       if (signal.aborted) break;
       if ("load" in event) this.#recordLoad(event.load);
+      if ("isSilent" in event && event.isSilent) this.#suspectTarget(opts);
       if ("listsVersion" in event) directory.observeLists(event.listsVersion);
       const ended = this.#onStep(this.#apply(event), opts);
       if (ended) return ended;
--- a/src/entry/dispatcher_test.ts
+++ b/src/entry/dispatcher_test.ts
@@ -56,6 +56,15 @@
   };
 }
 
+/** Reports a silent target and, after `ms`, the result. */
+function silentTarget(ms: number): Script {
+  return async function* (call) {
+    yield { kind: "heartbeat", load: LOAD, isSilent: true };
+    await sleep(ms);
+    yield result(call, "a", 0);
+  };
+}
+
 const refuse: Script = async function* (call) {
   await sleep(1);
   yield {
@@ -150,6 +159,16 @@
     assert.ok(aborted.includes("t0"));
   }));
 
+test("a silent target behind its agent gets a repeat and may still win", () =>
+  simulate(async () => {
+    const repeated = setup([silentTarget(1_000), silentTarget(100)]);
+    const outcome = await dispatch(repeated.dispatcher);
+    assert.equal(outcome._unsafeUnwrap().target, "t1");
+    const refused = setup([silentTarget(1_000), refuse, refuse]);
+    const other = await dispatch(refused.dispatcher);
+    assert.equal(other._unsafeUnwrap().target, "t0");
+  }));
+
 test("a filing that goes on while its record is read keeps its result", () =>
   simulate(async () => {
     const refusal = outcomeUnknown(RefusalReason.KeyRunning, "running", 1);
--- a/src/model/call.ts
+++ b/src/model/call.ts
@@ -80,7 +80,12 @@
 
 /** Event in the response stream of a call; the last two kinds end a stream. */
 export type CallEvent =
-  | { readonly kind: "heartbeat"; readonly load: TargetLoad }
+  | {
+    readonly kind: "heartbeat";
+    readonly load: TargetLoad;
+    /** True while the target makes no progress with an idempotent call. */
+    readonly isSilent?: boolean;
+  }
   | {
     readonly kind: "chunk";
     readonly callId: CallId;
