--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -5,7 +5,7 @@
  */
 
 import { err, ok, type Result } from "neverthrow";
-import { monotonicMs } from "../kernel/mod.ts";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type {
   Catalog,
   ListedPeer,
@@ -28,6 +28,11 @@
  * calling an owner.
  */
 const MAX_ATTEMPTS = 3;
+/**
+ * Time for which a silent owner may still finish a chain whose repeat was
+ * refused, in milliseconds. Later the refusal would only reach the caller late.
+ */
+const REFUSED_REPEAT_WAIT_MS = 1_000;
 /** Timeout of a call to an owner to release results, in milliseconds. */
 const RELEASE_TIMEOUT_MS = 1_000;
 
@@ -195,26 +200,29 @@
 
   /**
    * Returns the first complete results of a call to a silent owner and its
-   * repeat, and ends the other one; without results, the repeat's refusal.
+   * repeat, and ends the other one. Without results, returns the repeat's refusal
+   * after a short wait for the silent owner.
    */
   async #firstDone(
     silent: RacingCall<OwnedResponse | undefined>,
     repeat: RacingCall<OwnedResponse>,
   ): Promise<OwnedResponse> {
     const calls = [silent, repeat];
-    const done = await Promise.any(calls.map(async ({ end }) => {
+    const results = Promise.any(calls.map(async ({ end }) => {
       const owned = await end;
       if (owned?.response.kind !== "done") throw new Error("not done");
       return owned;
     })).catch(() => undefined);
-    if (!done) return await repeat.end;
+    const refusal = repeat.end.catch(() => undefined)
+      .then(() => sleep(REFUSED_REPEAT_WAIT_MS));
+    const done = await Promise.race([results, refusal]);
     calls.forEach(async ({ end, abort }) => {
       abort.abort();
       const late = await end.catch(() => undefined);
       if (!late || late === done || late.response.kind !== "done") return;
       this.#release(late.owner, late.response.results);
     });
-    return done;
+    return done ?? await repeat.end;
   }
 
   /**
--- a/src/gateway/chain_client_test.ts
+++ b/src/gateway/chain_client_test.ts
@@ -147,6 +147,18 @@
     assert.equal(calls.at(-1), "free http://a");
   }, { seed: 1 }));
 
+test("a refused repeat does not wait long for an owner that stays silent", () =>
+  withPausedClock(async () => {
+    const { client } = setupOwners(
+      { name: "a", afterMs: 60_000, silentAtMs: 1_000, response: DONE },
+      { name: "b", afterMs: 10, response: REFUSED },
+    );
+    const startedAt = monotonicMs();
+    const outcome = await submitChain(client);
+    assert.equal(outcome._unsafeUnwrapErr().reason, "queue");
+    assert.ok(monotonicMs() - startedAt < 2_100);
+  }, { seed: 1 }));
+
 test("the repeat of a chain ends the call to its silent owner when it is done", () =>
   withPausedClock(async () => {
     const { client, calls } = setupOwners(
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,30 +4,32 @@
  * @module
  */
 
+import type { Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
-import { RouteKind } from "../serving/mod.ts";
-import type { Logger, Metrics } from "../telemetry/mod.ts";
-import type { ChainClient, StagedInputs } from "./chain_client.ts";
-import type { FirstByteTimes } from "./first_byte_times.ts";
+import { type BuildHolder, RouteKind } from "../serving/mod.ts";
 import {
-  type CallerRequest,
-  type CallerResponse,
-  type Refusal,
-  RefusalKind,
-  type RunningCall,
-  type TargetClient,
-} from "./ports.ts";
+  AttemptPreparer,
+  discardAttempt,
+  NO_TARGET_RETRY_AFTER_MS,
+  type PreparedAttempt,
+  type PreparerDeps,
+  type Unprepared,
+} from "./attempt_preparer.ts";
+import { Conclusion, type ConclusionDeps } from "./conclusion.ts";
+import { Handover, type RunningAttempt } from "./handover.ts";
+import type { CallerResponse, TargetClient } from "./ports.ts";
 import { type Admitted, type AttemptEnd, Relay } from "./relay.ts";
+import { streamOf, type StreamOriginMemory } from "./stream_binding.ts";
 import type { TargetTracker } from "./target_tracker.ts";
 
 /** Services that exchanges use. */
-export interface ExchangeDeps {
-  readonly tracker: TargetTracker;
-  readonly chains: ChainClient;
-  readonly client: TargetClient;
-  readonly firstByteTimes: FirstByteTimes;
-  readonly log: Logger;
-  readonly metrics: Metrics;
+export interface ExchangeDeps extends PreparerDeps, ConclusionDeps {
+  readonly tracker: Pick<
+    TargetTracker,
+    "reserve" | "preferredDomain" | "request" | "spendRetry"
+  >;
+  readonly client: Pick<TargetClient, "send">;
+  readonly origins: StreamOriginMemory;
 }
 
 /**
@@ -35,22 +37,6 @@
  * refused.
  */
 const MAX_UNSENT_ATTEMPTS = 3;
-/**
- * Time after which callers may retry when no target is open, in milliseconds.
- */
-const NO_TARGET_RETRY_AFTER_MS = 300;
-/**
- * Time after which callers may retry after a target refused, in milliseconds.
- */
-const TARGET_FULL_RETRY_AFTER_MS = 200;
-/** Largest share of their remaining time that callers wait before a retry. */
-const MAX_RETRY_SHARE = 1 / 3;
-/** Longest time after which callers that met a long queue may retry, in ms. */
-const MAX_QUEUE_RETRY_AFTER_MS = 6_000;
-/** Largest share by which that time is shortened at random. */
-const RETRY_JITTER = 0.3;
-/** Shortest remaining time in which a request is worth sending, in ms. */
-const MIN_SEND_MS = 20;
 
 /** Serves one request. */
 export class Exchange {
@@ -58,15 +44,22 @@
   readonly #response: CallerResponse;
   readonly #deps: ExchangeDeps;
   readonly #deadlineAt: number;
-  readonly #ended = new AbortController();
+  readonly #preparer: AttemptPreparer;
+  readonly #conclusion: Conclusion;
   readonly #tried = new Set<string>();
+  /** Attempts that have not ended. */
+  readonly #open = new Set<Relay>();
   #attempts = 0;
   #unsentAttempts = 0;
   /** True once a target may have begun to run the request. */
   #mayHaveRun = false;
-  #call: RunningCall | undefined;
+  #current: RunningAttempt | undefined;
+  #handover: Handover | undefined;
   #lastEventId: string | undefined;
-  #timer: NodeJS.Timeout | undefined;
+  /** Target that began the stream; only its build may go on with it. */
+  #origin: BuildHolder | undefined;
+  /** True once an event was forwarded. */
+  #hasEvents = false;
 
   constructor(
     admitted: Admitted,
@@ -78,126 +71,181 @@
     this.#response = response;
     this.#deps = deps;
     this.#lastEventId = req.lastEventId;
+    this.#origin = admitted.origin;
     this.#deadlineAt = req.receivedAt +
       Math.min(route.timeoutMs, req.deadlineMs ?? route.timeoutMs);
+    this.#preparer = new AttemptPreparer(admitted, this.#deadlineAt, deps);
+    const history = () => ({
+      attempts: this.#attempts,
+      mayHaveRun: this.#mayHaveRun,
+      build: this.#origin?.build,
+    });
+    this.#conclusion = new Conclusion(admitted, response, history, deps);
   }
 
   /**
    * Resolves when the final response was sent or the caller has disconnected.
    */
   async run(): Promise<void> {
-    this.#timer = setTimeout(
-      () => this.#onDeadline(),
+    const timer = setTimeout(
+      () => this.#conclusion.timedOut(this.#open.size > 0),
       Math.max(0, this.#deadlineAt - monotonicMs()),
     );
-    this.#response.gone.addEventListener("abort", () => this.#onCallerGone(), {
-      once: true,
+    this.#conclusion.signal.addEventListener("abort", () => {
+      clearTimeout(timer);
+      this.#handover?.cancel();
+      this.#open.forEach((relay) => relay.abort());
     });
+    this.#response.gone.addEventListener(
+      "abort",
+      () => this.#conclusion.callerGone(),
+      { once: true },
+    );
     this.#deps.tracker.request(this.#admitted.pool.name);
-    while (!this.#ended.signal.aborted) {
-      const inputs = await this.#runStages();
-      if (inputs === undefined) return;
-      const end = await this.#attempt(inputs);
-      inputs.release();
-      if (!this.#shouldRetry(end)) return;
+    this.#current = await this.#startNext();
+    while (this.#current) {
+      const end = await this.#current.ended;
+      this.#current = await this.#next(end);
     }
   }
 
-  /** Runs the stages; undefined when the exchange has ended. */
-  async #runStages(): Promise<StagedInputs | undefined> {
-    const { req, route, pool, catalog, priority, ageMs, sizeRank } =
-      this.#admitted;
-    const affinity = affinityOf(req);
-    const firstByteMs = this.#deps.firstByteTimes.of(route.name);
-    if (route.stages.length === 0) return { results: [], release: () => {} };
-    const outcome = await this.#deps.chains.run({
-      req,
-      route,
-      catalog,
-      priority,
-      dueAt: req.receivedAt - ageMs + route.latencyGoalMs - firstByteMs,
-      expiresAt: this.#deadlineAt - firstByteMs,
-      sizeRank,
-      resultDomain: affinity === undefined
-        ? undefined
-        : this.#deps.tracker.preferredDomain(pool, affinity),
-      signal: this.#ended.signal,
-    });
-    if (outcome.isOk()) return outcome.value;
-    const remainingMs = this.#deadlineAt - monotonicMs();
-    this.#abandon(outcome.error.reason, queueRetryMs(remainingMs));
+  /** Returns the attempt that follows one that has ended, if any does. */
+  async #next(end: AttemptEnd): Promise<RunningAttempt | undefined> {
+    const handover = this.#handover;
+    this.#handover = undefined;
+    if (this.#conclusion.isOver) return undefined;
+    const taken = await handover?.adopt();
+    if (taken) return taken;
+    return this.#shouldRetry(end) ? await this.#startNext() : undefined;
+  }
+
+  /** Sends the request to a target; ends the exchange when that can't be. */
+  async #startNext(): Promise<RunningAttempt | undefined> {
+    const prepared = await this.#prepare(this.#conclusion.signal);
+    if (prepared.isErr()) {
+      const { reason, retryAfterMs } = prepared.error;
+      this.#conclusion.abandon(reason, retryAfterMs);
+      return undefined;
+    }
+    if (!this.#conclusion.isOver) return this.#start(prepared.value, () => {});
+    discardAttempt(prepared.value);
     return undefined;
   }
 
+  #prepare(
+    signal: AbortSignal,
+  ): Promise<Result<PreparedAttempt, Unprepared>> {
+    const choice = { exclude: this.#tried, sameBuildAs: this.#origin };
+    return this.#preparer.prepare(choice, signal);
+  }
+
+  /**
+   * Looks for another target while one is silent. The silent one may go on, and
+   * no other may be able to serve the request, so the call to it ends only when
+   * another target has taken the request.
+   */
+  #replaceSilent(relay: Relay, target: string, silentMs: number): void {
+    if (this.#conclusion.isOver || relay !== this.#current?.relay) return;
+    this.#log("target_silent", { target, silentMs });
+    const mayReplace = this.#isRepeatable &&
+      this.#attempts + 1 < this.#admitted.route.maxAttempts;
+    if (this.#handover || !mayReplace || !this.#spendRetry()) return;
+    const { signal } = this.#conclusion;
+    this.#handover = new Handover({
+      prepare: (cancelled) =>
+        this.#prepare(AbortSignal.any([cancelled, signal])),
+      start: (attempt, onAccepted) => this.#start(attempt, onAccepted),
+      onTaken: () => relay.giveUp(`silent for ${silentMs} ms`),
+      onFailed: (reason) => {
+        this.#handover = undefined;
+        this.#log("handover_failed", { reason });
+      },
+    });
+  }
+
+  #cancelHandover(relay: Relay): void {
+    if (relay !== this.#current?.relay) return;
+    this.#handover?.cancel();
+    this.#handover = undefined;
+  }
+
   /** Sends the request to one target. */
-  #attempt(inputs: StagedInputs): Promise<AttemptEnd> {
-    const { req, route, pool, organisation } = this.#admitted;
-    if (this.#ended.signal.aborted) return Promise.resolve({ kind: "over" });
+  #start(
+    { inputs, reservation }: PreparedAttempt,
+    onAccepted: () => void,
+  ): RunningAttempt {
+    const { req, route, organisation } = this.#admitted;
     const remainingMs = Math.floor(this.#deadlineAt - monotonicMs());
-    if (remainingMs < MIN_SEND_MS) {
-      this.#abandon("its time has passed", 0);
-      return Promise.resolve({ kind: "over" });
-    }
-    const reservation = this.#deps.tracker.reserve(pool, {
-      affinity: affinityOf(req),
-      exclude: this.#tried,
-    });
-    if (!reservation) {
-      this.#abandon("no target is open", NO_TARGET_RETRY_AFTER_MS);
-      return Promise.resolve({ kind: "over" });
-    }
     const { target } = reservation;
     this.#log("sent", {
       target: target.id,
+      build: target.build,
       attempt: this.#attempts + 1,
       remainingMs,
       tried: this.#tried.size,
     });
-    return new Promise((resolve) => {
-      const relay = new Relay({
-        admitted: this.#admitted,
-        response: this.#response,
-        reservation,
-        inputs,
-        usualMs: this.#deps.firstByteTimes.of(route.name),
-        isResumed: this.#response.hasBegun,
-        isOver: () => this.#ended.signal.aborted,
-        onEvent: (id) => this.#lastEventId = id ?? this.#lastEventId,
-        onFirstBytes: (ms) => this.#deps.firstByteTimes.observe(route.name, ms),
-        onEnd: (end) => {
-          this.#recordAttempt(target.id, end);
-          resolve(end);
-        },
-      });
-      const call = this.#deps.client.send({
-        target,
-        req,
-        remainingMs,
-        organisation: organisation?.name,
-        urgency: (organisation?.priority ?? 0) + route.priority,
-        inputs: route.stages.length > 0 ? inputs.results : undefined,
-        lastEventId: this.#lastEventId,
-        maxConnections: reservation.maxConnections,
-      }, relay);
-      this.#call = call;
-      relay.attach(call);
+    this.#tried.add(target.id);
+    const { promise, resolve } = withResolvers<AttemptEnd>();
+    const relay: Relay = new Relay({
+      admitted: this.#admitted,
+      response: this.#response,
+      reservation,
+      inputs,
+      usualMs: this.#deps.firstByteTimes.of(route.name),
+      isResumed: this.#response.hasBegun,
+      isOver: () => this.#conclusion.isOver,
+      onAccepted,
+      onEvent: (id) => {
+        this.#recordOrigin(target);
+        this.#lastEventId = id ?? this.#lastEventId;
+      },
+      onSilent: (ms) => this.#replaceSilent(relay, target.id, ms),
+      onProgress: () => this.#cancelHandover(relay),
+      onFirstBytes: (ms) => this.#deps.firstByteTimes.observe(route.name, ms),
+      onEnd: (end) => {
+        inputs.release();
+        this.#open.delete(relay);
+        this.#recordAttempt(target.id, end);
+        resolve(end);
+      },
     });
+    this.#open.add(relay);
+    relay.attach(this.#deps.client.send({
+      target,
+      req,
+      remainingMs,
+      organisation: organisation?.name,
+      urgency: (organisation?.priority ?? 0) + route.priority,
+      inputs: route.stages.length > 0 ? inputs.results : undefined,
+      lastEventId: this.#lastEventId,
+      maxConnections: reservation.maxConnections,
+    }, relay));
+    return { relay, ended: promise };
+  }
+
+  /** Remembers which build the stream keeps to, at its first event here. */
+  #recordOrigin({ build }: BuildHolder): void {
+    if (this.#hasEvents) return;
+    this.#hasEvents = true;
+    this.#origin ??= { build };
+    const { req, route, pool } = this.#admitted;
+    if (!route.isResumable) return;
+    this.#deps.origins.begun(streamOf(req), { pool: pool.name, build });
   }
 
   #recordAttempt(target: string, end: AttemptEnd): void {
-    this.#call = undefined;
-    this.#tried.add(target);
+    if (end.kind === "over") {
+      this.#attempts += 1;
+      if (!this.#conclusion.isOver) this.#conclusion.answered(target);
+      return;
+    }
     const isAttempt = end.kind !== "unsent" &&
       !(end.kind === "not-run" && !end.isAttempt);
     if (isAttempt) this.#attempts += 1;
     else this.#unsentAttempts += 1;
-    if (end.kind === "broken" || end.kind === "error-answer") {
+    if (end.kind !== "unsent" && end.kind !== "not-run") {
       this.#mayHaveRun = true;
     }
-    if (end.kind === "over") {
-      if (!this.#ended.signal.aborted) this.#finish("answered", { target });
-      return;
-    }
     this.#log("attempt_failed", {
       target,
       outcome: end.kind,
@@ -211,107 +259,33 @@
    * response.
    */
   #shouldRetry(end: AttemptEnd): boolean {
-    if (this.#ended.signal.aborted || end.kind === "over") return false;
-    const { route, pool } = this.#admitted;
-    if (end.kind === "unsent") return this.#retryUnsent(end.detail);
+    if (this.#conclusion.isOver || end.kind === "over") return false;
+    if (end.kind === "unsent") return this.#mayRetryUnsent(end.detail);
     if (end.kind === "not-run" && !end.isAttempt) {
-      return this.#retryUnsent("other target at the address");
-    }
-    const mayRetry = end.kind === "not-run" ||
-      route.kind === RouteKind.Idempotent ||
-      (route.kind === RouteKind.Stream && route.isResumable);
-    const hasAttemptLeft = this.#attempts < route.maxAttempts;
-    if (
-      mayRetry && hasAttemptLeft && this.#deps.tracker.spendRetry(pool.name)
-    ) {
-      return true;
+      return this.#mayRetryUnsent("other target at the address");
     }
-    this.#finishFailed(end);
+    const mayRetry = end.kind === "not-run" || this.#isRepeatable;
+    const hasAttemptLeft = this.#attempts < this.#admitted.route.maxAttempts;
+    if (mayRetry && hasAttemptLeft && this.#spendRetry()) return true;
+    this.#conclusion.failed(end);
     return false;
   }
 
-  #retryUnsent(detail: string): boolean {
+  #mayRetryUnsent(detail: string): boolean {
     if (this.#unsentAttempts < MAX_UNSENT_ATTEMPTS) return true;
-    if (this.#response.hasBegun) this.#breakOff(detail);
-    else this.#abandon(detail, NO_TARGET_RETRY_AFTER_MS);
+    this.#conclusion.abandon(detail, NO_TARGET_RETRY_AFTER_MS);
     return false;
   }
 
-  /** Sends the final response after the last attempt failed. */
-  #finishFailed(end: AttemptEnd): void {
-    if (this.#response.hasBegun) return this.#breakOff(end.kind);
-    if (end.kind === "not-run") {
-      return this.#abandon("the target refused", TARGET_FULL_RETRY_AFTER_MS);
-    }
-    if (end.kind === "error-answer") {
-      this.#response.begin(end.head);
-      this.#response.write(end.body, () => {});
-      this.#response.end();
-      return this.#finish("error-answer", { status: end.head.status });
-    }
-    const reason = "detail" in end ? end.detail : end.kind;
-    this.#refuse({ kind: RefusalKind.Unknown, reason });
-  }
-
-  /**
-   * Ends a request that is not sent again: refuses it as not run, as unknown
-   * when a target may have run it, or aborts a response that has begun.
-   */
-  #abandon(reason: string, retryAfterMs: number): void {
-    if (this.#ended.signal.aborted) return;
-    if (this.#response.hasBegun) return this.#breakOff(reason);
-    if (this.#mayHaveRun) {
-      return this.#refuse({ kind: RefusalKind.Unknown, reason });
-    }
-    this.#refuse({ kind: RefusalKind.NotRun, reason, retryAfterMs });
-  }
-
-  #refuse(refusal: Refusal): void {
-    if (this.#ended.signal.aborted) return;
-    this.#response.refuse(refusal);
-    this.#finish(refusal.kind, {
-      reason: refusal.reason,
-      retryAfterMs: refusal.retryAfterMs,
-    });
-  }
-
-  #breakOff(reason: string): void {
-    this.#response.cut();
-    this.#finish("cut", { reason });
-  }
-
-  #onDeadline(): void {
-    if (this.#ended.signal.aborted) return;
-    if (this.#response.hasBegun) return this.#breakOff("its time has passed");
-    const isSent = this.#call !== undefined || this.#mayHaveRun;
-    this.#refuse({
-      kind: isSent ? RefusalKind.TimedOut : RefusalKind.NotRun,
-      reason: "its time has passed",
-    });
-  }
-
-  #onCallerGone(): void {
-    if (this.#ended.signal.aborted) return;
-    this.#finish("caller-gone", {});
+  /** True when the request may be sent again after it may have run. */
+  get #isRepeatable(): boolean {
+    const { route } = this.#admitted;
+    return route.kind === RouteKind.Idempotent ||
+      (route.kind === RouteKind.Stream && route.isResumable);
   }
 
-  #finish(
-    outcome: string,
-    fields: Record<string, string | number | undefined>,
-  ) {
-    clearTimeout(this.#timer);
-    this.#ended.abort();
-    this.#call?.abort(outcome);
-    const { route } = this.#admitted;
-    const tookMs = monotonicMs() - this.#admitted.req.receivedAt;
-    this.#deps.metrics.count("requests_total", { route: route.name, outcome });
-    this.#deps.metrics.durations("request", { outcome }).record(tookMs);
-    this.#log("request_ended", {
-      outcome,
-      tookMs: Math.round(tookMs),
-      attempts: this.#attempts,
-      ...fields,
-    });
+  #spendRetry(): boolean {
+    return this.#deps.tracker.spendRetry(this.#admitted.pool.name);
   }
 
   #log(
@@ -322,21 +296,12 @@
   }
 }
 
-/**
- * Time after which a caller that met a long queue may retry, in milliseconds.
- * Its retry misses the latency goal in any case, and it may retry once. A burst
- * lasts for seconds, so the latest possible time is the best one. The jitter
- * keeps these callers from returning together as the next burst.
- */
-function queueRetryMs(remainingMs: number): number {
-  const ms = Math.min(MAX_QUEUE_RETRY_AFTER_MS, remainingMs * MAX_RETRY_SHARE);
-  return Math.round(ms * (1 - RETRY_JITTER * Math.random()));
-}
-
-/**
- * Name of the most specific shared segment of the prompt. The last segment
- * counts as unshared unless it is the only one.
- */
-function affinityOf({ promptParts }: CallerRequest): string | undefined {
-  return promptParts.at(-2) ?? promptParts.at(-1);
+/** Returns a promise with the function that resolves it. */
+function withResolvers<T>(): {
+  promise: Promise<T>;
+  resolve: (value: T) => void;
+} {
+  let resolve: (value: T) => void = () => {};
+  const promise = new Promise<T>((settle) => resolve = settle);
+  return { promise, resolve };
 }
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -7,7 +7,11 @@
 
 import { every, monotonicMs, Watchdog } from "../kernel/mod.ts";
 import { rendezvousOrder } from "../routing/mod.ts";
-import type { ListedPeer } from "../serving/mod.ts";
+import {
+  type ListedPeer,
+  type StateChange,
+  UNRECORDED,
+} from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import type {
   EntryPeerClients,
@@ -120,7 +124,7 @@
    * owner ends, and not again when it returns.
    */
   ownerOf(group: string): ListedPeer | undefined {
-    const usable = this.#bySeniority().filter((peer) => this.#isUsable(peer));
+    const usable = this.#bySeniority().filter((peer) => this.isUsable(peer));
     const groups = this.#view.state.catalog?.stageGroups ?? [];
     const index = Math.max(0, groups.indexOf(group));
     const owner = usable[index % Math.max(1, usable.length)];
@@ -187,10 +191,12 @@
       ? this.#view.state.changes()
         .filter((change) => change.version > (versions[partOf(change)] ?? 0))
       : [];
+    const unrecorded = this.#view.state.unrecordedBuilds
+      .map((one) => ({ kind: "build", version: UNRECORDED, ...one }) as const);
     return {
-      changes,
+      changes: [...changes, ...unrecorded],
       versions: known,
-      storeAgeMs: Math.min(this.#view.storeAgeMs, Number.MAX_SAFE_INTEGER),
+      targetsAgeMs: Math.min(this.#view.targetsAgeMs, Number.MAX_SAFE_INTEGER),
       isLeaving: this.#isLeaving,
       upMs: monotonicMs() - this.#startedAt,
     };
@@ -213,7 +219,7 @@
     const order = this.#bySeniority();
     const ownerCount = STANDBY_OWNERS +
       (this.#view.state.catalog?.stageGroups.length ?? 0);
-    const usable = order.filter((peer) => this.#isUsable(peer));
+    const usable = order.filter((peer) => this.isUsable(peer));
     const lastOwner = usable[Math.min(ownerCount, usable.length) - 1];
     const owners = order.slice(0, lastOwner ? order.indexOf(lastOwner) + 1 : 0);
     const neighbours = rendezvousOrder(others, {
@@ -236,7 +242,8 @@
       if (peer.name) {
         this.#recordResponse(peer.name, response, monotonicMs() - startedAt);
       }
-      this.#view.merge(response.changes, response.versions);
+      const { changes, versions, targetsAgeMs = Infinity } = response;
+      this.#view.merge(changes, versions, startedAt - targetsAgeMs);
     } catch (err) {
       this.#metrics.count("peer_failures_total");
       if (peer.name && record?.silence?.isExpired) {
@@ -280,7 +287,8 @@
     return created;
   }
 
-  #isUsable({ name }: ListedPeer): boolean {
+  /** False for a peer that is silent, leaving or much slower than the others. */
+  isUsable({ name }: ListedPeer): boolean {
     if (name === this.#self.name) return !this.#isLeaving;
     const record = this.#records.get(name);
     if (!record) return true;
@@ -316,8 +324,8 @@
   }
 }
 
-function partOf(change: { kind: string }): StatePart {
-  if (change.kind === "target") return StatePart.Targets;
-  if (change.kind === "peer") return StatePart.Peers;
+function partOf({ kind }: StateChange): StatePart {
+  if (kind === "target") return StatePart.Targets;
+  if (kind === "peer" || kind === "build") return StatePart.Peers;
   return StatePart.Configuration;
 }
--- a/src/gateway/peers_test.ts
+++ b/src/gateway/peers_test.ts
@@ -24,7 +24,7 @@
   );
   return {
     state,
-    storeAgeMs: 0,
+    targetsAgeMs: 0,
     versionOf: () => 0,
     merge: () => {},
   } as unknown as FleetView;
@@ -38,11 +38,13 @@
     sync: () => ({
       changes: [],
       versions: {},
-      storeAgeMs: 0,
+      targetsAgeMs: 0,
       isLeaving: false,
       upMs: 0,
     }),
     freeResults: () => {},
+    keepOrigins: () => ({ start: "a", isLeaving: false }),
+    findOrigin: () => ({ builds: [], isRecent: true }),
     runChain: () => Promise.resolve({ kind: "leaving" }),
   });
   const server = createServer((req, res) => {
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -10,6 +10,7 @@
   CallerLimits,
   ListedPeer,
   ListedTarget,
+  PoolBuild,
   ResultHandle,
   StateChange,
   TokenCounts,
@@ -55,6 +56,13 @@
     peer: ListedPeer,
     signal: AbortSignal,
   ): Promise<Result<void, SourceError>>;
+  /**
+   * Writes records of builds; they come back as changes of the part `Peers`.
+   */
+  recordBuilds(
+    builds: readonly PoolBuild[],
+    signal: AbortSignal,
+  ): Promise<Result<void, SourceError>>;
 }
 
 /** Decoded request of a caller. */
@@ -81,6 +89,11 @@
   readonly tokens?: TokenCounts;
   /** Last event of a stream that the caller has received. */
   readonly lastEventId?: string;
+  /**
+   * Identifier of the attempt that delivered the first event of the stream that
+   * this request resumes.
+   */
+  readonly originAttemptId?: string;
   /** Monotonic time at which the head of the request was read. */
   readonly receivedAt: number;
 }
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -6,6 +6,7 @@
 
 import { monotonicMs, Watchdog } from "../kernel/mod.ts";
 import {
+  type BuildHolder,
   type Catalog,
   EventSplitter,
   type Organisation,
@@ -38,6 +39,8 @@
   readonly ageMs: number;
   /** Share of the requests of the route that are smaller. */
   readonly sizeRank: number;
+  /** Build that began the stream which the request takes up. */
+  readonly origin?: BuildHolder;
 }
 
 /** How one attempt at a target ended. */
@@ -57,11 +60,20 @@
     readonly head: ResponseHead;
     readonly body: Buffer;
   }
+  /** This process no longer needs the attempt. */
+  | { readonly kind: "cancelled" }
   /** The call failed or was aborted, and the request may have run. */
   | { readonly kind: "broken"; readonly detail: string };
 
-/** Multiple of the longest pause after which a stream counts as silent. */
-const SILENCE_RATIO = 2;
+/**
+ * Multiple of the longest on-time pause after which a stream counts as silent.
+ */
+const SILENCE_RATIO = 4;
+/**
+ * Shortest time after which a stream counts as silent, in milliseconds: sound
+ * targets may pause for a second or more.
+ */
+const MIN_SILENCE_MS = 2_000;
 /** Multiple of the usual time after which a response is overdue. */
 const OVERDUE_RATIO = 3;
 /** Shortest time after which a response is overdue, in milliseconds. */
@@ -79,7 +91,13 @@
   readonly isResumed: boolean;
   /** True once the exchange has ended for another reason. */
   isOver(): boolean;
+  /** Called before a usable response is forwarded or collected. */
+  onAccepted(): void;
   onEvent(lastId: string | undefined): void;
+  /** Called each time that the target has been silent for `ms`. */
+  onSilent(ms: number): void;
+  /** Called when the target goes on after a silence. */
+  onProgress(): void;
   /** Called with the time until the first bytes of a response. */
   onFirstBytes(ms: number): void;
   onEnd(end: AttemptEnd): void;
@@ -98,7 +116,8 @@
   #isEnded = false;
   #outcome: AttemptEnd | undefined;
   #watchdog: Watchdog | undefined;
-  #overdueTimer: NodeJS.Timeout | undefined;
+  #isSilent = false;
+  #isGivenUp = false;
 
   constructor(deps: RelayDeps) {
     this.#deps = deps;
@@ -107,25 +126,36 @@
   attach(call: RunningCall): void {
     if (this.#isEnded) return;
     this.#call = call;
+    this.#expectProgress(this.#overdueMs);
+  }
+
+  /** Ends the call to a silent target: another one has taken the request. */
+  giveUp(detail: string): void {
+    this.#isGivenUp = true;
+    this.#breakOff(detail);
+  }
+
+  /** Ends a call that is no longer needed. */
+  cancel(): void {
+    this.#stop({ kind: "cancelled" });
+  }
+
+  /** Aborts the call, since the exchange has ended. */
+  abort(): void {
+    this.#call?.abort("the request has ended");
+  }
+
+  /** Time after which the head of the response is overdue, in milliseconds. */
+  get #overdueMs(): number {
     const { route } = this.#deps.admitted;
-    const overdueMs = Math.max(
-      MIN_OVERDUE_MS,
-      OVERDUE_RATIO * this.#deps.usualMs,
-    );
     if (route.kind === RouteKind.Idempotent && route.maxAttempts > 1) {
-      this.#startWatchdog(route.latencyGoalMs);
-    } else if (route.kind === RouteKind.Stream && route.isResumable) {
-      this.#startWatchdog(overdueMs);
-    } else {
-      this.#overdueTimer = setTimeout(
-        () => this.#deps.reservation.overdue(),
-        overdueMs,
-      );
+      return route.latencyGoalMs;
     }
+    return Math.max(MIN_OVERDUE_MS, OVERDUE_RATIO * this.#deps.usualMs);
   }
 
   head(head: ResponseHead): void {
-    clearTimeout(this.#overdueTimer);
+    this.#recordProgress();
     this.#deps.reservation.head(head);
     const isSuccess = head.status >= 200 && head.status < 300;
     if (head.isOtherTarget) {
@@ -142,10 +172,14 @@
     if (this.#deps.isResumed && !this.#isStream) {
       return this.#breakOff(`status ${head.status} for a resumed stream`);
     }
-    if (!this.#isStream) return;
-    if (!this.#deps.isResumed) this.#deps.response.begin(head);
-    if (route.isResumable && route.maxPauseMs !== undefined) {
-      this.#startWatchdog(route.maxPauseMs * SILENCE_RATIO);
+    if (route.kind !== RouteKind.Idempotent) {
+      this.#expectProgress(
+        this.#isStream && route.isResumable ? silenceMsOf(route) : undefined,
+      );
+    }
+    if (head.status < 500) this.#deps.onAccepted();
+    if (this.#isStream && !this.#deps.isResumed) {
+      this.#deps.response.begin(head);
     }
   }
 
@@ -156,14 +190,22 @@
       this.#chunks.push(bytes);
       return true;
     }
-    this.#watchdog?.recordProgress();
+    this.#recordProgress();
     const complete = this.#splitter.push(bytes);
     if (!complete) return true;
     this.#deps.onEvent(complete.lastId);
-    return this.#deps.response.write(
+    const mayContinue = this.#deps.response.write(
       complete.bytes,
-      () => this.#call?.resume(),
+      () => this.#resume(),
     );
+    // Nothing arrives while the call is paused for a slow caller.
+    if (!mayContinue) this.#watchdog?.suspend();
+    return mayContinue;
+  }
+
+  #resume(): void {
+    this.#watchdog?.resume();
+    this.#call?.resume();
   }
 
   ended(): void {
@@ -203,27 +245,52 @@
     this.#deps.onFirstBytes(monotonicMs() - this.#startedAt);
   }
 
-  #startWatchdog(ms: number): void {
+  /** Reports each silence of this length from now on; undefined: none. */
+  #expectProgress(silenceMs: number | undefined): void {
     this.#watchdog?.end();
-    const watchdog = new Watchdog(ms);
+    if (silenceMs === undefined) return;
+    const watchdog = new Watchdog(silenceMs);
     this.#watchdog = watchdog;
     watchdog.signal.addEventListener("abort", () => {
-      if (watchdog.isExpired) this.#breakOff(`silent for ${ms} ms`);
+      if (watchdog.isExpired) this.#reportSilence(silenceMs);
     });
   }
 
+  #reportSilence(ms: number): void {
+    if (this.#outcome) return this.#abort(this.#outcome);
+    this.#expectProgress(ms);
+    if (!this.#isSilent) this.#deps.reservation.overdue();
+    this.#isSilent = true;
+    this.#deps.onSilent(ms);
+  }
+
+  #recordProgress(): void {
+    this.#watchdog?.recordProgress();
+    if (!this.#isSilent) return;
+    this.#isSilent = false;
+    this.#deps.onProgress();
+  }
+
   #breakOff(detail: string): void {
     this.#stop({ kind: "broken", detail });
   }
 
-  /** Fixes the outcome before the call has ended; a broken call is aborted. */
+  /** Fixes the outcome before the call has ended. */
   #stop(outcome: AttemptEnd): void {
     if (this.#outcome || this.#isEnded) return;
     this.#outcome = outcome;
-    if (outcome.kind === "broken") {
-      this.#call?.abort(outcome.detail);
-      this.#end(outcome);
-    }
+    // The connection stays usable if the rest of a refusal is read.
+    if (outcome.kind !== "not-run") this.#abort(outcome);
+  }
+
+  #abort(outcome: AttemptEnd): void {
+    this.#call?.abort("detail" in outcome ? outcome.detail : outcome.kind);
+    this.#end(outcome);
+  }
+
+  /** True when an end counts against the target; silence did before. */
+  #isFault({ kind }: AttemptEnd): boolean {
+    return kind !== "not-run" && kind !== "cancelled" && !this.#isGivenUp;
   }
 
   /** Ends a call that this process aborted without a fault of the target. */
@@ -235,13 +302,16 @@
   #end(end: AttemptEnd): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
-    clearTimeout(this.#overdueTimer);
     this.#watchdog?.end();
     const { reservation } = this.#deps;
-    const serviceMs = monotonicMs() - this.#startedAt;
-    if (end.kind === "over") reservation.done(serviceMs);
-    else if (end.kind === "not-run") reservation.discarded();
-    else reservation.failed();
+    if (end.kind === "over") reservation.done(monotonicMs() - this.#startedAt);
+    else if (this.#isFault(end)) reservation.failed();
+    else reservation.discarded();
     this.#deps.onEnd(end);
   }
 }
+
+/** Time after which a stream counts as silent, in milliseconds. */
+function silenceMsOf({ maxPauseMs = 0 }: Route): number {
+  return Math.max(MIN_SILENCE_MS, SILENCE_RATIO * maxPauseMs);
+}
