Bound what agents and peers take of a response that has no end

An engine, a service, a peer or the table service whose bytes never end kept a call until its timeout and filled the memory of the process.

Cause: the clients read whole responses, or whole events of a completion, and relied on their timeouts alone.

Change: `boundedAgent` gives the clients of targets, peers and stores the limits of `boundedClient` and a largest body (4 MiB for reports and orders, 16 MiB for the state of a peer entry, 32 MiB else). Connections with TLS have the limit on bodies only. The server that floods moves to `src/testing`.

--- a/src/agent/cache_journal.ts
+++ b/src/agent/cache_journal.ts
@@ -17,6 +17,7 @@
 import { every, timeoutSignal } from "../kernel/mod.ts";
 import { type CacheChange, promptOf, type PromptSource } from "../model/mod.ts";
 import { prefixKey } from "../routing/mod.ts";
+import { REPORT_DISPATCHER } from "./target_http.ts";
 
 const POLL_MS = 1_000;
 const RESPONSE_TIMEOUT_MS = 1_000;
@@ -99,6 +100,7 @@
 ): Promise<readonly BlockEvent[]> {
   try {
     const res = await request(`${url}/cache-events?after=${after}`, {
+      dispatcher: REPORT_DISPATCHER,
       signal: timeoutSignal(RESPONSE_TIMEOUT_MS, signal),
     });
     const text = await res.body.text();
--- a/src/agent/engine_control.ts
+++ b/src/agent/engine_control.ts
@@ -9,6 +9,7 @@
 import { z } from "zod";
 import { timeoutSignal } from "../kernel/mod.ts";
 import type { EngineSetup, Order } from "../lease/mod.ts";
+import { REPORT_DISPATCHER } from "./target_http.ts";
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -89,6 +90,7 @@
       method,
       body,
       headers: { "content-type": "application/json" },
+      dispatcher: REPORT_DISPATCHER,
       signal: timeoutSignal(ORDER_TIMEOUT_MS, ...(signal ? [signal] : [])),
     }).then(async ({ statusCode, body }) => ({
       statusCode,
--- a/src/agent/load_poll.ts
+++ b/src/agent/load_poll.ts
@@ -7,6 +7,7 @@
 import { request } from "undici";
 import { z } from "zod";
 import { every, timeoutSignal } from "../kernel/mod.ts";
+import { REPORT_DISPATCHER } from "./target_http.ts";
 
 /** Time between two polls, in milliseconds. */
 const POLL_MS = 500;
@@ -41,6 +42,7 @@
   const requestedAt = performance.now();
   try {
     const res = await request(`${url}/load`, {
+      dispatcher: REPORT_DISPATCHER,
       signal: timeoutSignal(RESPONSE_TIMEOUT_MS, signal),
     });
     const text = await res.body.text();
--- a/src/agent/target_http.ts
+++ b/src/agent/target_http.ts
@@ -4,11 +4,22 @@
  * @module
  */
 
-import { Agent, type Dispatcher, request } from "undici";
+import { type Dispatcher, request } from "undici";
+import { boundedAgent } from "../http/mod.ts";
 import type { StageCall } from "../model/mod.ts";
 import type { RunOptions } from "./target_client.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Largest response body, in bytes. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
+
+/** Largest report or response to an order, in bytes. */
+const MAX_REPORT_BYTES = 4 * 1024 * 1024;
+
+/** Dispatcher of this process for reports and orders. */
+export const REPORT_DISPATCHER = boundedAgent({
+  maxResponseSize: MAX_REPORT_BYTES,
+});
 
 /**
  * Connections to one target. Callers set deadlines through their signals, so
@@ -16,10 +27,11 @@
  */
 export class TargetHttp {
   readonly #url: string;
-  readonly #dispatcher = new Agent({
+  readonly #dispatcher = boundedAgent({
     connect: { timeout: CONNECT_TIMEOUT_MS },
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxResponseSize: MAX_RESPONSE_BYTES,
   });
 
   /** `url` is the base URL of the target. */
--- a/src/http/bounded_client.ts
+++ b/src/http/bounded_client.ts
@@ -9,7 +9,14 @@
  */
 
 import type { Socket } from "node:net";
-import { type buildConnector, Client, type Dispatcher } from "undici";
+import { TLSSocket } from "node:tls";
+import {
+  Agent,
+  type buildConnector,
+  Client,
+  type Dispatcher,
+  Pool,
+} from "undici";
 
 /** Largest head of a response, in bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
@@ -53,6 +60,8 @@
 
   /** Called before `undici` adds its own listeners, so this one runs first. */
   #watch(socket: Socket): void {
+    // The records of TLS would count as bytes outside of bodies.
+    if (socket instanceof TLSSocket) return;
     this.#socket = socket;
     this.restart();
     socket.on("readable", () => {
@@ -89,6 +98,10 @@
     this.#handler.onConnect?.(...args);
   }
 
+  onResponseStarted(): void {
+    this.#handler.onResponseStarted?.();
+  }
+
   onHeaders(...args: Parameters<Handler["onHeaders"]>): boolean {
     return this.#handler.onHeaders?.(...args) ?? true;
   }
@@ -138,3 +151,17 @@
 export function boundedClient(origin: URL, opts: object): Dispatcher {
   return new BoundedClient(origin, opts as BoundedClientOptions);
 }
+
+/**
+ * Creates a dispatcher with such clients, whose response bodies have at most
+ * `maxResponseSize` bytes.
+ */
+export function boundedAgent(
+  opts: Agent.Options & { readonly maxResponseSize: number },
+): Agent {
+  return new Agent({
+    ...opts,
+    factory: (origin, poolOpts) =>
+      new Pool(origin, { ...poolOpts, factory: boundedClient }),
+  });
+}
--- a/src/http/text_request.ts
+++ b/src/http/text_request.ts
@@ -42,6 +42,10 @@
   });
 }
 
+function tooLarge(maxBytes: number): Error {
+  return new Error(`response body exceeds ${maxBytes} bytes`);
+}
+
 /** Settles the promise of one exchange. */
 interface Settle {
   resolve(response: TextResponse): void;
@@ -93,9 +97,7 @@
   ): void {
     this.#bytes += chunk.length;
     if (this.#bytes > this.#maxBytes) {
-      return this.abort(
-        new Error(`response body exceeds ${this.#maxBytes} bytes`),
-      );
+      return this.abort(tooLarge(this.#maxBytes));
     }
     this.#chunks.push(chunk);
   }
--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -10,7 +10,8 @@
  */
 
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
-import { Agent, request } from "undici";
+import { type Agent, request } from "undici";
+import { boundedAgent } from "../http/mod.ts";
 import { timeoutSignal } from "../kernel/mod.ts";
 import { PlatformError, PlatformErrorKind } from "./error.ts";
 import type {
@@ -30,6 +31,8 @@
 /** Timeout of a call, in milliseconds. */
 const PLATFORM_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Largest response body, in bytes. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 const HTTP_TOO_MANY_REQUESTS = 429;
 const HTTP_UNAVAILABLE = 503;
 
@@ -48,10 +51,11 @@
 
   constructor(url: string) {
     this.#url = url;
-    this.#dispatcher = new Agent({
+    this.#dispatcher = boundedAgent({
       connect: { timeout: CONNECT_TIMEOUT_MS },
       headersTimeout: PLATFORM_TIMEOUT_MS,
       bodyTimeout: PLATFORM_TIMEOUT_MS,
+      maxResponseSize: MAX_RESPONSE_BYTES,
     });
   }
 
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 
+export * from "./flood_server.ts";
 export * from "./paused_clock.ts";
--- a/src/wire/connector.ts
+++ b/src/wire/connector.ts
@@ -4,11 +4,14 @@
  * @module
  */
 
-import { Agent, buildConnector } from "undici";
+import { type Agent, buildConnector } from "undici";
+import { boundedAgent } from "../http/mod.ts";
 import type { KeyStore } from "../tls/mod.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 10_000;
+/** Largest body of a response, also of a streamed call, in bytes. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 /** Maximum number of connections to one process; each stream needs its own. */
 const MAX_CONNECTIONS = 256;
 
@@ -48,12 +51,13 @@
  * that is current at that moment, so that a rotation needs no restart.
  */
 export function createDispatcher(keys?: KeyStore): Agent {
-  return new Agent({
+  return boundedAgent({
     connect: keys ? rotatingConnector(keys) : { timeout: CONNECT_TIMEOUT_MS },
     connections: MAX_CONNECTIONS,
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxResponseSize: MAX_RESPONSE_BYTES,
   });
 }
 
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -10,8 +10,9 @@
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Agent, fetch as undiciFetch } from "undici";
+import { fetch as undiciFetch } from "undici";
 import { z } from "zod";
+import { boundedAgent } from "../http/mod.ts";
 import { timeoutSignal } from "../kernel/mod.ts";
 import type { StateChange } from "../serving/mod.ts";
 import {
@@ -125,10 +126,15 @@
 
 /** Maximum number of open connections to one peer. */
 const MAX_CONNECTIONS = 64;
+/** Largest response of a peer, in bytes; it may hold the whole state. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
 /** Clients of peers by URL, which share one set of connections. */
 export class EntryPeerClients {
-  readonly #agent = new Agent({ connections: MAX_CONNECTIONS });
+  readonly #agent = boundedAgent({
+    connections: MAX_CONNECTIONS,
+    maxResponseSize: MAX_RESPONSE_BYTES,
+  });
   readonly #clients = new Map<
     string,
     ReturnType<typeof createTRPCClient<EntryPeerRouter>>
