--- a/src/gateway/chain_client_test.ts
+++ b/src/gateway/chain_client_test.ts
@@ -5,7 +5,8 @@
 import { SILENT_LOGGER } from "../telemetry/mod.ts";
 import type { ChainResponse } from "../wire/mod.ts";
 import { ChainClient } from "./chain_client.ts";
-import { monotonicMs } from "../kernel/mod.ts";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { withPausedClock } from "../testing/mod.ts";
 import type { CallerRequest } from "./ports.ts";
 
 const RESULTS = [{ pool: "parts", results: ["10.0.0.1:80/r1"] }];
@@ -28,6 +29,7 @@
       ownerOf: () => owners.current,
       lossSignalOf: () => new AbortController().signal,
       markFailed: () => {},
+      markLeaving: () => {},
     },
     clients: {
       runChain: (url) => {
@@ -46,9 +48,13 @@
 }
 
 async function runChain(client: ChainClient) {
+  return (await submitChain(client))._unsafeUnwrap();
+}
+
+async function submitChain(client: ChainClient) {
   const catalog = new Catalog(catalogSpec());
   const now = monotonicMs();
-  const outcome = await client.run({
+  return await client.run({
     req: { id: "r", pieces: [1] } as unknown as CallerRequest,
     route: route({
       stages: [{ pool: "parts", after: [], resultBytes: 1 }],
@@ -60,9 +66,148 @@
     sizeRank: 1,
     signal: new AbortController().signal,
   });
-  return outcome._unsafeUnwrap();
 }
 
+const REFUSED: ChainResponse = { kind: "refused", reason: "queue" };
+
+/** How one owner responds to a chain. */
+interface OwnerScript {
+  readonly name: string;
+  readonly afterMs: number;
+  readonly response: ChainResponse;
+  /** Time at which the owner becomes silent, in milliseconds. */
+  readonly silentAtMs?: number;
+  /** Time from which the owner accepts no chains, in milliseconds. */
+  readonly leavesAtMs?: number;
+}
+
+/** Client whose owners respond by script, the next one after each failure. */
+function setupOwners(...scripts: readonly OwnerScript[]) {
+  const calls: string[] = [];
+  const startedAt = monotonicMs();
+  const silent = new Set<string>();
+  const losses = new Map(scripts.map(({ name, silentAtMs }) => {
+    const loss = new AbortController();
+    if (silentAtMs !== undefined) {
+      setTimeout(() => {
+        silent.add(name);
+        loss.abort();
+      }, silentAtMs);
+    }
+    return [name, loss] as const;
+  }));
+  const client = new ChainClient({
+    runner: {
+      run: () => Promise.resolve(REFUSED),
+      release: () => calls.push("free self"),
+    },
+    peers: {
+      ownerOf: () => {
+        const next = scripts.find(({ name }) => !silent.has(name));
+        return next && peer(next.name);
+      },
+      lossSignalOf: ({ name }) =>
+        losses.get(name)?.signal ?? new AbortController().signal,
+      markFailed: ({ name }) => {
+        silent.add(name);
+        losses.get(name)?.abort();
+      },
+      markLeaving: ({ name }) => silent.add(name),
+    },
+    clients: {
+      runChain: async (url, _chain, signal) => {
+        const script = scripts.find(({ name }) => url === `http://${name}`);
+        const leavesAt = startedAt + (script?.leavesAtMs ?? Infinity);
+        if (monotonicMs() >= leavesAt) return { kind: "leaving" };
+        calls.push(`run ${url}`);
+        await sleep(script?.afterMs ?? 0, signal);
+        if (!signal.aborted) return script?.response ?? REFUSED;
+        calls.push(`abort ${url}`);
+        throw signal.reason;
+      },
+      freeResults: (url) => {
+        calls.push(`free ${url}`);
+        return Promise.resolve();
+      },
+    },
+    targets: { freeResults: () => Promise.resolve() },
+    log: SILENT_LOGGER,
+  });
+  return { client, calls };
+}
+
+test("a chain at an owner that is silent for a while is done though its repeat is refused", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners(
+      { name: "a", afterMs: 1_500, silentAtMs: 1_000, response: DONE },
+      { name: "b", afterMs: 10, response: REFUSED },
+    );
+    const inputs = await runChain(client);
+    inputs.release();
+    assert.equal(calls.at(-1), "free http://a");
+  }, { seed: 1 }));
+
+test("a refused repeat does not wait long for an owner that stays silent", () =>
+  withPausedClock(async () => {
+    const { client } = setupOwners(
+      { name: "a", afterMs: 60_000, silentAtMs: 1_000, response: DONE },
+      { name: "b", afterMs: 10, response: REFUSED },
+    );
+    const startedAt = monotonicMs();
+    const outcome = await submitChain(client);
+    assert.equal(outcome._unsafeUnwrapErr().reason, "queue");
+    assert.ok(monotonicMs() - startedAt < 2_100);
+  }, { seed: 1 }));
+
+test("the repeat of a chain ends the call to its silent owner when it is done", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners(
+      { name: "a", afterMs: 5_000, silentAtMs: 1_000, response: DONE },
+      { name: "b", afterMs: 500, response: DONE },
+    );
+    const inputs = await runChain(client);
+    await sleep(0);
+    assert.deepEqual(calls, ["run http://a", "run http://b", "abort http://a"]);
+    inputs.release();
+    assert.equal(calls.at(-1), "free http://b");
+  }, { seed: 1 }));
+
+test("a silent owner that finishes first ends the repeat of its chain", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners(
+      { name: "a", afterMs: 1_500, silentAtMs: 1_000, response: DONE },
+      { name: "b", afterMs: 5_000, response: DONE },
+    );
+    await runChain(client);
+    await sleep(0);
+    assert.deepEqual(calls, ["run http://a", "run http://b", "abort http://b"]);
+  }, { seed: 1 }));
+
+test("the chains in flight at an owner that begins to leave are not repeated", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners(
+      { name: "a", afterMs: 1_000, leavesAtMs: 500, response: DONE },
+      { name: "b", afterMs: 10, response: DONE },
+    );
+    const first = runChain(client);
+    await sleep(600);
+    await runChain(client);
+    await first;
+    assert.deepEqual(calls, ["run http://a", "run http://b"]);
+  }, { seed: 1 }));
+
+test("a chain that its silent owner and its repeat refuse is refused", () =>
+  withPausedClock(async () => {
+    const { client } = setupOwners(
+      { name: "a", afterMs: 1_500, silentAtMs: 1_000, response: REFUSED },
+      { name: "b", afterMs: 10, response: REFUSED },
+    );
+    assert.equal(
+      (await submitChain(client))._unsafeUnwrapErr().reason,
+      "queue",
+    );
+  }, { seed: 1 }));
+
 test("ChainClient releases results where their chain was run", async () => {
   const { client, calls, owners } = setup();
   owners.current = peer("a");
