--- a/src/entry/dispatcher_test.ts
+++ b/src/entry/dispatcher_test.ts
@@ -1,58 +1,42 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { monotonicMs } from "../kernel/mod.ts";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
 import {
   type CallEvent,
   digest,
+  notRun,
+  outcomeUnknown,
+  RefusalReason,
   type StageCall,
   type Target,
+  type TargetLoad,
 } from "../model/mod.ts";
 import { Metrics, SILENT_LOGGER, Tracing } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
 import type { AgentClient } from "../wire/mod.ts";
 import type { TargetDirectory } from "./attempt.ts";
 import { Dispatcher } from "./dispatcher.ts";
+import type { KeyRecord } from "./key_record.ts";
 import type { StageRequest } from "./stage_dispatch.ts";
 
-const DEADLINE_MS = 5_000;
-const LOAD = { running: 1, queued: 0, limit: 4, cold: false, leaving: false };
+const LOAD = {} as TargetLoad;
+const DEADLINE_MS = 8_000;
 
-const REQUEST: StageRequest = {
-  requestId: "r",
-  organisation: "c",
-  pipeline: "p",
-  stage: "one",
-  kind: "generate",
-  idempotent: true,
-  fingerprint: "f",
-  priority: "interactive",
-  weight: 1,
-  listsVersion: 1,
-  input: null,
-};
-
-const TARGETS = ["a", "b"].map((id): Target => ({
-  id,
-  pool: "x",
-  kind: "engine",
-  host: id,
-  domain: "d1",
-  agentUrl: `http://${id}`,
-}));
-
-const chunk = ({ callId }: StageCall, text: string): CallEvent => ({
-  kind: "chunk",
-  callId,
-  seq: 0,
-  text,
-});
+/** Events of one target's response to a call. */
+type Script = (call: StageCall) => AsyncIterable<CallEvent>;
 
-function result(call: StageCall, text: string): CallEvent {
+function result(call: StageCall, text: string, chunks: number): CallEvent {
   const output = { text };
   return {
     kind: "result",
+    chunks,
+    load: LOAD,
+    listsVersion: 1,
     result: {
-      ...call,
+      callId: call.callId,
+      stage: call.stage,
+      fingerprint: call.fingerprint,
+      target: call.target,
       output,
       digest: digest(output),
       tokens: 1,
@@ -60,68 +44,134 @@
       queuedMs: 0,
       replayed: false,
     },
-    chunks: 1,
+  };
+}
+
+/** Sends one chunk and, after a silence, the result. */
+function silentFor(ms: number): Script {
+  return async function* (call) {
+    yield { kind: "chunk", callId: call.callId, seq: 0, text: "a" };
+    await sleep(ms);
+    yield result(call, "a", 1);
+  };
+}
+
+const refuse: Script = async function* (call) {
+  await sleep(1);
+  yield {
+    kind: "refused",
+    callId: call.callId,
+    refusal: notRun(RefusalReason.OverLimit, "full", 1),
     load: LOAD,
     listsVersion: 1,
   };
-}
+};
 
-/**
- * Dispatches a call to engines `a` and `b`; the one that is tried first breaks
- * off after `streamed`, the other one generates a whole text.
- */
-async function dispatch(streamed: (call: StageCall) => readonly CallEvent[]) {
-  const calls: string[] = [];
-  const texts: string[] = [];
-  const client = ({ id }: Target): Pick<AgentClient, "call"> => ({
-    call: (call) => Promise.resolve(events(id, call)),
-  });
-  async function* events(id: string, call: StageCall) {
-    calls.push(id);
-    if (calls.length > 1) {
-      yield chunk(call, `whole text of ${id}`);
-      yield result(call, `whole text of ${id}`);
-      return;
-    }
-    yield* streamed(call);
-    throw new Error("The connection broke");
-  }
-  const directory = {
-    choose: (_pool, { tried }) => TARGETS.find(({ id }) => !tried.has(id)),
+function setup(scripts: readonly Script[], record?: KeyRecord) {
+  const aborted: string[] = [];
+  const targets = scripts.map((script, i) => ({
+    script,
+    target: { id: `t${i}` } as Target,
+  }));
+  const directory: TargetDirectory = {
     begin: () => () => {},
-    client: (target) => client(target) as AgentClient,
+    choose: (_pool, { tried }) =>
+      targets.find(({ target }) => !tried.has(target.id))?.target,
+    client: ({ id }) => ({
+      call: (call: StageCall, signal: AbortSignal) => {
+        signal.addEventListener("abort", () => aborted.push(id));
+        const script = targets.find(({ target }) => target.id === id)?.script;
+        return Promise.resolve((script ?? refuse)(call));
+      },
+    } as unknown as AgentClient),
     observeLists: () => {},
     recordLoad: () => {},
     suspect: () => {},
-  } satisfies TargetDirectory;
+  };
   const dispatcher = new Dispatcher({
     directory,
+    record,
     metrics: new Metrics(),
-    tracing: new Tracing({ to: "none", log: SILENT_LOGGER, process: "e" }),
+    tracing: new Tracing({ to: "none", log: SILENT_LOGGER, process: "p" }),
   });
-  const outcome = await dispatcher.dispatch(REQUEST, {
-    pool: "x",
+  return { dispatcher, aborted };
+}
+
+function dispatch(
+  dispatcher: Dispatcher,
+  overrides: Partial<StageRequest> = {},
+  onText?: (text: string) => void,
+) {
+  return dispatcher.dispatch({
+    requestId: "r",
+    organisation: "o",
+    pipeline: "p",
+    stage: "s",
+    kind: "generate",
+    idempotent: true,
+    fingerprint: "f",
+    priority: "interactive",
+    weight: 1,
+    listsVersion: 1,
+    input: null,
+    ...overrides,
+  } as StageRequest, {
+    pool: "p",
     deadlineAt: monotonicMs() + DEADLINE_MS,
     signal: new AbortController().signal,
-    onText: (text) => texts.push(text),
+    onText,
   });
-  return { calls, texts, isOk: outcome.isOk() };
 }
 
-test("Dispatcher never lets another engine go on with text that was passed on", () =>
-  withPausedClock(async () => {
-    assert.deepEqual(await dispatch((call) => [chunk(call, "first ")]), {
-      calls: ["a"],
-      texts: ["first "],
-      isOk: false,
-    });
-  }, { seed: 1 }));
+const simulate = (task: () => Promise<void>) =>
+  withPausedClock(task, { seed: 1 });
+
+test("a call that is silent for a while is done though its repeat is refused", () =>
+  simulate(async () => {
+    const { dispatcher } = setup([silentFor(2_500), refuse, refuse]);
+    const outcome = await dispatch(dispatcher);
+    assert.equal(outcome._unsafeUnwrap().target, "t0");
+  }));
+
+test("a silence inside a text that the caller reads does not end it", () =>
+  simulate(async () => {
+    const { dispatcher } = setup([silentFor(2_500), silentFor(0)]);
+    const outcome = await dispatch(dispatcher, {}, () => {});
+    assert.equal(outcome._unsafeUnwrap().target, "t0");
+  }));
 
-test("Dispatcher starts anew at another engine while no text was passed on", () =>
-  withPausedClock(async () => {
-    assert.deepEqual(await dispatch(() => []), {
-      calls: ["a", "b"],
-      texts: ["whole text of b"],
-      isOk: true,
+test("the repeat of a call ends its silent attempt when it is done", () =>
+  simulate(async () => {
+    const { dispatcher, aborted } = setup([silentFor(7_000), silentFor(100)]);
+    const startedAt = monotonicMs();
+    const outcome = await dispatch(dispatcher);
+    assert.equal(outcome._unsafeUnwrap().target, "t1");
+    assert.ok(monotonicMs() - startedAt < 2_000);
+    assert.ok(aborted.includes("t0"));
+  }));
+
+test("a filing that goes on while its record is read keeps its result", () =>
+  simulate(async () => {
+    const refusal = outcomeUnknown(RefusalReason.KeyRunning, "running", 1);
+    const record = {
+      settle: async () => {
+        await sleep(1_000);
+        return { kind: "refused", refusal };
+      },
+    } as unknown as KeyRecord;
+    const { dispatcher } = setup([silentFor(2_000)], record);
+    const outcome = await dispatch(dispatcher, {
+      idempotent: false,
+      idempotencyKey: "k",
     });
-  }, { seed: 2 }));
+    assert.equal(outcome._unsafeUnwrap().target, "t0");
+  }));
+
+test("calls whose targets stay silent end at their deadline", () =>
+  simulate(async () => {
+    const { dispatcher } = setup([silentFor(60_000), silentFor(60_000)]);
+    const startedAt = monotonicMs();
+    const outcome = await dispatch(dispatcher);
+    assert.equal(outcome._unsafeUnwrapErr().reason, RefusalReason.Silent);
+    assert.ok(monotonicMs() - startedAt <= DEADLINE_MS + 100);
+  }));
