Serve no request that crosses the close of a leaving process

A caller that sent its next request on a kept connection around a planned stop got no answer, although the request was read whole and reached a target: the connection was cut with 0 bytes, and an at-most-once request had run unseen.

Cause: when a response ended after the process had begun to leave, only its sending side was closed. The connection was still read, and what came there was served without a way to send the response.

Change: while the process lingers, such a connection stays open like any idle one, and the response to its next request announces the close; so a caller that sends at once loses nothing. Once the process drains, a connection without an open response is closed after one whole pass of the event loop: a request that already waits there is answered, with the announcement; otherwise both directions are closed at once, so that no later request is read. It isn't kept longer, as a request that comes late in the drain could be cut at the end of the grace period.

--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -18,7 +18,7 @@
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { CallerLimits } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
-import { closeIdleConnections } from "./idle_connections.ts";
+import { closeIdleConnections, IdleCloser } from "./idle_connections.ts";
 import {
   type CallerCodec,
   type CallerRequest,
@@ -56,6 +56,7 @@
 /** HTTP server for callers. */
 export class HttpFront {
   readonly #server: Server;
+  readonly #idleCloser = new IdleCloser();
   readonly #codec: CallerCodec;
   readonly #handler: RequestHandler;
   readonly #log: Logger;
@@ -106,8 +107,10 @@
   }
 
   /**
-   * Closes the connection after each response, so that callers reconnect to
-   * other entries.
+   * Announces the end of the connection in each response to a later request,
+   * so that callers reconnect to other entries. A connection whose response had
+   * already begun stays open until the process drains, because its caller may
+   * be sending the next request.
    */
   leave(): void {
     this.#isLeaving = true;
@@ -121,6 +124,7 @@
     const endAt = monotonicMs() + timeoutMs;
     this.#server.close();
     this.#server.closeIdleConnections();
+    this.#idleCloser.closeFromNowOn();
     while (this.#inHand > 0 && monotonicMs() < endAt) {
       await sleep(DRAIN_POLL_MS);
     }
@@ -130,13 +134,8 @@
   #read(req: IncomingMessage, res: ServerResponse): void {
     const receivedAt = monotonicMs();
     this.#inHand += 1;
-    res.once("close", () => {
-      this.#inHand -= 1;
-      // A response whose head was sent before the process began to leave did
-      // not announce the end of its connection, so the next request could
-      // arrive on it.
-      if (this.#isLeaving) req.socket.end();
-    });
+    res.once("close", () => this.#inHand -= 1);
+    this.#idleCloser.follow(req, res);
     if (this.#isLeaving) res.shouldKeepAlive = false;
     const id = this.#codec.requestId(req.headers);
     const response = new HttpResponse(res, this.#codec, id);
--- a/src/gateway/http_front_test.ts
+++ b/src/gateway/http_front_test.ts
@@ -1,12 +1,17 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { type AddressInfo, connect, createServer } from "node:net";
-import { test } from "node:test";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
 import { ok } from "neverthrow";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { HttpFront } from "./http_front.ts";
-import { type CallerRequest, INITIAL_LIMITS } from "./ports.ts";
+import {
+  type CallerRequest,
+  type CallerResponse,
+  INITIAL_LIMITS,
+  type ResponseHead,
+} from "./ports.ts";
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 const IDLE_TIMEOUT_MS = 100;
@@ -27,8 +32,70 @@
   return port;
 }
 
-/** Starts a front that answers each request with 200. */
-async function startFront(): Promise<{ front: HttpFront; port: number }> {
+const EMPTY: ResponseHead = {
+  status: 200,
+  headers: ["Content-Length", "0"],
+  isMatching: true,
+  isSigned: true,
+  isNotRun: false,
+  isOtherTarget: false,
+};
+
+function respondEmpty(response: CallerResponse): void {
+  response.begin(EMPTY);
+  response.end();
+}
+
+/** Head of a response without a length. */
+const STREAM: ResponseHead = { ...EMPTY, headers: [] };
+/** Longer than it takes to answer a request of the tests. */
+const SETTLE_MS = 200;
+const DRAIN_MS = 5_000;
+
+/** Connection of a caller that counts what it is answered. */
+class Caller {
+  readonly socket: Socket;
+  text = "";
+
+  constructor(port: number) {
+    this.socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+    this.socket.on("data", (bytes) => this.text += bytes);
+    this.socket.on("error", () => {});
+  }
+
+  get answers(): number {
+    return this.text.match(/HTTP\/1.1 200/g)?.length ?? 0;
+  }
+}
+
+/**
+ * Starts a front that leaves while it has begun a response on each of two
+ * connections. The second response keeps it from ending its drain.
+ */
+async function startLeaving(t: TestContext) {
+  const responses: CallerResponse[] = [];
+  const { front, port } = await startFront((response) => {
+    responses.push(response);
+    if (responses.length > 2) return respondEmpty(response);
+    response.begin(STREAM);
+  });
+  const callers = [new Caller(port), new Caller(port)] as const;
+  t.after(async () => {
+    await front.drain(0);
+    callers.forEach(({ socket }) => socket.destroy());
+  });
+  for (const { socket } of callers) {
+    socket.write(REQUEST);
+    await once(socket, "data");
+  }
+  front.leave();
+  return { front, caller: callers[0], responses };
+}
+
+/** Starts a front that answers each request by `respond`. */
+async function startFront(
+  respond: (response: CallerResponse) => void = respondEmpty,
+): Promise<{ front: HttpFront; port: number }> {
   const front = new HttpFront({
     codec: {
       requestId: () => undefined,
@@ -37,15 +104,7 @@
     },
     handler: {
       serve: (_req, response) => {
-        response.begin({
-          status: 200,
-          headers: ["Content-Length", "0"],
-          isMatching: true,
-          isSigned: true,
-          isNotRun: false,
-          isOtherTarget: false,
-        });
-        response.end();
+        respond(response);
         return Promise.resolve();
       },
     },
@@ -102,3 +161,33 @@
   await sleep(STALL_MS);
   assert.equal(isClosed, true);
 });
+
+test("a request that crosses the close of a draining process is not served", async (t) => {
+  const { front, caller, responses } = await startLeaving(t);
+  void front.drain(DRAIN_MS);
+  responses[0]?.end();
+  await once(caller.socket, "end");
+  caller.socket.write(REQUEST);
+  await sleep(SETTLE_MS);
+  assert.equal(responses.length, 2);
+});
+
+test("a request that waits to be read when its connection is to be closed is answered", async (t) => {
+  const { front, caller, responses } = await startLeaving(t);
+  void front.drain(DRAIN_MS);
+  caller.socket.write(REQUEST);
+  responses[0]?.end();
+  await sleep(SETTLE_MS);
+  assert.equal(caller.answers, 2);
+  assert.match(caller.text, /connection: close/i);
+});
+
+test("a request after a stream that ends while the process lingers is answered", async (t) => {
+  const { caller, responses } = await startLeaving(t);
+  responses[0]?.end();
+  await sleep(SETTLE_MS);
+  caller.socket.write(REQUEST);
+  await sleep(SETTLE_MS);
+  assert.equal(caller.answers, 2);
+  assert.match(caller.text, /connection: close/i);
+});
--- a/src/gateway/idle_connections.ts
+++ b/src/gateway/idle_connections.ts
@@ -1,10 +1,11 @@
 /**
- * Closes connections of callers that have been idle for too long.
+ * Closes connections of callers that have been idle for too long, and those
+ * that become idle while the process drains.
  *
  * @module
  */
 
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
 /** An idle connection whose timeout was raised meanwhile. */
@@ -38,3 +39,73 @@
     });
   });
 }
+
+/** What a connection has been used for. */
+interface Usage {
+  /** Responses that have not been handed to the system whole. */
+  readonly openResponses: number;
+  /** Bytes that had been read from the connection when its request ended. */
+  readonly bytesRead: number;
+}
+
+/** Closes connections once no response is open on them. */
+export class IdleCloser {
+  readonly #usages = new Map<Socket, Usage>();
+  #isClosing = false;
+
+  /** Follows a request whose head has been read. */
+  follow(req: IncomingMessage, res: ServerResponse): void {
+    const { socket } = req;
+    if (!this.#usages.has(socket)) {
+      this.#usages.set(socket, { openResponses: 0, bytesRead: 0 });
+      socket.once("close", () => this.#usages.delete(socket));
+    }
+    this.#update(socket, ({ openResponses, bytesRead }) => ({
+      openResponses: openResponses + 1,
+      bytesRead,
+    }));
+    req.once("end", () => {
+      this.#update(socket, ({ openResponses }) => ({
+        openResponses,
+        bytesRead: socket.bytesRead,
+      }));
+    });
+    res.once("close", () => {
+      this.#update(socket, ({ openResponses, bytesRead }) => ({
+        openResponses: openResponses - 1,
+        bytesRead,
+      }));
+      if (this.#isClosing) this.#closeIfIdle(socket);
+    });
+  }
+
+  /** Closes each connection that is idle, now or later. */
+  closeFromNowOn(): void {
+    this.#isClosing = true;
+    [...this.#usages.keys()].forEach((socket) => this.#closeIfIdle(socket));
+  }
+
+  #update(socket: Socket, change: (usage: Usage) => Usage): void {
+    const usage = this.#usages.get(socket);
+    if (usage) this.#usages.set(socket, change(usage));
+  }
+
+  /**
+   * Closes `socket` if it is still idle after a whole pass of the event loop,
+   * in which a request that waits there is read. Both directions are closed at
+   * once: after a half-close, a later request would be read and served although
+   * its response can no longer be sent.
+   */
+  #closeIfIdle(socket: Socket): void {
+    setImmediate(() =>
+      setImmediate(() => {
+        if (this.#isIdle(socket)) socket.destroy();
+      })
+    );
+  }
+
+  #isIdle(socket: Socket): boolean {
+    const usage = this.#usages.get(socket);
+    return usage?.openResponses === 0 && usage.bytesRead === socket.bytesRead;
+  }
+}
