Send responses whole to slow callers while draining

A caller that reads slowly got the start of a response that its target had already ended: the connection was destroyed when the process began to drain.

Cause: on the first call, `drain` used the HTTP server's `close` and `closeIdleConnections`. Both (Node 20) take a connection for idle as soon as its response was ended, and destroy it together with the bytes that wait for the socket.

Change: `drain` only stops listening. Idle connections are closed by `IdleCloser`, which counts a response as open until the system has taken its last byte. The end of the grace period still closes all connections.

--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -15,6 +15,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { Server as NetServer } from "node:net";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { CallerLimits } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
@@ -122,13 +123,15 @@
    */
   async drain(timeoutMs: number): Promise<void> {
     const endAt = monotonicMs() + timeoutMs;
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // The HTTP server's own `close` takes a connection for idle, and destroys
+    // it, as soon as its response has been written, though not yet sent.
+    NetServer.prototype.close.call(this.#server);
     this.#idleCloser.closeFromNowOn();
     while (this.#inHand > 0 && monotonicMs() < endAt) {
       await sleep(DRAIN_POLL_MS);
     }
     this.#server.closeAllConnections();
+    this.#server.close();
   }
 
   #read(req: IncomingMessage, res: ServerResponse): void {
--- a/src/gateway/http_front_test.ts
+++ b/src/gateway/http_front_test.ts
@@ -51,6 +51,8 @@
 /** Longer than it takes to answer a request of the tests. */
 const SETTLE_MS = 200;
 const DRAIN_MS = 5_000;
+/** More than the system buffers for a connection. */
+const SLOW_BODY_BYTES = 24_000_000;
 
 /** Connection of a caller that counts what it is answered. */
 class Caller {
@@ -191,3 +193,41 @@
   assert.equal(caller.answers, 2);
   assert.match(caller.text, /connection: close/i);
 });
+
+test("a response that a slow caller still reads is sent whole while draining", async (t) => {
+  const body = Buffer.alloc(SLOW_BODY_BYTES, "x");
+  const { front, port } = await startFront((response) => {
+    response.begin(STREAM);
+    response.write(body, () => {});
+    response.end();
+  });
+  const { socket } = new Caller(port);
+  t.after(async () => {
+    await front.drain(0);
+    socket.destroy();
+  });
+  let size = 0;
+  socket.on("data", (bytes) => size += bytes.length);
+  socket.write(REQUEST);
+  await once(socket, "data");
+  socket.pause();
+  front.leave();
+  const drained = front.drain(DRAIN_MS);
+  await sleep(SETTLE_MS);
+  socket.resume();
+  await once(socket, "end");
+  assert.ok(size > SLOW_BODY_BYTES, `got ${size} bytes`);
+  await drained;
+});
+
+test("a draining process closes idle connections while a response is in flight", async (t) => {
+  const { front, caller, responses } = await startLeaving(t);
+  responses[0]?.end();
+  await sleep(SETTLE_MS);
+  let hasEnded = false;
+  caller.socket.on("end", () => hasEnded = true);
+  void front.drain(DRAIN_MS);
+  await sleep(SETTLE_MS);
+  assert.equal(hasEnded, true);
+  assert.equal(front.inHand, 1);
+});
