Announce the close in each response that begins while leaving

A caller whose response began after the process had begun to leave was not told that its connection would be closed, and could send its next request across the close. Of two pipelined requests, the second could be cut.

Cause: the announcement was decided when the request was read, not when the response began.

Change: it is decided when the head of the response is written, and only the response to the last request that was read on a connection makes it.

--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -108,9 +108,9 @@
   }
 
   /**
-   * Announces the end of the connection in each response to a later request,
-   * so that callers reconnect to other entries. A connection whose response had
-   * already begun stays open until the process drains, because its caller may
+   * Announces the end of the connection in each response that begins from now
+   * on, so that callers reconnect to other entries; of pipelined requests, in
+   * the last response. A connection whose response had already begun stays open until the process drains, because its caller may
    * be sending the next request.
    */
   leave(): void {
@@ -139,9 +139,12 @@
     this.#inHand += 1;
     res.once("close", () => this.#inHand -= 1);
     this.#idleCloser.follow(req, res);
-    if (this.#isLeaving) res.shouldKeepAlive = false;
-    const id = this.#codec.requestId(req.headers);
-    const response = new HttpResponse(res, this.#codec, id);
+    const response = new HttpResponse(res, {
+      codec: this.#codec,
+      id: this.#codec.requestId(req.headers),
+      endsConnection: () =>
+        this.#isLeaving && this.#idleCloser.isLast(req.socket, res),
+    });
     const refusal = this.#refusalOfHead(req);
     if (refusal) return this.#refuseUnread(req, response, refusal);
     const chunks: Buffer[] = [];
@@ -235,16 +238,22 @@
   readonly id: string | undefined;
   readonly #res: ServerResponse;
   readonly #codec: CallerCodec;
+  readonly #endsConnection: () => boolean;
   readonly #gone = new AbortController();
 
   constructor(
     res: ServerResponse,
-    codec: CallerCodec,
-    id: string | undefined,
+    { codec, id, endsConnection }: {
+      codec: CallerCodec;
+      id: string | undefined;
+      /** Tells whether a response that begins now ends its connection. */
+      endsConnection: () => boolean;
+    },
   ) {
     this.#res = res;
     this.#codec = codec;
     this.id = id;
+    this.#endsConnection = endsConnection;
     res.once("close", () => {
       if (!res.writableFinished) this.#gone.abort();
     });
@@ -305,6 +314,7 @@
    * headers are passed as an array.
    */
   #connectionHeaders(): readonly string[] {
-    return this.#res.shouldKeepAlive ? [] : [CONNECTION_HEADER, "close"];
+    const ends = !this.#res.shouldKeepAlive || this.#endsConnection();
+    return ends ? [CONNECTION_HEADER, "close"] : [];
   }
 }
--- a/src/gateway/http_front_test.ts
+++ b/src/gateway/http_front_test.ts
@@ -231,3 +231,37 @@
   assert.equal(hasEnded, true);
   assert.equal(front.inHand, 1);
 });
+
+test("a response that begins after the process began to leave announces the close", async (t) => {
+  const responses: CallerResponse[] = [];
+  const { front, port } = await startFront((res) => responses.push(res));
+  const caller = new Caller(port);
+  t.after(async () => {
+    await front.drain(0);
+    caller.socket.destroy();
+  });
+  caller.socket.write(REQUEST);
+  await sleep(SETTLE_MS);
+  front.leave();
+  responses.forEach(respondEmpty);
+  await sleep(SETTLE_MS);
+  assert.equal(caller.answers, 1);
+  assert.match(caller.text, /connection: close/i);
+});
+
+test("a pipelined request is answered when the process began to leave before its turn", async (t) => {
+  const responses: CallerResponse[] = [];
+  const { front, port } = await startFront((res) => responses.push(res));
+  const caller = new Caller(port);
+  t.after(async () => {
+    await front.drain(0);
+    caller.socket.destroy();
+  });
+  caller.socket.write(REQUEST + REQUEST);
+  await sleep(SETTLE_MS);
+  front.leave();
+  responses.forEach(respondEmpty);
+  await sleep(SETTLE_MS);
+  assert.equal(caller.answers, 2);
+  assert.match(caller.text, /connection: close/i);
+});
--- a/src/gateway/idle_connections.ts
+++ b/src/gateway/idle_connections.ts
@@ -46,6 +46,8 @@
   readonly openResponses: number;
   /** Bytes that had been read from the connection when its request ended. */
   readonly bytesRead: number;
+  /** Response to the last request that was read. */
+  readonly last: ServerResponse;
 }
 
 /** Closes connections once no response is open on them. */
@@ -56,29 +58,33 @@
   /** Follows a request whose head has been read. */
   follow(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
-    if (!this.#usages.has(socket)) {
-      this.#usages.set(socket, { openResponses: 0, bytesRead: 0 });
-      socket.once("close", () => this.#usages.delete(socket));
-    }
-    this.#update(socket, ({ openResponses, bytesRead }) => ({
-      openResponses: openResponses + 1,
-      bytesRead,
-    }));
+    const usage = this.#usages.get(socket);
+    if (!usage) socket.once("close", () => this.#usages.delete(socket));
+    this.#usages.set(socket, {
+      openResponses: (usage?.openResponses ?? 0) + 1,
+      bytesRead: usage?.bytesRead ?? 0,
+      last: res,
+    });
     req.once("end", () => {
-      this.#update(socket, ({ openResponses }) => ({
-        openResponses,
+      this.#update(socket, (usage) => ({
+        ...usage,
         bytesRead: socket.bytesRead,
       }));
     });
     res.once("close", () => {
-      this.#update(socket, ({ openResponses, bytesRead }) => ({
-        openResponses: openResponses - 1,
-        bytesRead,
+      this.#update(socket, (usage) => ({
+        ...usage,
+        openResponses: usage.openResponses - 1,
       }));
       if (this.#isClosing) this.#closeIfIdle(socket);
     });
   }
 
+  /** Tells whether no request has been read after that of `res`. */
+  isLast(socket: Socket, res: ServerResponse): boolean {
+    return this.#usages.get(socket)?.last === res;
+  }
+
   /** Closes each connection that is idle, now or later. */
   closeFromNowOn(): void {
     this.#isClosing = true;
