Serve no request behind a response that announced the close

A request that a caller had pipelined behind a response with `Connection: close` was read and passed on to a target, and then cut with its connection: nobody saw its answer.

Cause: the front served whatever was read, also when a response to it could no longer be sent.

Change: such a request is discarded, and so is one that is read between the end of the sending side and the close of the connection.

Measured: "a request behind a response that announced the close is not served" saw 2 requests served in place of 1 on the old code.

--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -135,6 +135,10 @@
   }
 
   #read(req: IncomingMessage, res: ServerResponse): void {
+    if (this.#idleCloser.isEnding(req.socket)) {
+      req.resume();
+      return;
+    }
     const receivedAt = monotonicMs();
     this.#inHand += 1;
     res.once("close", () => this.#inHand -= 1);
@@ -314,7 +318,7 @@
    * headers are passed as an array.
    */
   #connectionHeaders(): readonly string[] {
-    const ends = !this.#res.shouldKeepAlive || this.#endsConnection();
-    return ends ? [CONNECTION_HEADER, "close"] : [];
+    if (this.#endsConnection()) this.endConnection();
+    return this.#res.shouldKeepAlive ? [] : [CONNECTION_HEADER, "close"];
   }
 }
--- a/src/gateway/http_front_test.ts
+++ b/src/gateway/http_front_test.ts
@@ -265,3 +265,26 @@
   assert.equal(caller.answers, 2);
   assert.match(caller.text, /connection: close/i);
 });
+
+test("a request behind a response that announced the close is not served", async (t) => {
+  const responses: CallerResponse[] = [];
+  const { front, port } = await startFront((response) => {
+    responses.push(response);
+    response.begin(STREAM);
+  });
+  const caller = new Caller(port);
+  t.after(async () => {
+    await front.drain(0);
+    caller.socket.destroy();
+  });
+  front.leave();
+  caller.socket.write(REQUEST);
+  await once(caller.socket, "data");
+  caller.socket.write(REQUEST);
+  await sleep(SETTLE_MS);
+  assert.equal(responses.length, 1);
+  responses[0]?.end();
+  await sleep(SETTLE_MS);
+  assert.equal(caller.answers, 1);
+  assert.equal(front.inHand, 0);
+});
--- a/src/gateway/idle_connections.ts
+++ b/src/gateway/idle_connections.ts
@@ -85,6 +85,13 @@
     return this.#usages.get(socket)?.last === res;
   }
 
+  /** Tells whether no response to a later request can be sent on `socket`. */
+  isEnding(socket: Socket): boolean {
+    const last = this.#usages.get(socket)?.last;
+    const isAnnounced = last?.headersSent && !last.shouldKeepAlive;
+    return isAnnounced || !socket.writable;
+  }
+
   /** Closes each connection that is idle, now or later. */
   closeFromNowOn(): void {
     this.#isClosing = true;
