--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -15,10 +15,11 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { Server as NetServer } from "node:net";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { CallerLimits } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
-import { closeIdleConnections } from "./idle_connections.ts";
+import { closeIdleConnections, IdleCloser } from "./idle_connections.ts";
 import {
   type CallerCodec,
   type CallerRequest,
@@ -56,6 +57,7 @@
 /** HTTP server for callers. */
 export class HttpFront {
   readonly #server: Server;
+  readonly #idleCloser = new IdleCloser();
   readonly #codec: CallerCodec;
   readonly #handler: RequestHandler;
   readonly #log: Logger;
@@ -106,8 +108,10 @@
   }
 
   /**
-   * Closes the connection after each response, so that callers reconnect to
-   * other entries.
+   * Announces the end of the connection in each response that begins from now
+   * on, so that callers reconnect to other entries; of pipelined requests, in
+   * the last response. A connection whose response had already begun stays open until the process drains, because its caller may
+   * be sending the next request.
    */
   leave(): void {
     this.#isLeaving = true;
@@ -119,27 +123,32 @@
    */
   async drain(timeoutMs: number): Promise<void> {
     const endAt = monotonicMs() + timeoutMs;
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // The HTTP server's own `close` takes a connection for idle, and destroys
+    // it, as soon as its response has been written, though not yet sent.
+    NetServer.prototype.close.call(this.#server);
+    this.#idleCloser.closeFromNowOn();
     while (this.#inHand > 0 && monotonicMs() < endAt) {
       await sleep(DRAIN_POLL_MS);
     }
     this.#server.closeAllConnections();
+    this.#server.close();
   }
 
   #read(req: IncomingMessage, res: ServerResponse): void {
+    if (this.#idleCloser.isEnding(req.socket)) {
+      req.resume();
+      return;
+    }
     const receivedAt = monotonicMs();
     this.#inHand += 1;
-    res.once("close", () => {
-      this.#inHand -= 1;
-      // A response whose head was sent before the process began to leave did
-      // not announce the end of its connection, so the next request could
-      // arrive on it.
-      if (this.#isLeaving) req.socket.end();
+    res.once("close", () => this.#inHand -= 1);
+    this.#idleCloser.follow(req, res);
+    const response = new HttpResponse(res, {
+      codec: this.#codec,
+      id: this.#codec.requestId(req.headers),
+      endsConnection: () =>
+        this.#isLeaving && this.#idleCloser.isLast(req.socket, res),
     });
-    if (this.#isLeaving) res.shouldKeepAlive = false;
-    const id = this.#codec.requestId(req.headers);
-    const response = new HttpResponse(res, this.#codec, id);
     const refusal = this.#refusalOfHead(req);
     if (refusal) return this.#refuseUnread(req, response, refusal);
     const chunks: Buffer[] = [];
@@ -233,16 +242,22 @@
   readonly id: string | undefined;
   readonly #res: ServerResponse;
   readonly #codec: CallerCodec;
+  readonly #endsConnection: () => boolean;
   readonly #gone = new AbortController();
 
   constructor(
     res: ServerResponse,
-    codec: CallerCodec,
-    id: string | undefined,
+    { codec, id, endsConnection }: {
+      codec: CallerCodec;
+      id: string | undefined;
+      /** Tells whether a response that begins now ends its connection. */
+      endsConnection: () => boolean;
+    },
   ) {
     this.#res = res;
     this.#codec = codec;
     this.id = id;
+    this.#endsConnection = endsConnection;
     res.once("close", () => {
       if (!res.writableFinished) this.#gone.abort();
     });
@@ -303,6 +318,7 @@
    * headers are passed as an array.
    */
   #connectionHeaders(): readonly string[] {
+    if (this.#endsConnection()) this.endConnection();
     return this.#res.shouldKeepAlive ? [] : [CONNECTION_HEADER, "close"];
   }
 }
