--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -110,8 +110,9 @@
   /**
    * Announces the end of the connection in each response that begins from now
    * on, so that callers reconnect to other entries; of pipelined requests, in
-   * the last response. A connection whose response had already begun stays open until the process drains, because its caller may
-   * be sending the next request.
+   * the last response. A connection whose response had already begun stays open
+   * until the process drains, because its caller may be sending the next
+   * request.
    */
   leave(): void {
     this.#isLeaving = true;
