Keep a slowdown of all stage targets from pausing all of them

Callers got "the queue is too long" for up to 3 s although every target of the pool worked, only more slowly than expected.

Cause: a target counts as slow in comparison with the fastest one, and that comparison included the target's own average before the call. When all slowed down together, each was paused in turn, up to the last.

Change: the other targets are the reference; a pool's only target is never slow.

Measured: "targets that slow down at the same time are not all paused" fails on the old code.

--- a/src/serving/stage_targets.ts
+++ b/src/serving/stage_targets.ts
@@ -134,7 +134,9 @@
       // of usual speed ends the trial.
       const smoothing = this.isOnTrial(id) ? 1 : SLOWNESS_SMOOTHING;
       const slowness = one.slowness + smoothing * (ratio - one.slowness);
-      const isSlow = slowness > SLOW_RATIO * this.#fastest();
+      // Its own previous average is no reference: when all slow down at the
+      // same time, that would pause all of them.
+      const isSlow = slowness > SLOW_RATIO * this.#fastest(id);
       return {
         ...one,
         calls: Math.max(0, one.calls - 1),
@@ -195,9 +197,12 @@
       .filter(({ pausedUntil }) => pausedUntil <= now);
   }
 
-  #fastest(): number {
+  /** Slowness of the fastest target other than `except`. */
+  #fastest(except?: string): number {
     return Math.min(
-      ...[...this.#targets.values()].map(({ slowness }) => slowness),
+      ...[...this.#targets.values()]
+        .filter(({ id }) => id !== except)
+        .map(({ slowness }) => slowness),
     );
   }
 
--- a/src/serving/stage_targets_test.ts
+++ b/src/serving/stage_targets_test.ts
@@ -53,3 +53,11 @@
   assert.equal(failed.capacity(1), 2);
   assert.equal(failed.failed("a", 1).failed("b", 1).capacity(2), 0);
 });
+
+test("targets that slow down at the same time are not all paused", () => {
+  const targets = new StageTargets().withMembers(["a", "b"])
+    .answered("a", 4, 0).answered("b", 4, 0);
+  assert.notDeepEqual(ids(targets, 1), []);
+  const only = new StageTargets().withMembers(["a"]).answered("a", 4, 0);
+  assert.deepEqual(ids(only, 1), ["a"]);
+});
