Cancel the handover when a large body begins to be passed on

What callers saw: nothing yet, a test did: a body that is too large to hold began to be passed on late, while another target had been asked and had not answered; that one then took the request over, and its body followed the first bytes of the other's.

Cause: only the head of a plain response counted as progress that ends a handover. A body that is passed on before its end begins the response, after which no other target may answer.

Change: passing a body on counts as progress.

--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -231,6 +231,8 @@
       this.#breakOff("body is too large");
       return true;
     }
+    // No other target may answer once the response has begun.
+    this.#recordProgress();
     this.#forwardHeld(head);
     return this.#forward(bytes);
   }
