--- a/src/origins/origin_lookup.ts
+++ b/src/origins/origin_lookup.ts
@@ -45,8 +45,8 @@
 
 /**
  * Asks the first keepers of a stream, and further ones in place of those that
- * fail; the silent ones last. Resolves with the first answer that knows the origin, or when all have
- * answered or the time is over.
+ * fail; the silent ones last. Resolves with the first answer that knows the
+ * origin, or when all have answered or the time is over.
  */
 export async function askKeepers(
   query: OriginQuery,
