--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -39,6 +39,8 @@
  * refused.
  */
 const MAX_UNSENT_ATTEMPTS = 3;
+/** Segments of a prompt that a log line names, which bounds its length. */
+const LOGGED_SEGMENTS = 8;
 
 /** Serves one request. */
 export class Exchange {
@@ -208,7 +210,7 @@
       onEnd: (end) => {
         inputs.release();
         this.#open.delete(relay);
-        this.#recordAttempt(target.id, end);
+        this.#recordAttempt(target.id, end, relay.writingMs);
         resolve(end);
       },
     });
@@ -236,7 +238,11 @@
     this.#deps.origins.begun(streamOf(req), { pool: pool.name, build });
   }
 
-  #recordAttempt(target: string, end: AttemptEnd): void {
+  #recordAttempt(
+    target: string,
+    end: AttemptEnd,
+    writingMs: number | undefined,
+  ): void {
     if (end.kind === "over") {
       this.#attempts += 1;
       if (!this.#conclusion.isOver) this.#conclusion.answered(target);
@@ -254,6 +260,9 @@
       outcome: end.kind,
       detail: "detail" in end ? end.detail : undefined,
       status: end.kind === "error-answer" ? end.head.status : undefined,
+      segments: this.#admitted.req.promptParts.slice(0, LOGGED_SEGMENTS)
+        .join(",") || undefined,
+      writingMs: writingMs === undefined ? undefined : Math.round(writingMs),
     });
   }
 
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -130,6 +130,8 @@
   #watchdog: Watchdog | undefined;
   #isSilent = false;
   #isGivenUp = false;
+  /** Monotonic time of the first event of the response. */
+  #firstEventAt: number | undefined;
 
   constructor(deps: RelayDeps) {
     this.#deps = deps;
@@ -159,6 +161,16 @@
     this.#call?.abort("the request has ended");
   }
 
+  /**
+   * Time since the first event of the response, in milliseconds; undefined
+   * before it.
+   */
+  get writingMs(): number | undefined {
+    return this.#firstEventAt === undefined
+      ? undefined
+      : monotonicMs() - this.#firstEventAt;
+  }
+
   /** Time after which the head of the response is overdue, in milliseconds. */
   get #overdueMs(): number {
     const { route } = this.#deps.admitted;
@@ -208,6 +220,7 @@
       this.#breakOff("event is too large");
     }
     if (this.#outcome || !complete) return true;
+    this.#firstEventAt ??= monotonicMs();
     this.#deps.onEvent(complete.lastId);
     return this.#forward(complete.bytes);
   }
