Keep prompts with a segment that crashes targets away from targets

What callers saw: engines crashed one after the other, and with each the streams of all others that it was running.

Cause: nothing related a crash to the content of a prompt. A gateway remembered failures by target only, so each further request with the segment went to the next target, twice where streams are resumed, and gateways told each other nothing.

Change: a gateway that loses the connection to a target before the target has written an answer checks whether it still accepts connections. If it refuses, or its row ends, the shared segments of all such prompts become suspects of the crash. Gateways exchange crashes, survivals and probes as notices with the state they sync; news shorten the pause between two rounds to 0.1 s. A segment is quarantined after three separate crashes (five where answers on it are known) without an answer in between. Each crash is attributed to one segment, so what sound prompts share with it stays admitted. One gateway at a time sends a probe after 15 s, 60 s and so on; an answer releases the segment.

--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -76,6 +76,8 @@
     choice: TargetChoice,
     signal: AbortSignal,
   ): Promise<Result<PreparedAttempt, Unprepared>> {
+    const refused = this.#refusedPrompt();
+    if (refused) return err(refused);
     const inputs = await this.#runStages(choice, signal);
     if (inputs.isErr()) return err(inputs.error);
     if (signal.aborted) {
@@ -119,7 +121,18 @@
     }));
   }
 
+  /** Reason against sending the prompt; it may change while stages run. */
+  #refusedPrompt(): Unprepared | undefined {
+    const refusal = this.#admitted.permit.refusal();
+    return refusal && {
+      reason: `prompt segment ${refusal.segment} is in quarantine`,
+      retryAfterMs: refusal.retryAfterMs,
+    };
+  }
+
   #reserve(choice: TargetChoice): Result<Reservation, Unprepared> {
+    const refused = this.#refusedPrompt();
+    if (refused) return err(refused);
     if (this.#deadlineAt - monotonicMs() < MIN_SEND_MS) {
       return err({ reason: "its time has passed", retryAfterMs: 0 });
     }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Result } from "neverthrow";
+import type { CrashWatch } from "../crashes/mod.ts";
 import { monotonicMs } from "../kernel/mod.ts";
 import { type BuildHolder, RouteKind } from "../serving/mod.ts";
 import type { HeldBytes } from "./answer_body.ts";
@@ -31,6 +32,7 @@
   >;
   readonly client: Pick<TargetClient, "send">;
   readonly origins: StreamOriginMemory;
+  readonly crashes: Pick<CrashWatch, "watch">;
   readonly heldBytes: HeldBytes;
 }
 
@@ -194,6 +196,7 @@
       admitted: this.#admitted,
       response: this.#response,
       reservation,
+      watch: this.#deps.crashes.watch(target, req.promptParts),
       inputs,
       heldBytes: this.#deps.heldBytes,
       usualMs: this.#deps.firstByteTimes.of(route.name),
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { err, ok } from "neverthrow";
 import { test } from "node:test";
+import { ANY_PROMPT, CallWatch } from "../crashes/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import { Catalog, RouteKind } from "../serving/mod.ts";
 import { catalogSpec, pool, route, targetChange } from "../serving/testing.ts";
@@ -35,6 +36,8 @@
 /** Silence after which a stream of the route is looked after, in ms. */
 const SILENCE_MS = 2_000;
 
+const NO_FINDINGS = { survived: () => {}, broke: () => {} };
+
 interface FakeCall {
   readonly target: string;
   readonly listener: CallListener;
@@ -75,6 +78,7 @@
         priority: 0,
         ageMs: 0,
         sizeRank: 0,
+        permit: ANY_PROMPT,
       },
       this.#response(),
       {
@@ -107,6 +111,7 @@
         },
         firstByteTimes: new FirstByteTimes(),
         heldBytes: new HeldBytes(),
+        crashes: { watch: (target) => new CallWatch(target, [], NO_FINDINGS) },
         origins: {
           begun: () => {},
           find: () => Promise.resolve(undefined),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
  */
 
 import { err, ok, type Result } from "neverthrow";
+import type { CrashWatch, PromptRefusal } from "../crashes/mod.ts";
 import {
   type Organisation,
   poolFor,
@@ -41,12 +42,18 @@
 export class Gateway {
   readonly #view: FleetView;
   readonly #peers: Peers;
+  readonly #crashes: Pick<CrashWatch, "admit">;
   readonly #deps: ExchangeDeps;
   readonly #histories = new Map<string, RouteHistory>();
   #inHand = 0;
 
-  constructor(deps: { view: FleetView; peers: Peers } & ExchangeDeps) {
+  constructor(
+    deps:
+      & { view: FleetView; peers: Peers; crashes: CrashWatch }
+      & ExchangeDeps,
+  ) {
     this.#view = deps.view;
+    this.#crashes = deps.crashes;
     this.#peers = deps.peers;
     this.#deps = deps;
   }
@@ -101,6 +108,8 @@
     }
     const pool = catalog.pool(poolFor(route, req.id) ?? "");
     if (!pool) return err(notReady("the route's pool is not known"));
+    const permit = this.#crashes.admit(req).mapErr(quarantined);
+    if (permit.isErr()) return err(permit.error);
     const priority = priorityOf(route, organisation);
     const history = this.#recordHistory(req, route);
     return ok({
@@ -112,6 +121,7 @@
       priority,
       ageMs: history.ageMs(req),
       sizeRank: history.sizeRank(req),
+      permit: permit.value,
     });
   }
 
@@ -161,6 +171,11 @@
     Math.min(ROUTE_PRIORITIES - 1, route.priority);
 }
 
+function quarantined({ segment, retryAfterMs }: PromptRefusal): Refusal {
+  const reason = `prompt segment ${segment} is in quarantine`;
+  return { kind: RefusalKind.NotRun, reason, retryAfterMs };
+}
+
 function notReady(reason: string): Refusal {
   return {
     kind: RefusalKind.NotRun,
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export { Reachability, type WatchedTarget } from "../crashes/mod.ts";
 export * from "./fleet_view.ts";
 export * from "./ports.ts";
 export * from "./response_limits.ts";
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -5,7 +5,8 @@
  * @module
  */
 
-import { every, monotonicMs, Watchdog } from "../kernel/mod.ts";
+import { monotonicMs, sleep, Watchdog } from "../kernel/mod.ts";
+import type { NoticeBoard } from "../notices/mod.ts";
 import { rendezvousOrder } from "../routing/mod.ts";
 import {
   type ListedPeer,
@@ -23,6 +24,8 @@
 
 /** Pause between rounds of requests to peers, in milliseconds. */
 const SYNC_PAUSE_MS = 400;
+/** The same while there are notices that peers lack, in milliseconds. */
+const NEWS_PAUSE_MS = 100;
 /** Longest wait for the response of a peer, in milliseconds. */
 const SYNC_TIMEOUT_MS = 350;
 /** Time without a response after which a peer counts as silent, in ms. */
@@ -40,6 +43,12 @@
 /** Neighbours that are contacted in each round besides the owners of pools. */
 const NEIGHBOURS = 2;
 
+/** Notices that are exchanged with the state. */
+type NoticeExchange = Pick<
+  NoticeBoard,
+  "messageTo" | "respond" | "handleResponse" | "news"
+>;
+
 interface PeerRecord {
   /** Expires when the peer has been silent since an unanswered request. */
   silence?: Watchdog;
@@ -61,6 +70,7 @@
   readonly #clients: EntryPeerClients;
   readonly #log: Logger;
   readonly #metrics: Metrics;
+  readonly #board: NoticeExchange;
   readonly #records = new Map<string, PeerRecord>();
   /** Last known owner of each group. */
   readonly #owners = new Map<string, string>();
@@ -78,6 +88,7 @@
       clients: EntryPeerClients;
       log: Logger;
       metrics: Metrics;
+      board: NoticeExchange;
     },
   ) {
     this.#self = deps.self;
@@ -86,6 +97,7 @@
     this.#clients = deps.clients;
     this.#log = deps.log;
     this.#metrics = deps.metrics;
+    this.#board = deps.board;
   }
 
   /** Names of the processes that may use a share of a fleet-wide limit. */
@@ -176,14 +188,24 @@
 
   /** Exchanges state with peers until `signal` aborts. */
   run(signal: AbortSignal): void {
-    every(SYNC_PAUSE_MS, () => this.#round(), signal);
+    this.#runRounds(signal);
     signal.addEventListener("abort", () => {
       this.#records.forEach(({ silence }) => silence?.end());
     });
   }
 
+  /** Runs rounds with pauses, which news that peers lack shorten. */
+  async #runRounds(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#round();
+      await sleep(NEWS_PAUSE_MS, signal);
+      if (signal.aborted) return;
+      await sleep(SYNC_PAUSE_MS - NEWS_PAUSE_MS, this.#board.news);
+    }
+  }
+
   /** Responds to a peer's state request with the changes that it lacks. */
-  handleSync({ versions }: SyncRequest): SyncResponse {
+  handleSync({ from, versions, notices }: SyncRequest): SyncResponse {
     const known = this.#versions();
     const isBehind = Object.values(StatePart)
       .some((part) => (versions[part] ?? 0) < (known[part] ?? 0));
@@ -199,6 +221,7 @@
       targetsAgeMs: Math.min(this.#view.targetsAgeMs, Number.MAX_SAFE_INTEGER),
       isLeaving: this.#isLeaving,
       upMs: monotonicMs() - this.#startedAt,
+      notices: notices && this.#board.respond(from, notices),
     };
   }
 
@@ -234,7 +257,12 @@
   async #syncWith(peer: { name?: string; url: string }): Promise<void> {
     const record = peer.name ? this.#record(peer.name) : undefined;
     if (record) record.silence ??= new Watchdog(SILENT_AFTER_MS);
-    const request = { from: this.#self.name, versions: this.#versions() };
+    const boardKey = peer.name ?? peer.url;
+    const request = {
+      from: this.#self.name,
+      versions: this.#versions(),
+      notices: this.#board.messageTo(boardKey),
+    };
     const startedAt = monotonicMs();
     try {
       const response = await this.#clients
@@ -242,7 +270,8 @@
       if (peer.name) {
         this.#recordResponse(peer.name, response, monotonicMs() - startedAt);
       }
-      const { changes, versions, targetsAgeMs = Infinity } = response;
+      const { changes, versions, notices, targetsAgeMs = Infinity } = response;
+      if (notices) this.#board.handleResponse(boardKey, notices);
       this.#view.merge(changes, versions, startedAt - targetsAgeMs);
     } catch (err) {
       this.#metrics.count("peer_failures_total");
--- a/src/gateway/peers_test.ts
+++ b/src/gateway/peers_test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { NoticeBoard } from "../notices/mod.ts";
 import { FleetState, type ListedPeer } from "../serving/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
@@ -74,6 +75,7 @@
     clients,
     log: SILENT_LOGGER,
     metrics: new Metrics(),
+    board: new NoticeBoard({ metrics: new Metrics() }),
   });
   const lost = peers.lossSignalOf(peer);
   peers.run(abort.signal);
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Result } from "neverthrow";
+import type { Reachability, WatchedTarget } from "../crashes/mod.ts";
 import type {
   CallerLimits,
   ListedPeer,
@@ -164,6 +165,8 @@
   readonly load?: number;
   /** Length of the body in bytes, if the head states it. */
   readonly bodyBytes?: number;
+  /** True when the end of the connection ends the body. */
+  readonly endsWithConnection?: boolean;
 }
 
 /** Failure of a call to a target. */
@@ -264,6 +267,8 @@
    * Releases results; resolves when the targets that hold them have responded.
    */
   freeResults(results: readonly ResultHandle[]): Promise<void>;
+  /** Checks by a new connection whether a target accepts connections. */
+  checkReachability(target: WatchedTarget): Promise<Reachability>;
   /** Closes the connections to addresses that are not in the set. */
   retainConnections(addresses: ReadonlySet<string>): void;
   close(): Promise<void>;
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { CallWatch, PromptPermit } from "../crashes/mod.ts";
 import { monotonicMs, Watchdog } from "../kernel/mod.ts";
 import {
   type BuildHolder,
@@ -47,6 +48,8 @@
   readonly sizeRank: number;
   /** Build that began the stream which the request takes up. */
   readonly origin?: BuildHolder;
+  /** Permit to send the prompt to targets. */
+  readonly permit: PromptPermit;
 }
 
 /** How one attempt at a target ended. */
@@ -93,6 +96,7 @@
   readonly admitted: Admitted;
   readonly response: CallerResponse;
   readonly reservation: Reservation;
+  readonly watch: CallWatch;
   readonly inputs: StagedInputs;
   readonly heldBytes: HeldBytes;
   /** Usual time until the first bytes of a response, in milliseconds. */
@@ -221,6 +225,7 @@
     }
     if (this.#outcome || !complete) return true;
     this.#firstEventAt ??= monotonicMs();
+    this.#deps.watch.wrote();
     this.#deps.onEvent(complete.lastId);
     return this.#forward(complete.bytes);
   }
@@ -275,28 +280,42 @@
 
   ended(): void {
     if (this.#outcome) return this.#end(this.#outcome);
-    if (this.#isStream) return this.#streamEnded();
     const head = this.#head;
     if (!head) return this.#end({ kind: "broken", detail: "no answer" });
+    if (this.#isStream) return this.#streamEnded(head);
     if (head.status >= 500) {
       return this.#end({ kind: "error-answer", head, body: this.#body.take() });
     }
     this.#forwardHeld(head);
-    this.#deps.response.end();
-    this.#end({ kind: "over" });
+    this.#complete(head);
   }
 
   failed({ mayHaveRun, detail }: CallFailure): void {
     if (this.#outcome) return this.#end(this.#outcome);
     if (this.#deps.isOver()) return this.#endCancelled();
     if (!mayHaveRun) return this.#end({ kind: "unsent", detail });
+    this.#deps.watch.broke();
     this.#end({ kind: "broken", detail });
   }
 
-  #streamEnded(): void {
+  #streamEnded(head: ResponseHead): void {
     if (this.#splitter.rest.length > 0) {
-      return this.#end({ kind: "broken", detail: "ends inside an event" });
+      return this.#endBroken("ends inside an event");
     }
+    const isEmpty = this.#firstEventAt === undefined && !this.#deps.isResumed;
+    if (isEmpty && head.endsWithConnection) {
+      return this.#endBroken("ends before its first event");
+    }
+    this.#complete(head);
+  }
+
+  #endBroken(detail: string): void {
+    this.#deps.watch.broke();
+    this.#end({ kind: "broken", detail });
+  }
+
+  #complete({ endsWithConnection = false }: ResponseHead): void {
+    this.#deps.watch.completed({ endsWithConnection });
     this.#deps.response.end();
     this.#end({ kind: "over" });
   }
--- a/src/gateway/stage_batcher_test.ts
+++ b/src/gateway/stage_batcher_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ok } from "neverthrow";
+import { Reachability } from "../crashes/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import { batchPool, catalogChange, targetChange } from "../serving/testing.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
@@ -37,6 +38,7 @@
       })));
     },
     freeResults: () => Promise.resolve(),
+    checkReachability: () => Promise.resolve(Reachability.Unknown),
     retainConnections: () => {},
     close: () => Promise.resolve(),
   };
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -12,6 +12,8 @@
   sleep,
   timeoutSignal,
 } from "../kernel/mod.ts";
+import { CrashWatch } from "../crashes/mod.ts";
+import { NoticeBoard } from "../notices/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
 import { type Logger, Metrics, monitorStalls } from "../telemetry/mod.ts";
 import { StreamOriginService } from "../origins/mod.ts";
@@ -82,6 +84,7 @@
   const metrics = new Metrics();
   const clients = new EntryPeerClients();
   const view = new FleetView({ source, log, metrics });
+  const board = new NoticeBoard({ metrics });
   const peers = new Peers({
     self: cfg.self,
     seeds: cfg.seeds,
@@ -89,6 +92,7 @@
     clients,
     log,
     metrics,
+    board,
   });
   const state = () => view.state;
   const batcher = new StageBatcher({ state, client: targets, log, metrics });
@@ -114,10 +118,25 @@
     log,
     metrics,
   });
+  const crashes = new CrashWatch({
+    self: cfg.self.name,
+    fleet: {
+      isListed: ({ id, bornMs }) => {
+        const listed = view.state.targets.get(id)?.target;
+        return listed !== undefined && listed.bornMs === bornMs;
+      },
+      processes: () => peers.processNames,
+    },
+    check: (target) => targets.checkReachability(target),
+    notices: board,
+    log,
+    metrics,
+  });
   const gateway = new Gateway({
     view,
     peers,
     origins,
+    crashes,
     tracker,
     chains,
     client: targets,
@@ -131,6 +150,7 @@
     if (catalog) front.setLimits(catalog.spec.limits);
     tracker.prune();
     origins.recheck();
+    crashes.recheck();
     targets.retainConnections(
       new Set(
         [...listed.values()].flatMap(({ target }) =>
--- a/src/gateway/stream_binding_test.ts
+++ b/src/gateway/stream_binding_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ANY_PROMPT } from "../crashes/mod.ts";
 import type { TakenUp } from "../origins/mod.ts";
 import { Catalog, RouteKind, type StreamOrigin } from "../serving/mod.ts";
 import { catalogSpec, pool, route } from "../serving/testing.ts";
@@ -43,6 +44,7 @@
     priority: 0,
     ageMs: 0,
     sizeRank: 0,
+    permit: ANY_PROMPT,
   };
 }
 
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -5,6 +5,7 @@
  */
 
 import { err, ok, type Result } from "neverthrow";
+import { Reachability } from "../crashes/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import {
   addressOf,
@@ -120,6 +121,10 @@
     return Promise.resolve();
   }
 
+  checkReachability(): Promise<Reachability> {
+    return Promise.resolve(Reachability.Unknown);
+  }
+
   retainConnections(): void {}
 
   close(): Promise<void> {
--- /dev/null
+++ b/src/quarantine/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Decides which segments of prompts crash the targets that work on them. Pure.
+ *
+ * @module
+ */
+
+export * from "./crash_evidence.ts";
+export * from "./prompt_segments.ts";
+export * from "./quarantine.ts";
--- /dev/null
+++ b/src/quarantine/quarantine.ts
@@ -0,0 +1,133 @@
+/**
+ * Which segments of prompts are kept away from targets.
+ *
+ * A segment that was in progress at several crashes without a target ever
+ * completing an answer on it in between is quarantined. Segments that a sound
+ * prompt shares with it are in progress at the same crashes, so each crash is
+ * attributed to one segment only, the most suspicious one.
+ *
+ * @module
+ */
+
+import type { CrashEvidence, CrashReport } from "./crash_evidence.ts";
+
+/** Quarantine of one segment. */
+export interface Quarantine {
+  readonly segment: string;
+  /** Separate crashes that are attributed to the segment. */
+  readonly crashes: number;
+  /** Monotonic time of the last of them. */
+  readonly lastCrashAt: number;
+}
+
+/** Crashes after which a segment on which no answer is known is quarantined. */
+export const MIN_CRASHES = 3;
+/** Crashes after which one on which answers are known is quarantined. */
+export const MIN_CRASHES_ONCE_SERVED = 5;
+/** Time from the last crash to the first probe, in milliseconds. */
+export const FIRST_PROBE_MS = 15_000;
+/** Ratio of the times to the following probes. */
+const PROBE_BACKOFF = 4;
+/** Longest time between probes, in milliseconds. */
+const MAX_PROBE_PAUSE_MS = 1_800_000;
+
+/** Newest call with a segment at a target that crashed; monotonic times. */
+interface CrashedCall {
+  readonly sentAt: number;
+  readonly crashedAt: number;
+}
+
+interface Candidate extends Quarantine {
+  readonly depth: number;
+  readonly isServed: boolean;
+}
+
+/**
+ * Returns the segments in quarantine. `hasServed` tells whether an answer on a
+ * segment is known from before the crashes.
+ */
+export function findQuarantined(
+  evidence: CrashEvidence,
+  hasServed: (segment: string) => boolean,
+): ReadonlyMap<string, Quarantine> {
+  const found = new Map<string, Quarantine>();
+  let unexplained = evidence.crashes;
+  while (unexplained.length >= MIN_CRASHES) {
+    const [first] = candidatesOf(unexplained, evidence, hasServed)
+      .sort(bySuspicion);
+    if (!first) break;
+    const { segment, crashes, lastCrashAt } = first;
+    found.set(segment, { segment, crashes, lastCrashAt });
+    unexplained = unexplained.filter(({ suspects }) =>
+      suspects.every(({ id }) => id !== segment)
+    );
+  }
+  return found;
+}
+
+/**
+ * Returns the monotonic time from which one request with a quarantined segment
+ * may test whether it still crashes targets.
+ */
+export function probeDueAt(
+  { segment, crashes, lastCrashAt }: Quarantine,
+  evidence: CrashEvidence,
+): number {
+  const pauseMs = Math.min(
+    MAX_PROBE_PAUSE_MS,
+    FIRST_PROBE_MS * PROBE_BACKOFF ** Math.max(0, crashes - MIN_CRASHES),
+  );
+  const probedAt = evidence.probedAt(segment) ?? Number.NEGATIVE_INFINITY;
+  return Math.max(lastCrashAt, probedAt) + pauseMs;
+}
+
+function candidatesOf(
+  crashes: readonly CrashReport[],
+  evidence: CrashEvidence,
+  hasServed: (segment: string) => boolean,
+): Candidate[] {
+  const counted = new Map<string, { depth: number; calls: CrashedCall[] }>();
+  crashes.forEach(({ at, suspects }) =>
+    suspects.forEach(({ id, depth, inProgressMs }) => {
+      if (at <= (evidence.survivedAt(id) ?? Number.NEGATIVE_INFINITY)) return;
+      const one = counted.get(id) ?? { depth, calls: [] };
+      one.calls.push({ sentAt: at - inProgressMs, crashedAt: at });
+      counted.set(id, one);
+    })
+  );
+  return [...counted].flatMap(([segment, { depth, calls }]) => {
+    const isServed = evidence.survivedAt(segment) !== undefined ||
+      hasServed(segment);
+    const needed = isServed ? MIN_CRASHES_ONCE_SERVED : MIN_CRASHES;
+    const lastCrashAt = calls.at(-1)?.crashedAt ?? Number.NEGATIVE_INFINITY;
+    const count = countSeparate(calls);
+    return count < needed
+      ? []
+      : [{ segment, depth, isServed, crashes: count, lastCrashAt }];
+  });
+}
+
+/**
+ * Counts crashes of which each hit a call that was sent after the previous one.
+ * Others may have one cause: targets of a failure domain end together. The
+ * calls are in the order of their crashes.
+ */
+function countSeparate(calls: readonly CrashedCall[]): number {
+  let count = 0;
+  let last = Number.NEGATIVE_INFINITY;
+  calls.forEach(({ sentAt, crashedAt }) => {
+    if (sentAt <= last) return;
+    last = crashedAt;
+    count += 1;
+  });
+  return count;
+}
+
+/**
+ * Orders candidates, the most suspicious first: those on which no answer is
+ * known, then those of most crashes, then the most specific segments.
+ */
+function bySuspicion(a: Candidate, b: Candidate): number {
+  return Number(a.isServed) - Number(b.isServed) || b.crashes - a.crashes ||
+    b.depth - a.depth || (a.segment < b.segment ? -1 : 1);
+}
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -15,6 +15,7 @@
 import { boundedAgent } from "../http/mod.ts";
 import { timeoutSignal } from "../kernel/mod.ts";
 import type { StateChange } from "../serving/mod.ts";
+import { type NoticeMessage, noticeMessageSchema } from "./notices.ts";
 import {
   findAnswerSchema,
   findSchema,
@@ -29,7 +30,11 @@
 
 const versionsSchema = z.record(z.string(), z.number());
 
-const syncSchema = z.object({ from: z.string(), versions: versionsSchema });
+const syncSchema = z.object({
+  from: z.string(),
+  versions: versionsSchema,
+  notices: noticeMessageSchema.optional(),
+});
 
 /** Request to exchange state, with the versions known to the sender. */
 export type SyncRequest = z.infer<typeof syncSchema>;
@@ -43,6 +48,8 @@
   readonly isLeaving: boolean;
   /** Time since the peer's start, in milliseconds. */
   readonly upMs: number;
+  /** Absent when the peer does not exchange notices. */
+  readonly notices?: NoticeMessage;
 }
 
 const chainSchema = z.object({
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -8,6 +8,7 @@
 export * from "./client.ts";
 export * from "./connector.ts";
 export * from "./entries.ts";
+export * from "./notices.ts";
 export * from "./origins.ts";
 export * from "./router.ts";
 export * from "./schema.ts";
