Stop entries from repeating calls that crash engines

What callers would see: the same as at gateways. An entry sends an idempotent call on which an engine ends to two more engines, and does so for each further request with the same content.

A lost connection and an engine that ended were one reason, and nothing related it to the content of the call.

Change: an agent whose target breaks a call off checks whether it still listens, and reports target-crashed. Entries attribute these crashes to the members of the callers' inputs by the same decision as gateways, exchange what they learn with their gossip (agents pass it on) and refuse quarantined content as not run.

--- a/src/agent/call_runner.ts
+++ b/src/agent/call_runner.ts
@@ -10,6 +10,7 @@
 import {
   type AsyncQueue,
   monotonicMs,
+  sleep,
   timeoutSignal,
   Watchdog,
 } from "../kernel/mod.ts";
@@ -29,14 +30,24 @@
   claimedAfterDeadline,
   deadlinePassed,
   refusalOf,
+  targetCrashed,
 } from "./run_refusals.ts";
-import type { TargetClient, TargetResponse } from "./target_client.ts";
+import type {
+  TargetClient,
+  TargetFailure,
+  TargetResponse,
+} from "./target_client.ts";
 
 /**
  * Time without progress after which the target of an idempotent call is
  * reported as silent, in milliseconds. The call goes on.
  */
 const TARGET_SILENCE_TIMEOUT_MS = 2_000;
+/**
+ * Time from a lost connection to the check of the target, in milliseconds: a
+ * process that ends closes its connections before its listening socket.
+ */
+const CRASH_CHECK_DELAY_MS = 20;
 
 /** Dependencies of a {@linkcode CallRunner}. */
 export interface RunnerDeps {
@@ -130,6 +141,8 @@
     });
     watchdog.end();
     const serviceMs = monotonicMs() - startedAt;
+    const hasCrashed = response.isErr() && !permitted.signal.aborted &&
+      await this.#hasCrashed(response.error);
     span.end(response.isErr() ? response.error.reason : undefined);
     return response
       .map((value) => {
@@ -142,12 +155,23 @@
             ? { kind: "abandoned" }
             : { kind: "failed", serviceMs, cold: failure.cold },
         );
+        if (hasCrashed) return targetCrashed(failure);
         return monotonicMs() >= deadlineAt && failure.mayHaveRun
           ? deadlinePassed()
           : refusalOf(failure);
       });
   }
 
+  /** True when the target ended while it worked on a call. */
+  async #hasCrashed({ mayHaveRun, cold }: TargetFailure): Promise<boolean> {
+    const { client, metrics } = this.#deps;
+    if (!mayHaveRun || !cold || !client.hasEnded) return false;
+    await sleep(CRASH_CHECK_DELAY_MS);
+    const hasCrashed = await client.hasEnded();
+    if (hasCrashed) metrics.count("target_crashes_total");
+    return hasCrashed;
+  }
+
   /**
    * Returns the signal that aborts the exchange with the target. A
    * non-idempotent call continues after its caller has gone, and for a limited
--- a/src/agent/engine_client.ts
+++ b/src/agent/engine_client.ts
@@ -61,6 +61,10 @@
       );
   }
 
+  hasEnded(): Promise<boolean> {
+    return this.#http.hasEnded();
+  }
+
   close(): Promise<void> {
     return this.#http.close();
   }
--- a/src/agent/run_refusals.ts
+++ b/src/agent/run_refusals.ts
@@ -38,6 +38,11 @@
   );
 }
 
+/** Returns the refusal of a call whose target ended while it worked on it. */
+export function targetCrashed({ detail }: TargetFailure): Refusal {
+  return outcomeUnknown(RefusalReason.TargetCrashed, detail, RETRY_AFTER_MS);
+}
+
 /** Returns the refusal that follows from the failure of a target. */
 export function refusalOf(failure: TargetFailure): Refusal {
   const { reason, detail } = failure;
--- a/src/agent/service_client.ts
+++ b/src/agent/service_client.ts
@@ -46,6 +46,10 @@
       });
   }
 
+  hasEnded(): Promise<boolean> {
+    return this.#http.hasEnded();
+  }
+
   close(): Promise<void> {
     return this.#http.close();
   }
--- a/src/agent/target_client.ts
+++ b/src/agent/target_client.ts
@@ -46,6 +46,8 @@
     call: StageCall,
     opts: RunOptions,
   ): ResultAsync<TargetResponse, TargetFailure>;
+  /** True when no process listens at the target's address. */
+  hasEnded?(): Promise<boolean>;
   /** Closes all connections, which aborts the calls on them. */
   close(): Promise<void>;
 }
--- a/src/agent/target_http.ts
+++ b/src/agent/target_http.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { connect } from "node:net";
 import { type Dispatcher, request } from "undici";
 import { boundedAgent } from "../http/mod.ts";
 import type { StageCall } from "../model/mod.ts";
@@ -54,6 +55,23 @@
     });
   }
 
+  /** True when the target's host refuses connections to its address. */
+  hasEnded(): Promise<boolean> {
+    const { hostname, port } = new URL(this.#url);
+    const socket = connect({ host: hostname, port: Number(port) });
+    return new Promise((resolve) => {
+      const settle = (hasEnded: boolean) => {
+        socket.destroy();
+        resolve(hasEnded);
+      };
+      socket.setTimeout(CONNECT_TIMEOUT_MS, () => settle(false));
+      socket.once("connect", () => settle(false));
+      socket.once("error", ({ code }: NodeJS.ErrnoException) => {
+        settle(code === "ECONNREFUSED");
+      });
+    });
+  }
+
   /** Closes all connections, which aborts the requests on them. */
   close(): Promise<void> {
     return this.#dispatcher.destroy();
--- a/src/entry/directory.ts
+++ b/src/entry/directory.ts
@@ -193,6 +193,11 @@
     this.#known.suspect(target, monotonicMs() + SUSPECT_MS);
   }
 
+  /** Names of the registered entries. */
+  get entryNames(): readonly string[] {
+    return this.#members.entries.map(({ name }) => name);
+  }
+
   /** Passes changed membership on to the routers. */
   #applyMembership(): void {
     const next = this.#membership();
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -6,11 +6,17 @@
  */
 
 import { err, ok, type Result } from "neverthrow";
+import {
+  ANY_PROMPT,
+  type CrashWatch,
+  type PromptPermit,
+} from "../crashes/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import {
   callId,
   type Cost,
   type Refusal,
+  RefusalReason,
   type StageCall,
   type StageResult,
   type Target,
@@ -32,6 +38,7 @@
   type AttemptOutcome,
   type TargetDirectory,
 } from "./attempt.ts";
+import { contentOf } from "./call_content.ts";
 import type { CostTotals } from "./cost_totals.ts";
 import {
   closedBeforeRun,
@@ -58,6 +65,7 @@
   callerCancelled,
   deadlinePassed,
   noTarget,
+  quarantined,
   superseded,
 } from "./unsent.ts";
 
@@ -73,6 +81,8 @@
   /** Without it, a call whose response was lost keeps an unknown outcome. */
   readonly record?: KeyRecord;
   readonly costs?: CostTotals;
+  /** Without it, calls on which targets crash are repeated without limit. */
+  readonly crashes?: Pick<CrashWatch, "admit" | "watch">;
   /** Receives the load reports that responses carry. */
   readonly admission?: AdmissionService;
 }
@@ -94,10 +104,25 @@
     req: StageRequest,
     opts: DispatchOptions,
   ): Promise<Result<StageResult, Refusal>> {
-    const stage = new StageDispatch(req, opts);
+    const content = contentOf(req);
+    const permit = this.#admit(req, content);
+    if (permit.isErr()) return Promise.resolve(err(permit.error));
+    const stage = new StageDispatch(req, opts, {
+      content,
+      permit: permit.value,
+    });
     return this.#runWithRetries(stage, opts.signal);
   }
 
+  #admit(
+    { requestId }: StageRequest,
+    promptParts: readonly string[],
+  ): Result<PromptPermit, Refusal> {
+    const { crashes } = this.#deps;
+    if (!crashes) return ok(ANY_PROMPT);
+    return crashes.admit({ id: requestId, promptParts }).mapErr(quarantined);
+  }
+
   async #runWithRetries(
     stage: StageDispatch,
     signal: AbortSignal,
@@ -283,6 +308,8 @@
     const { req, opts } = stage;
     if (stage.isOverdue) return err(deadlinePassed());
     if (signal.aborted) return err(callerCancelled());
+    const refused = stage.prompt.permit.refusal();
+    if (refused) return err(quarantined(refused));
     const { directory } = this.#deps;
     const target = directory.choose(opts.pool, {
       tried: stage.tried,
@@ -333,8 +360,19 @@
       call,
       target,
     );
-    const onText = stage.textSink(call.callId);
+    const watch = this.#deps.crashes
+      ?.watch(
+        { id: target.id, address: target.agentUrl },
+        stage.prompt.content,
+      );
+    const sink = stage.textSink(call.callId);
+    const onText = (text: string) => {
+      watch?.wrote();
+      sink?.(text);
+    };
     const result = await attempt.run({ signal, onText, onSilent });
+    if (result.outcome.isOk()) watch?.completed({ endsWithConnection: false });
+    else if (hasCrashed(result.outcome.error)) watch?.broke();
     endCall(targetHealthOutcome(stage, result.outcome));
     this.#recordAttempt(stage, {
       ms: monotonicMs() - startedAt,
@@ -387,6 +425,10 @@
   }
 }
 
+function hasCrashed({ reason }: Refusal): boolean {
+  return reason === RefusalReason.TargetCrashed;
+}
+
 /** Costs that a result reports; a replayed result has none of its own. */
 function resultCost(result: StageResult): Partial<Cost> {
   const { serviceMs, queuedMs, tokens, replayed } = result;
--- a/src/entry/pool_router.ts
+++ b/src/entry/pool_router.ts
@@ -52,6 +52,7 @@
 /** Refusal reasons that count as failures of the target. */
 const TARGET_FAILURE_REASONS: ReadonlySet<string> = new Set([
   RefusalReason.TargetFailed,
+  RefusalReason.TargetCrashed,
   RefusalReason.TargetUnreachable,
   RefusalReason.Silent,
 ]);
--- a/src/entry/stage_dispatch.ts
+++ b/src/entry/stage_dispatch.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { PromptPermit } from "../crashes/mod.ts";
 import { monotonicMs } from "../kernel/mod.ts";
 import type { Refusal, StageCall, Target, TargetId } from "../model/mod.ts";
 
@@ -31,6 +32,11 @@
 export class StageDispatch {
   readonly req: StageRequest;
   readonly opts: DispatchOptions;
+  /** Content of the prompt, and the permit to send it to targets. */
+  readonly prompt: {
+    readonly content: readonly string[];
+    readonly permit: PromptPermit;
+  };
   /** Targets of the attempts so far. */
   readonly tried = new Set<TargetId>();
   /** Refusals of the attempts, or the reason why none was sent. */
@@ -44,9 +50,14 @@
   #isVersionFresh = true;
   #lastTarget: TargetId = "";
 
-  constructor(req: StageRequest, opts: DispatchOptions) {
+  constructor(
+    req: StageRequest,
+    opts: DispatchOptions,
+    prompt: { content: readonly string[]; permit: PromptPermit },
+  ) {
     this.req = req;
     this.opts = opts;
+    this.prompt = prompt;
     this.#claimVersion = req.claimVersion ?? 0;
   }
 
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -5,6 +5,7 @@
  */
 
 import type { EntrySettings } from "../config/mod.ts";
+import { CrashWatch, Reachability } from "../crashes/mod.ts";
 import {
   Kernel,
   service,
@@ -25,6 +26,7 @@
   type ListsSync,
   LOG,
   METRICS,
+  NOTICES,
   peerInfoOf,
   PLATFORM,
   type Registration,
@@ -95,8 +97,10 @@
       const { table, objects } = ctx.get(PLATFORM);
       const admission = new AdmissionService({ metrics });
       const record = new KeyRecord(new ClaimStore(table));
+      const directory = ctx.get(DIRECTORY);
       const dispatcher = new Dispatcher({
-        directory: ctx.get(DIRECTORY),
+        directory,
+        crashes: crashWatch(cfg, ctx, directory),
         metrics,
         tracing,
         record,
@@ -118,6 +122,25 @@
   });
 }
 
+/** Agents check for crashes beside their targets and report them. */
+function crashWatch(
+  { name }: EntrySettings,
+  ctx: ServiceContext,
+  directory: Directory,
+): CrashWatch {
+  return new CrashWatch({
+    self: name,
+    fleet: {
+      isListed: () => true,
+      processes: () => directory.entryNames,
+    },
+    check: () => Promise.resolve(Reachability.Refuses),
+    notices: ctx.get(NOTICES),
+    log: ctx.get(LOG),
+    metrics: ctx.get(METRICS),
+  });
+}
+
 function controlInterface(ctx: ServiceContext) {
   const front = ctx.get(FRONT);
   return {
--- a/src/entry/unsent.ts
+++ b/src/entry/unsent.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { PromptRefusal } from "../crashes/mod.ts";
 import { notRun, type Refusal, RefusalReason } from "../model/mod.ts";
 
 const RETRY_AFTER_MS = 1_000;
@@ -34,6 +35,15 @@
   );
 }
 
+/** Refusal when targets have crashed on calls with the same content. */
+export function quarantined({ segment, retryAfterMs }: PromptRefusal): Refusal {
+  return notRun(
+    RefusalReason.Quarantined,
+    `Targets have crashed on calls with the content ${segment}`,
+    retryAfterMs,
+  );
+}
+
 /** Refusal when the pool has no target for the call. */
 export function noTarget(pool: string): Refusal {
   return notRun(
--- a/src/model/refusal.ts
+++ b/src/model/refusal.ts
@@ -29,6 +29,10 @@
   NoTarget: "no-target",
   TargetUnreachable: "target-unreachable",
   TargetFailed: "target-failed",
+  /** The target ended while it worked on the call. */
+  TargetCrashed: "target-crashed",
+  /** Targets have crashed on calls with the same content. */
+  Quarantined: "quarantined",
   Leaving: "leaving",
   DomainOut: "domain-out",
   PlatformUnavailable: "platform-unavailable",
--- a/src/notices/notice_board.ts
+++ b/src/notices/notice_board.ts
@@ -24,6 +24,12 @@
 /** Peers whose cursors are kept; the oldest are discarded. */
 const MAX_PEERS = 1_024;
 
+/**
+ * Time by which a notice has to be newer than the same one before to be passed
+ * on again, in milliseconds: ages change slightly between processes.
+ */
+const MIN_RELAY_ADVANCE_MS = 500;
+
 /** Notice without its age. */
 export type NoticeBody = Notice extends infer N
   ? N extends Notice ? Omit<N, "ageMs"> : never
@@ -126,11 +132,20 @@
       const notice = decodeNotice(value);
       if (!notice) return;
       this.#metrics.count("notices_heard_total", { kind: notice.kind });
-      this.#handlers.get(notice.kind)?.(notice, now - notice.ageMs);
+      const handler = this.#handlers.get(notice.kind) ?? this.#relay;
+      handler(notice, now - notice.ageMs);
     });
     this.#hearing = undefined;
   }
 
+  /** Passes on a notice that this process has no use for. */
+  readonly #relay: NoticeHandler = ({ ageMs: _ageMs, ...body }, at) => {
+    const key = JSON.stringify(body);
+    const known = this.#posted.get(key);
+    if (known && at < known.at + MIN_RELAY_ADVANCE_MS) return;
+    this.post(key, body, at);
+  };
+
   #message(after: number, known: NoticeCursor | undefined): NoticeMessage {
     const now = monotonicMs();
     const lacking = [...this.#posted.values()]
--- a/src/notices/notice_board_test.ts
+++ b/src/notices/notice_board_test.ts
@@ -87,3 +87,17 @@
   assert.deepEqual(a.heard, []);
   assert.equal(response.known?.upTo, 3);
 });
+
+test("a process without use for a notice passes it on", () => {
+  const [a, c] = [new Process("a"), new Process("c")];
+  const relay = new NoticeBoard({ metrics: new Metrics() });
+  a.post("x");
+  const pass = (from: NoticeBoard, to: NoticeBoard, names: string[]) =>
+    from.handleResponse(
+      names[1] ?? "",
+      to.respond(names[0] ?? "", from.messageTo(names[1] ?? "")),
+    );
+  pass(a.board, relay, ["a", "relay"]);
+  pass(c.board, relay, ["c", "relay"]);
+  assert.deepEqual(c.heard, ["x"]);
+});
--- a/src/process/base.ts
+++ b/src/process/base.ts
@@ -19,10 +19,19 @@
   HttpTable,
   HttpWeightStore,
 } from "../store/mod.ts";
+import { NoticeBoard } from "../notices/mod.ts";
 import { KeyStore } from "../tls/mod.ts";
 import { createLogger, Metrics, Tracing } from "../telemetry/mod.ts";
 import { connectPeers, type PeerInfo } from "../wire/mod.ts";
-import { KEYS, LISTS, LOG, METRICS, PLATFORM, TRACING } from "./keys.ts";
+import {
+  KEYS,
+  LISTS,
+  LOG,
+  METRICS,
+  NOTICES,
+  PLATFORM,
+  TRACING,
+} from "./keys.ts";
 import { ListsSync } from "./lists_sync.ts";
 
 const MS_PER_S = 1_000;
@@ -62,6 +71,10 @@
       key: PLATFORM,
       start: (ctx) => createPlatform(cfg, ctx.get(METRICS)),
     }),
+    service({
+      key: NOTICES,
+      start: (ctx) => new NoticeBoard({ metrics: ctx.get(METRICS) }),
+    }),
     service({
       key: LISTS,
       start: (ctx) => {
@@ -79,6 +92,7 @@
           connect: connectPeers(ctx.get(KEYS)),
           seeds: cfg.peers,
           rule: cfg.outageRule,
+          board: ctx.get(NOTICES),
         });
         sync.run(ctx.signal);
         return sync;
--- a/src/process/gossip.ts
+++ b/src/process/gossip.ts
@@ -9,6 +9,7 @@
 
 import { monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
 import type { ListsUpdate } from "../lists/mod.ts";
+import type { NoticeBoard } from "../notices/mod.ts";
 import type { Metrics } from "../telemetry/mod.ts";
 import type {
   GossipRequest,
@@ -23,6 +24,8 @@
 const ROUND_MS = 500;
 /** Interval while the lists are about to become unconfirmed. */
 const URGENT_ROUND_MS = 250;
+/** Shortest interval between rounds because of notices, in milliseconds. */
+const NEWS_PAUSE_MS = 500;
 /** Number of peers that are offered a new version at once. */
 const OFFERED_PEERS = 3;
 /** Timeout of a request to a peer, in milliseconds. */
@@ -46,6 +49,7 @@
   readonly #connect: (info: PeerInfo) => PeerClient;
   readonly #metrics: Metrics;
   readonly #random: () => number;
+  readonly #board: NoticeBoard | undefined;
 
   constructor(opts: {
     local: LocalProcess;
@@ -53,12 +57,14 @@
     connect: (info: PeerInfo) => PeerClient;
     metrics: Metrics;
     random: () => number;
+    board?: NoticeBoard;
   }) {
     this.#local = opts.local;
     this.#knownPeers = opts.knownPeers;
     this.#connect = opts.connect;
     this.#metrics = opts.metrics;
     this.#random = opts.random;
+    this.#board = opts.board;
   }
 
   /** Queries one peer in each round until `signal` aborts. */
@@ -73,6 +79,18 @@
     }
   }
 
+  /** Tells some peers at once of notices that no peer was sent. */
+  async spreadNews(board: NoticeBoard, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(NEWS_PAUSE_MS, signal);
+      if (!board.news.aborted) continue;
+      await Promise.all(
+        this.#knownPeers.sample(OFFERED_PEERS, monotonicMs())
+          .map((peer) => this.exchangeWith(peer, signal)),
+      );
+    }
+  }
+
   /**
    * Contacts some peers about a new version, with the update itself if it is
    * small.
@@ -91,12 +109,16 @@
   ): Promise<void> {
     const requestedAt = monotonicMs();
     const { info, version } = this.#local;
-    const request: GossipRequest = { from: info, version, offer };
+    const notices = this.#board?.messageTo(peer.url);
+    const request: GossipRequest = { from: info, version, offer, notices };
     try {
       const response = await this.#connect(peer)
         .exchange(request, timeoutSignal(RESPONSE_TIMEOUT_MS, signal));
       this.#metrics.count("gossip_total", { result: "answered" });
       this.#knownPeers.answered(peer);
+      if (response.notices) {
+        this.#board?.handleResponse(peer.url, response.notices);
+      }
       this.#local.onResponse(response, requestedAt);
     } catch {
       this.#metrics.count("gossip_total", { result: "failed" });
--- a/src/process/keys.ts
+++ b/src/process/keys.ts
@@ -11,6 +11,7 @@
   Table,
   WeightStore,
 } from "../store/mod.ts";
+import type { NoticeBoard } from "../notices/mod.ts";
 import type { Logger, Metrics, Tracing } from "../telemetry/mod.ts";
 import type { KeyStore } from "../tls/mod.ts";
 import type { ListsSync } from "./lists_sync.ts";
@@ -29,4 +30,5 @@
 export const PLATFORM = serviceKey<Platform>("platform");
 /** Service key of the TLS certificate and key; undefined without TLS. */
 export const KEYS = serviceKey<KeyStore | undefined>("keys");
+export const NOTICES = serviceKey<NoticeBoard>("notices");
 export const LISTS = serviceKey<ListsSync>("lists");
--- a/src/process/lists_sync.ts
+++ b/src/process/lists_sync.ts
@@ -23,6 +23,7 @@
   updateSince,
 } from "../lists/mod.ts";
 import { type Lists, OutageRule } from "../model/mod.ts";
+import type { NoticeBoard } from "../notices/mod.ts";
 import type { PlatformError, Table } from "../store/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import type {
@@ -65,6 +66,8 @@
   readonly seeds?: readonly PeerInfo[];
   readonly rule?: OutageRule;
   readonly random?: () => number;
+  /** Notices that are exchanged with the lists. */
+  readonly board?: NoticeBoard;
 }
 
 /** Holds the lists in force in this process and keeps them up to date. */
@@ -103,6 +106,7 @@
       connect: opts.connect,
       metrics: opts.metrics,
       random: this.#random,
+      board: opts.board,
     });
     this.#exposeMetrics();
   }
@@ -147,6 +151,8 @@
     this.#signal = signal;
     void this.#pollLoop(signal);
     void this.#gossip.run(signal);
+    const { board } = this.#opts;
+    if (board) void this.#gossip.spreadNews(board, signal);
   }
 
   /** Puts newer lists in force; an update that is not newer is ignored. */
@@ -184,7 +190,9 @@
     if (request.from) this.#knownPeers.add(request.from);
     if (request.offer) this.apply(request.offer);
     this.observeVersion(request.version, request.from);
+    const { from, notices } = request;
     return {
+      notices: from && notices && this.#opts.board?.respond(from.url, notices),
       state: this.peerState(ready),
       update: this.updateSince(request.version),
       domains: [...new Set([this.info.domain, ...this.#freshness.domains])],
--- a/src/retry/policy.ts
+++ b/src/retry/policy.ts
@@ -12,6 +12,7 @@
   RefusalReason.ColdTarget,
   RefusalReason.TargetUnreachable,
   RefusalReason.TargetFailed,
+  RefusalReason.TargetCrashed,
   RefusalReason.Leaving,
   RefusalReason.DomainOut,
   RefusalReason.NotConfirmed,
--- a/src/wire/api.ts
+++ b/src/wire/api.ts
@@ -15,6 +15,8 @@
   TargetLoad,
 } from "../model/mod.ts";
 
+import type { NoticeMessage } from "./notices.ts";
+
 /** Procedures of every process, entry or agent. */
 export interface PeerApi {
   /** Returns the peer's view of the configuration. */
@@ -42,6 +44,7 @@
   readonly version: number;
   /** Newest change, for a receiver that does not have it yet. */
   readonly offer?: ListsUpdate;
+  readonly notices?: NoticeMessage;
 }
 
 /** Response to a gossip request. */
@@ -53,6 +56,8 @@
   readonly domains: readonly DomainName[];
   /** Sample of the other processes. */
   readonly peers: readonly PeerInfo[];
+  /** Absent when the peer does not exchange notices. */
+  readonly notices?: NoticeMessage;
 }
 
 /** A peer's view of the configuration. */
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import type { ListsUpdate } from "../lists/mod.ts";
 import { Priority, StageKind } from "../model/mod.ts";
+import { noticeMessageSchema } from "./notices.ts";
 
 /** Schema of a stage call. */
 export const stageCallSchema = z.object({
@@ -51,6 +52,7 @@
   from: peerInfoSchema.optional(),
   version: z.number().int().nonnegative(),
   offer: z.custom<ListsUpdate>(isListsUpdate).optional(),
+  notices: noticeMessageSchema.optional(),
 });
 
 function isListsUpdate(value: unknown): boolean {
