Keep the limits on requests a second that targets name

What the operators saw: a target that had named a limit of one request a second got twelve in 4 s.

Cause: nothing read the limit. And no bound of a target's requests but the one for cold targets was divided among gateways, by their number alone: a share of a small limit idles at gateways without demand.

Change: the client of targets reports the limit that any response names, also those to calls of stages. Gateways exchange limits as notices. One gateway, chosen by rendezvous hashing, permits the requests to a limited target from a token bucket; the others ask it before each attempt, and not again before the time that a denial names. A gateway that is asked passes the question on to one that goes before it and responds. Who reaches no other gateway uses its share of the limit. Owners of stages pause limited targets and leave their results to expire. A limit ends with an answer to a later request that names none, or after 30 s without an answer.

--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -9,6 +9,7 @@
 import { monotonicMs } from "../kernel/mod.ts";
 import type { ChainClient, StagedInputs } from "./chain_client.ts";
 import type { FirstByteTimes } from "./first_byte_times.ts";
+import type { RateLimits } from "../rates/mod.ts";
 import type { CallerRequest } from "./ports.ts";
 import type { Admitted } from "./relay.ts";
 import type {
@@ -53,6 +54,7 @@
   readonly tracker: Pick<TargetTracker, "reserve" | "preferredDomain">;
   readonly chains: Pick<ChainClient, "run">;
   readonly firstByteTimes: FirstByteTimes;
+  readonly rates: Pick<RateLimits, "acquire">;
 }
 
 /** Prepares the attempts of one request. */
@@ -84,7 +86,7 @@
       inputs.value.release();
       return err({ reason: "no longer needed", retryAfterMs: 0 });
     }
-    const reservation = this.#reserve(choice);
+    const reservation = await this.#reservePermitted(choice);
     if (reservation.isOk()) {
       return ok({ inputs: inputs.value, reservation: reservation.value });
     }
@@ -130,6 +132,20 @@
     };
   }
 
+  /** Reserves a target that permits a request under its limit. */
+  async #reservePermitted(
+    choice: TargetChoice,
+  ): Promise<Result<Reservation, Unprepared>> {
+    while (true) {
+      const reservation = this.#reserve(choice);
+      if (reservation.isErr()) return reservation;
+      const { target } = reservation.value;
+      // A target whose permit is denied is closed for a moment.
+      if (await this.#deps.rates.acquire(target.id)) return reservation;
+      reservation.value.discarded();
+    }
+  }
+
   #reserve(choice: TargetChoice): Result<Reservation, Unprepared> {
     const refused = this.#refusedPrompt();
     if (refused) return err(refused);
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -111,6 +111,7 @@
         },
         firstByteTimes: new FirstByteTimes(),
         heldBytes: new HeldBytes(),
+        rates: { acquire: () => Promise.resolve(true) },
         crashes: { watch: (target) => new CallWatch(target, [], NO_FINDINGS) },
         origins: {
           begun: () => {},
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -108,6 +108,11 @@
       : [...names, this.#self.name];
   }
 
+  /** All entries, this one included, in the order of their registration. */
+  get entries(): readonly ListedPeer[] {
+    return this.#bySeniority();
+  }
+
   /**
    * True when this process is listed with its current URL and failure domain
    * and no peer has been up for longer: all entries were restarted together, so
--- a/src/gateway/peers_test.ts
+++ b/src/gateway/peers_test.ts
@@ -46,6 +46,7 @@
     freeResults: () => {},
     keepOrigins: () => ({ start: "a", isLeaving: false }),
     findOrigin: () => ({ builds: [], isRecent: true }),
+    permit: () => Promise.resolve({ isGranted: true, waitMs: 0 }),
     runChain: () => Promise.resolve({ kind: "leaving" }),
   });
   const server = createServer((req, res) => {
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -253,8 +253,22 @@
  */
 export const CONNECT_TIMEOUT_MS = 600;
 
+/** What the head of a target's response to any call says of its load. */
+export interface TargetAnswer {
+  readonly target: ListedTarget;
+  /**
+   * Requests a second that the target takes from all entries together;
+   * undefined when it names no limit.
+   */
+  readonly requestsPerS?: number;
+  /** Monotonic time at which its request was sent. */
+  readonly sentAt: number;
+}
+
 /** Calls targets. */
 export interface TargetClient {
+  /** Calls `listener` with the head of each response of a target. */
+  onAnswer(listener: (answer: TargetAnswer) => void): void;
   /** Sends a request. */
   send(call: TargetCall, listener: CallListener): RunningCall;
   /** Runs pieces at a target; the outcomes are in the order of the pieces. */
--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -7,7 +7,9 @@
  */
 
 import { monotonicMs, timeoutSignal, Watchdog } from "../kernel/mod.ts";
+import type { RateLimits } from "../rates/mod.ts";
 import {
+  addressOf,
   type BatchLimits,
   expectedCallMs,
   type FleetState,
@@ -81,6 +83,7 @@
 export class StageBatcher {
   readonly #state: () => FleetState;
   readonly #client: TargetClient;
+  readonly #rates: Pick<RateLimits, "waitMs" | "spend" | "isLimited">;
   readonly #log: Logger;
   readonly #metrics: Metrics;
   readonly #pools = new Map<string, StagePool>();
@@ -90,12 +93,14 @@
     deps: {
       state: () => FleetState;
       client: TargetClient;
+      rates: Pick<RateLimits, "waitMs" | "spend" | "isLimited">;
       log: Logger;
       metrics: Metrics;
     },
   ) {
     this.#state = deps.state;
     this.#client = deps.client;
+    this.#rates = deps.rates;
     this.#log = deps.log;
     this.#metrics = deps.metrics;
   }
@@ -245,7 +250,13 @@
 
   #refreshTargets(pool: StagePool, now: number): void {
     const usable = this.#state().usable(pool.name, now);
-    pool.servers = pool.servers.withMembers(usable.map(({ id }) => id));
+    pool.servers = usable.reduce(
+      (servers, { id }) => {
+        const waitMs = this.#rates.waitMs(id);
+        return waitMs > 0 ? servers.pause(id, now, waitMs) : servers;
+      },
+      pool.servers.withMembers(usable.map(({ id }) => id)),
+    );
   }
 
   /**
@@ -273,6 +284,7 @@
     tasks: readonly PieceTask[],
   ): Promise<void> {
     const now = monotonicMs();
+    this.#rates.spend(target.id);
     const expectedMs = expectedCallMs(limits, tasks.length);
     const bytes = tasks
       .reduce((sum, { submission }) => sum + submission.work.resultBytes, 0);
@@ -479,12 +491,29 @@
     pool: StagePool,
     results: readonly ResultHandle[],
   ): Promise<void> {
-    if (results.length === 0) return;
-    await this.#client.freeResults(results);
-    pool.room = pool.room.release(results, monotonicMs());
+    const released = this.#withoutLimited(pool, results);
+    if (released.length === 0) return;
+    await this.#client.freeResults(released);
+    pool.room = pool.room.release(released, monotonicMs());
     this.#dispatch(pool);
   }
 
+  /**
+   * Leaves out results at targets that limit their requests: calls go before
+   * releases there, and the results expire.
+   */
+  #withoutLimited(
+    pool: StagePool,
+    results: readonly ResultHandle[],
+  ): readonly ResultHandle[] {
+    const limited = new Set(
+      this.#state().usable(pool.name, monotonicMs())
+        .filter(({ id }) => this.#rates.isLimited(id))
+        .map(({ address }) => address),
+    );
+    return results.filter((handle) => !limited.has(addressOf(handle)));
+  }
+
   #settle(
     pool: StagePool,
     submission: Submission,
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -14,6 +14,7 @@
 } from "../kernel/mod.ts";
 import { CrashWatch } from "../crashes/mod.ts";
 import { NoticeBoard } from "../notices/mod.ts";
+import { RateLimits } from "../rates/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
 import { type Logger, Metrics, monitorStalls } from "../telemetry/mod.ts";
 import { StreamOriginService } from "../origins/mod.ts";
@@ -95,7 +96,27 @@
     board,
   });
   const state = () => view.state;
-  const batcher = new StageBatcher({ state, client: targets, log, metrics });
+  const rates = new RateLimits({
+    self: cfg.self,
+    fleet: {
+      entries: () => peers.entries,
+      isUsable: (peer) => peers.isUsable(peer),
+    },
+    ask: (url, request, signal) => clients.permit(url, request, signal),
+    notices: board,
+    log,
+    metrics,
+  });
+  targets.onAnswer(({ target, requestsPerS, sentAt }) =>
+    rates.observe({ target: target.id, perS: requestsPerS, sentAt })
+  );
+  const batcher = new StageBatcher({
+    state,
+    client: targets,
+    rates,
+    log,
+    metrics,
+  });
   const runner = new ChainRunner({ batcher, state, log });
   const chains = new ChainClient({ runner, peers, clients, targets, log });
   const tracker = new TargetTracker({
@@ -103,6 +124,7 @@
     processes: () => peers.processNames,
     self: cfg.self,
     repeats: cfg.repeats,
+    rates,
   });
   const recorder = new BuildRecorder({
     view,
@@ -137,6 +159,7 @@
     peers,
     origins,
     crashes,
+    rates,
     tracker,
     chains,
     client: targets,
@@ -180,6 +203,7 @@
                 ? Promise.resolve({ kind: "leaving" })
                 : runner.run(chain, gone),
             keepOrigins: (batch) => origins.keepOrigins(batch),
+            permit: (request) => rates.handlePermit(request),
             findOrigin: (query) => origins.findOrigin(query),
           })),
           cfg.control,
--- a/src/gateway/target_tracker.ts
+++ b/src/gateway/target_tracker.ts
@@ -24,6 +24,7 @@
   RetryShare,
   type ServingCandidate,
 } from "../serving/mod.ts";
+import type { RateLimits } from "../rates/mod.ts";
 import type { ResponseHead } from "./ports.ts";
 
 /** Budget of the retries of a pool's requests, for the whole fleet. */
@@ -89,6 +90,7 @@
   readonly #processes: () => readonly string[];
   readonly #self: { readonly name: string; readonly failureDomain: string };
   readonly #retryBudget: RetryBudget;
+  readonly #rates: Pick<RateLimits, "isOpen">;
   readonly #records = new Map<string, TargetRecord>();
   readonly #health = new Map<string, PoolHealth>();
   readonly #retryShares = new Map<string, RetryShare>();
@@ -99,12 +101,14 @@
       processes: () => readonly string[];
       self: { readonly name: string; readonly failureDomain: string };
       repeats: RetryBudget;
+      rates: Pick<RateLimits, "isOpen">;
     },
   ) {
     this.#state = deps.state;
     this.#processes = deps.processes;
     this.#self = deps.self;
     this.#retryBudget = deps.repeats;
+    this.#rates = deps.rates;
   }
 
   /** Records a request for a pool; the retry budget is a ratio of these. */
@@ -200,6 +204,7 @@
         failureShare: failureShareAt(record, now),
         weight: health ? weightOf(health, target.id, now) : 1,
         isOpen: record.own < this.#maxConnections(pool) &&
+          this.#rates.isOpen(target.id) &&
           this.#coldShare(pool, target, now) !== undefined,
       },
     };
--- a/src/gateway/target_tracker_test.ts
+++ b/src/gateway/target_tracker_test.ts
@@ -18,6 +18,7 @@
     ),
   );
   return new TargetTracker({
+    rates: { isOpen: () => true },
     state: () => state,
     processes: () => ["gateway"],
     self: { name: "gateway", failureDomain: "d1" },
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -121,6 +121,8 @@
     return Promise.resolve();
   }
 
+  onAnswer(): void {}
+
   checkReachability(): Promise<Reachability> {
     return Promise.resolve(Reachability.Unknown);
   }
@@ -167,3 +169,10 @@
 export function stateOf(changes: readonly StateChange[]): FleetState {
   return new FleetState().apply(changes, 0);
 }
+
+/** Limits of targets that name none. */
+export const NO_RATE_LIMITS = {
+  waitMs: () => 0,
+  spend: () => {},
+  isLimited: () => false,
+};
--- a/src/layers.ts
+++ b/src/layers.ts
@@ -31,7 +31,7 @@
   ["serving"],
   ["wire", "store"],
   ["notices"],
-  ["process", "origins", "crashes"],
+  ["process", "origins", "crashes", "rates"],
   ["entry", "agent", "gateway"],
   ["testing"],
   ["standin"],
--- /dev/null
+++ b/src/rates/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Keeps the limits on requests a second that targets name, over all entries
+ * together.
+ *
+ * @module
+ */
+
+export * from "./known_limits.ts";
+export * from "./ports.ts";
+export * from "./rate_limits.ts";
--- a/src/serving/stage_targets.ts
+++ b/src/serving/stage_targets.ts
@@ -178,9 +178,12 @@
     }));
   }
 
-  /** Returns the state in which a target is paused for `waitMs` ms. */
+  /** Returns the state in which a target is paused for `waitMs` ms or longer. */
   pause(id: string, now: number, waitMs: number): StageTargets {
-    return this.#with(id, (one) => ({ ...one, pausedUntil: now + waitMs }));
+    return this.#with(id, (one) => ({
+      ...one,
+      pausedUntil: Math.max(one.pausedUntil, now + waitMs),
+    }));
   }
 
   /** Returns the time until a target is expected to accept a call, in ms. */
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -16,6 +16,12 @@
 import { timeoutSignal } from "../kernel/mod.ts";
 import type { StateChange } from "../serving/mod.ts";
 import { type NoticeMessage, noticeMessageSchema } from "./notices.ts";
+import {
+  type PermitAnswer,
+  permitAnswerSchema,
+  type PermitRequest,
+  permitSchema,
+} from "./permits.ts";
 import {
   findAnswerSchema,
   findSchema,
@@ -101,6 +107,8 @@
   freeResults(results: readonly ChainResults[]): void;
   sync(request: SyncRequest): SyncResponse;
   runChain(chain: StageChain, signal: AbortSignal): Promise<ChainResponse>;
+  /** Permits a request to a target that limits its requests. */
+  permit(request: PermitRequest): Promise<PermitAnswer>;
 }
 
 const trpc = initTRPC.create();
@@ -117,6 +125,8 @@
     ) => api.runChain(input, signal ?? new AbortController().signal)),
     keepOrigins: trpc.procedure.input(keepSchema)
       .mutation(({ input }) => api.keepOrigins(input)),
+    permit: trpc.procedure.input(permitSchema)
+      .mutation(({ input }) => api.permit(input)),
     findOrigin: trpc.procedure.input(findSchema)
       .mutation(({ input }) => api.findOrigin(input)),
   });
@@ -190,6 +200,17 @@
     );
   }
 
+  /** Asks a peer for a permit. */
+  async permit(
+    url: string,
+    request: PermitRequest,
+    signal: AbortSignal,
+  ): Promise<PermitAnswer> {
+    return permitAnswerSchema.parse(
+      await this.#clientOf(url).permit.mutate(request, { signal }),
+    );
+  }
+
   /** Asks a peer for the origin of a stream. */
   async findOrigin(
     url: string,
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -10,5 +10,6 @@
 export * from "./entries.ts";
 export * from "./notices.ts";
 export * from "./origins.ts";
+export * from "./permits.ts";
 export * from "./router.ts";
 export * from "./schema.ts";
--- a/src/wire/notices.ts
+++ b/src/wire/notices.ts
@@ -37,6 +37,14 @@
     segment: idSchema,
     ageMs: ageSchema,
   }),
+  /** A target has named a limit on its requests, or has ended it. */
+  z.object({
+    kind: z.literal("target-limit"),
+    target: idSchema,
+    /** Requests a second from all entries together; absent: no limit. */
+    perS: z.number().nonnegative().optional(),
+    ageMs: ageSchema,
+  }),
   /** A request was sent to test whether a segment still crashes targets. */
   z.object({
     kind: z.literal("segment-probed"),
