Keep quarantines of prompt segments in the store

Cause: the evidence against a segment was held by the gateways alone. Once all had restarted, three more targets had to crash.

Change: one gateway, by turns, writes a row for each quarantine that begins and removes it when it ends; the rows are read with the registrations. A recorded quarantine holds until an answer on the segment, or an hour without a crash. The first probe is sent 30 s after the last crash, not 15 s, since a probe that fails costs a target and all streams on it.

--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -17,6 +17,7 @@
   sharedSegments,
 } from "../quarantine/mod.ts";
 import { rendezvousOrder } from "../routing/mod.ts";
+import type { RecordedQuarantine } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import { type BrokenCall, CallWatch } from "./call_watch.ts";
 import {
@@ -139,13 +140,29 @@
     });
   }
 
+  /** Adopts the quarantines that the store lists. */
+  adopt(listed: readonly RecordedQuarantine[]): void {
+    const next = this.#evidence.withRecorded(listed, monotonicMs());
+    if (next === this.#evidence) return;
+    this.#evidence = next;
+    this.#judge();
+  }
+
   /** Checks for suspected crashes: the list of targets has changed. */
   recheck(): void {
+    this.#discardExpired();
     this.#suspected.undecided(monotonicMs())
       .filter((target) => !this.#deps.fleet.isListed(target))
       .forEach((target) => this.#confirm(target, "not listed any more"));
   }
 
+  #discardExpired(): void {
+    const next = this.#evidence.pruned(monotonicMs());
+    if (next === this.#evidence) return;
+    this.#evidence = next;
+    this.#judge();
+  }
+
   #find(segments: readonly PromptSegment[]): Quarantine | undefined {
     return segments.flatMap(({ id }) => this.#quarantined.get(id) ?? [])
       .sort((a, b) => b.crashes - a.crashes)[0];
--- a/src/crashes/crash_watch_test.ts
+++ b/src/crashes/crash_watch_test.ts
@@ -2,9 +2,16 @@
 import { test } from "node:test";
 import { sleep } from "../kernel/mod.ts";
 import { NoticeBoard } from "../notices/mod.ts";
-import { FIRST_PROBE_MS, MIN_CRASHES } from "../quarantine/mod.ts";
+import {
+  CRASH_TTL_MS,
+  FIRST_PROBE_MS,
+  MIN_CRASHES,
+  type Quarantine,
+} from "../quarantine/mod.ts";
+import type { RecordedQuarantine } from "../serving/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/paused_clock.ts";
+import { QuarantineRecorder } from "./quarantine_recorder.ts";
 import { CrashWatch, type PromptPermit } from "./crash_watch.ts";
 import { Reachability, type WatchedTarget } from "./ports.ts";
 
@@ -285,3 +292,54 @@
     await fleet.crash(0, BAD);
     assert.equal(permit.refusal()?.segment, BAD);
   }));
+
+test("recorded quarantines hold until an answer shows otherwise", () =>
+  withFleet(1, async (fleet) => {
+    const watch = fleet.watch(0);
+    watch.adopt([{ segment: BAD, crashes: 4 }]);
+    assert.equal(fleet.isRefused(0, BAD), true);
+    await fleet.crash(0, BAD);
+    assert.equal(watch.quarantined.get(BAD)?.crashes, 5);
+    await fleet.serve(0, BAD);
+    assert.equal(fleet.isRefused(0, BAD), false);
+    watch.adopt([]);
+    await sleep(10);
+    watch.adopt([{ segment: BAD, crashes: 4 }]);
+    assert.equal(fleet.isRefused(0, BAD), true);
+    await sleep(CRASH_TTL_MS);
+    watch.recheck();
+    assert.equal(fleet.isRefused(0, BAD), false);
+  }));
+
+test("QuarantineRecorder lets one entry write each change", () =>
+  withPausedClock(async () => {
+    const end = new AbortController();
+    let listed: readonly RecordedQuarantine[] = [];
+    const quarantined = new Map<string, Quarantine>();
+    let writes = 0;
+    const processes = ["a", "b", "c"];
+    processes.forEach((self) =>
+      new QuarantineRecorder({
+        watch: { quarantined },
+        listed: () => listed,
+        write: ({ begun, ended }) => {
+          writes += 1;
+          listed = [...listed, ...begun]
+            .filter(({ segment }) => !ended.includes(segment));
+          return Promise.resolve(true);
+        },
+        self,
+        processes: () => processes,
+        log: SILENT_LOGGER,
+      }).run(end.signal)
+    );
+    quarantined.set(BAD, { segment: BAD, crashes: 3, lastCrashAt: 0 });
+    await sleep(8_000);
+    assert.deepEqual(listed, [{ segment: BAD, crashes: 3 }]);
+    assert.equal(writes, 1);
+    quarantined.clear();
+    await sleep(8_000);
+    assert.deepEqual(listed, []);
+    assert.equal(writes, 2);
+    end.abort();
+  }, { seed: 1 }));
--- a/src/crashes/mod.ts
+++ b/src/crashes/mod.ts
@@ -8,3 +8,4 @@
 export * from "./call_watch.ts";
 export * from "./crash_watch.ts";
 export * from "./ports.ts";
+export * from "./quarantine_recorder.ts";
--- a/src/crashes/ports.ts
+++ b/src/crashes/ports.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { RecordedQuarantine } from "../serving/mod.ts";
 import type { NoticeBoard } from "../notices/mod.ts";
 
 /** Whether a target accepts connections. */
@@ -31,6 +32,13 @@
   processes(): readonly string[];
 }
 
+/** Changes of the quarantines that the store lists. */
+export interface QuarantineChanges {
+  readonly begun: readonly RecordedQuarantine[];
+  /** Segments whose quarantine has ended. */
+  readonly ended: readonly string[];
+}
+
 /** Checks by a new connection whether a target accepts connections. */
 export type ReachabilityCheck = (
   target: WatchedTarget,
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -265,6 +265,16 @@
         this.#log.info("build_learned", { version, pool, build, from });
         return;
       }
+      if (change.kind === "quarantine") {
+        const { segment, crashes } = change;
+        this.#log.info("quarantine_learned", {
+          version,
+          segment,
+          crashes,
+          from,
+        });
+        return;
+      }
       if (change.kind !== "target") return;
       const old = before.targets.get(change.id)?.target;
       const isSame = old?.state === change.target?.state &&
@@ -294,6 +304,8 @@
       return `domain/${change.failureDomain}`;
     case "peer":
       return `peer/${change.name}`;
+    case "quarantine":
+      return `quarantine/${change.segment}`;
     case "build":
       return `build/${change.pool}/${change.build}`;
   }
--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -44,6 +44,10 @@
     return Promise.resolve(ok());
   }
 
+  recordQuarantines(): Promise<Result<void, SourceError>> {
+    return Promise.resolve(ok());
+  }
+
   recordBuilds(): Promise<Result<void, SourceError>> {
     return Promise.resolve(ok());
   }
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -5,7 +5,11 @@
  * @module
  */
 
-export { Reachability, type WatchedTarget } from "../crashes/mod.ts";
+export {
+  type QuarantineChanges,
+  Reachability,
+  type WatchedTarget,
+} from "../crashes/mod.ts";
 export * from "./fleet_view.ts";
 export * from "./ports.ts";
 export * from "./response_limits.ts";
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -360,6 +360,6 @@
 
 function partOf({ kind }: StateChange): StatePart {
   if (kind === "target") return StatePart.Targets;
-  if (kind === "peer" || kind === "build") return StatePart.Peers;
-  return StatePart.Configuration;
+  if (kind === "catalog" || kind === "domain") return StatePart.Configuration;
+  return StatePart.Peers;
 }
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -6,7 +6,11 @@
  */
 
 import type { Result } from "neverthrow";
-import type { Reachability, WatchedTarget } from "../crashes/mod.ts";
+import type {
+  QuarantineChanges,
+  Reachability,
+  WatchedTarget,
+} from "../crashes/mod.ts";
 import type {
   CallerLimits,
   ListedPeer,
@@ -57,6 +61,14 @@
     peer: ListedPeer,
     signal: AbortSignal,
   ): Promise<Result<void, SourceError>>;
+  /**
+   * Writes which segments of prompts are kept away from targets, and which no
+   * longer; they come back as changes of the part `Peers`.
+   */
+  recordQuarantines(
+    changed: QuarantineChanges,
+    signal: AbortSignal,
+  ): Promise<Result<void, SourceError>>;
   /**
    * Writes records of builds; they come back as changes of the part `Peers`.
    */
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -12,7 +12,7 @@
   sleep,
   timeoutSignal,
 } from "../kernel/mod.ts";
-import { CrashWatch } from "../crashes/mod.ts";
+import { CrashWatch, QuarantineRecorder } from "../crashes/mod.ts";
 import { NoticeBoard } from "../notices/mod.ts";
 import { RateLimits } from "../rates/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
@@ -154,6 +154,15 @@
     log,
     metrics,
   });
+  const quarantines = new QuarantineRecorder({
+    watch: crashes,
+    listed: () => view.state.quarantines,
+    write: async (changes, signal) =>
+      (await source.recordQuarantines(changes, signal)).isOk(),
+    self: cfg.self.name,
+    processes: () => peers.processNames,
+    log,
+  });
   const gateway = new Gateway({
     view,
     peers,
@@ -174,6 +183,7 @@
     tracker.prune();
     origins.recheck();
     crashes.recheck();
+    crashes.adopt(view.state.quarantines);
     targets.retainConnections(
       new Set(
         [...listed.values()].flatMap(({ target }) =>
@@ -213,6 +223,7 @@
         origins.run(signal);
         register(source, cfg.self, { peers, log, signal });
         recorder.run(signal);
+        quarantines.run(signal);
         return peers;
       },
       leave: () => {
--- a/src/quarantine/crash_evidence.ts
+++ b/src/quarantine/crash_evidence.ts
@@ -44,12 +44,22 @@
   readonly survivals: ReadonlyMap<string, number>;
   /** Monotonic times of the last requests sent to test a suspect. */
   readonly probes: ReadonlyMap<string, number>;
+  /** Quarantines that the store lists. */
+  readonly recorded: ReadonlyMap<string, KnownQuarantine>;
+}
+
+/** Quarantine that was decided on crashes which may not be known here. */
+export interface KnownQuarantine {
+  readonly crashes: number;
+  /** Monotonic time at which it was learned. */
+  readonly at: number;
 }
 
 const EMPTY: EvidenceRecords = {
   crashes: new Map(),
   survivals: new Map(),
   probes: new Map(),
+  recorded: new Map(),
 };
 
 /** Evidence against segments of prompts. Immutable. */
@@ -72,6 +82,11 @@
     return [...this.#records.crashes.values()].sort((a, b) => a.at - b.at);
   }
 
+  /** Quarantines that the store lists, by segment. */
+  get recorded(): ReadonlyMap<string, KnownQuarantine> {
+    return this.#records.recorded;
+  }
+
   /** Crash of a target, if one is remembered. */
   crashOf(target: string): CrashReport | undefined {
     return this.#records.crashes.get(target);
@@ -89,7 +104,8 @@
 
   /** True when a crash after the last survival of a segment counts against it. */
   isSuspect(segment: string): boolean {
-    const crashedAt = this.#lastCrashes.get(segment);
+    const crashedAt = this.#lastCrashes.get(segment) ??
+      this.recorded.get(segment)?.at;
     const survivedAt = this.survivedAt(segment) ?? Number.NEGATIVE_INFINITY;
     return crashedAt !== undefined && crashedAt > survivedAt;
   }
@@ -107,9 +123,29 @@
     return this.#with({ crashes: newest(crashes) });
   }
 
+  /**
+   * Returns the evidence with exactly the quarantines that the store lists at
+   * monotonic time `now`.
+   */
+  withRecorded(
+    listed: readonly { readonly segment: string; readonly crashes: number }[],
+    now: number,
+  ): CrashEvidence {
+    const before = this.recorded;
+    const isSame = listed.length === before.size &&
+      listed.every(({ segment }) => before.has(segment));
+    if (isSame) return this;
+    const recorded = new Map(
+      listed.map(({ segment, crashes }) =>
+        [segment, before.get(segment) ?? { crashes, at: now }] as const
+      ),
+    );
+    return this.#with({ recorded });
+  }
+
   /** Returns the evidence after a target wrote an answer on a suspect. */
   survived(segment: string, at: number): CrashEvidence {
-    if (!this.#lastCrashes.has(segment)) return this;
+    if (!this.#isKnown(segment)) return this;
     if (!isNews(this.survivedAt(segment), at)) return this;
     return this.#with({
       survivals: new Map(this.#records.survivals).set(segment, at),
@@ -118,37 +154,54 @@
 
   /** Returns the evidence after a request was sent to test a suspect. */
   probed(segment: string, at: number): CrashEvidence {
-    if (!this.#lastCrashes.has(segment)) return this;
+    if (!this.#isKnown(segment)) return this;
     if (!isNews(this.probedAt(segment), at)) return this;
     return this.#with({
       probes: new Map(this.#records.probes).set(segment, at),
     });
   }
 
-  /** Returns the evidence without crashes that have expired by `now`. */
+  /**
+   * Returns the evidence without what has expired by `now`; a recorded
+   * quarantine without a crash for that long counts as survived.
+   */
   pruned(now: number): CrashEvidence {
-    const { crashes } = this.#records;
+    const { crashes, survivals } = this.#records;
+    const expired = [...this.recorded].filter(([segment, { at }]) => {
+      const lastAt = Math.max(at, this.#lastCrashes.get(segment) ?? at);
+      const hasEnded =
+        (survivals.get(segment) ?? Number.NEGATIVE_INFINITY) > at;
+      return now >= lastAt + CRASH_TTL_MS && !hasEnded;
+    });
+    if (expired.length > 0) {
+      const ended = expired.map(([segment]) => [segment, now] as const);
+      return this.#with({ survivals: new Map([...survivals, ...ended]) })
+        .pruned(now);
+    }
     const kept = new Map(
       [...crashes].filter(([, { at }]) => now < at + CRASH_TTL_MS),
     );
     return kept.size === crashes.size ? this : this.#with({ crashes: kept });
   }
 
+  #isKnown(segment: string): boolean {
+    return this.#lastCrashes.has(segment) || this.recorded.has(segment);
+  }
+
   /** Replaces records and discards those about segments of no crash. */
   #with(changed: Partial<EvidenceRecords>): CrashEvidence {
-    const { crashes, survivals, probes } = { ...this.#records, ...changed };
-    if (!changed.crashes) {
-      return new CrashEvidence({ crashes, survivals, probes });
-    }
+    const next = { ...this.#records, ...changed };
+    if (!changed.crashes && !changed.recorded) return new CrashEvidence(next);
+    const { crashes, survivals, probes, recorded } = next;
     const listed = new Set(
       [...crashes.values()].flatMap(({ suspects }) =>
         suspects.map(({ id }) => id)
-      ),
+      ).concat([...recorded.keys()]),
     );
     const about = (times: ReadonlyMap<string, number>) =>
       new Map([...times].filter(([segment]) => listed.has(segment)));
     return new CrashEvidence({
-      crashes,
+      ...next,
       survivals: about(survivals),
       probes: about(probes),
     });
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -25,7 +25,7 @@
 /** Crashes after which one on which answers are known is quarantined. */
 export const MIN_CRASHES_ONCE_SERVED = 5;
 /** Time from the last crash to the first probe, in milliseconds. */
-export const FIRST_PROBE_MS = 15_000;
+export const FIRST_PROBE_MS = 30_000;
 /** Ratio of the times to the following probes. */
 const PROBE_BACKOFF = 4;
 /** Longest time between probes, in milliseconds. */
@@ -50,8 +50,12 @@
   evidence: CrashEvidence,
   hasServed: (segment: string) => boolean,
 ): ReadonlyMap<string, Quarantine> {
-  const found = new Map<string, Quarantine>();
-  let unexplained = evidence.crashes;
+  const found = new Map(
+    recordedOf(evidence).map((one) => [one.segment, one] as const),
+  );
+  let unexplained = evidence.crashes.filter(({ suspects }) =>
+    suspects.every(({ id }) => !found.has(id))
+  );
   while (unexplained.length >= MIN_CRASHES) {
     const [first] = candidatesOf(unexplained, evidence, hasServed)
       .sort(bySuspicion);
@@ -81,6 +85,25 @@
   return Math.max(lastCrashAt, probedAt) + pauseMs;
 }
 
+/**
+ * Quarantines that the store lists and no answer has ended, with the crashes
+ * since they were learned.
+ */
+function recordedOf(evidence: CrashEvidence): readonly Quarantine[] {
+  return [...evidence.recorded].flatMap(([segment, { crashes, at }]) => {
+    const survivedAt = evidence.survivedAt(segment);
+    if (survivedAt !== undefined && survivedAt >= at) return [];
+    const later = evidence.crashes.filter((crash) =>
+      crash.at > at && crash.suspects.some(({ id }) => id === segment)
+    );
+    return [{
+      segment,
+      crashes: crashes + later.length,
+      lastCrashAt: later.at(-1)?.at ?? at,
+    }];
+  });
+}
+
 function candidatesOf(
   crashes: readonly CrashReport[],
   evidence: CrashEvidence,
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -13,6 +13,7 @@
   type ListedPeer,
   type ListedTarget,
   type PoolBuild,
+  type RecordedQuarantine,
   type StateChange,
   TargetState,
 } from "./state_change.ts";
@@ -46,6 +47,10 @@
   /** Monotonic times at which failure domains returned to service. */
   readonly domainRestoredAt: ReadonlyMap<string, number>;
   readonly builds: BuildHistory;
+  readonly quarantines: ReadonlyMap<
+    string,
+    { readonly version: number; readonly crashes?: number }
+  >;
 }
 
 const EMPTY: FleetRecords = {
@@ -55,6 +60,7 @@
   peers: new Map(),
   domainRestoredAt: new Map(),
   builds: new BuildHistory(),
+  quarantines: new Map(),
 };
 
 /** View of the fleet. Immutable. */
@@ -90,6 +96,13 @@
     );
   }
 
+  /** Segments of prompts that the store lists as kept away from targets. */
+  get quarantines(): readonly RecordedQuarantine[] {
+    return [...this.#records.quarantines].flatMap(([segment, { crashes }]) =>
+      crashes === undefined ? [] : [{ segment, crashes }]
+    );
+  }
+
   /** Returns the state after changes received at monotonic time `now`. */
   apply(changes: readonly StateChange[], now: number): FleetState {
     const records = changes.reduce(
@@ -106,7 +119,8 @@
 
   /** Returns the changes that lead from an empty state to this one. */
   changes(): StateChange[] {
-    const { catalog, targets, domains, peers, builds } = this.#records;
+    const { catalog, targets, domains, peers, builds, quarantines } =
+      this.#records;
     const catalogChanges: StateChange[] = catalog.value
       ? [{
         kind: "catalog",
@@ -137,6 +151,9 @@
         ({ kind: "peer", version, name, peer }) satisfies StateChange
       ),
       ...builds.all.map((one) => ({ kind: "build", ...one }) as const),
+      ...[...quarantines].map(([segment, one]) =>
+        ({ kind: "quarantine", segment, ...one }) satisfies StateChange
+      ),
     ];
   }
 
@@ -206,6 +223,8 @@
       return records.peers.get(change.name)?.version ?? 0;
     case "build":
       return records.builds.versionOf(change);
+    case "quarantine":
+      return records.quarantines.get(change.segment)?.version ?? 0;
   }
 }
 
@@ -271,6 +290,12 @@
         ...records,
         builds: records.builds.recorded(change, version, now),
       };
+    case "quarantine":
+      return {
+        ...records,
+        quarantines: new Map(records.quarantines)
+          .set(change.segment, { version, crashes: change.crashes }),
+      };
   }
 }
 
--- a/src/serving/state_change.ts
+++ b/src/serving/state_change.ts
@@ -41,6 +41,13 @@
   readonly build: string;
 }
 
+/** Segment of prompts that is kept away from targets. */
+export interface RecordedQuarantine {
+  readonly segment: string;
+  /** Crashes of targets that are attributed to it. */
+  readonly crashes: number;
+}
+
 /** One decoded change of the store. `version` grows with each change. */
 export type StateChange =
   | {
@@ -69,5 +76,12 @@
     readonly name: string;
     readonly peer?: ListedPeer;
   }
+  | {
+    readonly kind: "quarantine";
+    readonly version: number;
+    readonly segment: string;
+    /** Undefined once the quarantine has ended. */
+    readonly crashes?: number;
+  }
   /** A build that a pool has had, with the version of its record. */
   | ({ readonly kind: "build"; readonly version: number } & PoolBuild);
