--- a/src/crashes/crash_fleet_test.ts
+++ b/src/crashes/crash_fleet_test.ts
@@ -224,8 +224,11 @@
 
 test(`few requests with a crashing segment are sent, and sound ones are (${SEEDS} days)`, async () => {
   for (let seed = 1; seed <= SEEDS; seed++) {
-    const day = new Day(seed);
-    await withPausedClock(() => day.run(), { seed });
+    const day = await withPausedClock(async () => {
+      const played = new Day(seed);
+      await played.run();
+      return played;
+    }, { seed });
     const { later, sound, badCrashes } = day;
     assert.ok(badCrashes.length >= 3, `seed ${seed}: too few crashes`);
     assert.ok(later <= MAX_LATER, `seed ${seed}: ${later} sent later`);
