Shorten what entries exchange while there are no notices

Cause: every exchange of state carried two identifiers of 36 characters and an empty list, also when there was nothing to tell.

Change: identifiers of a start have 8 characters, and an empty list is left out.

--- a/src/notices/notice_board.ts
+++ b/src/notices/notice_board.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { randomUUID } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import { monotonicMs } from "../kernel/mod.ts";
 import type { Metrics } from "../telemetry/mod.ts";
 import {
@@ -21,6 +21,11 @@
 export const NOTICE_TTL_MS = 3_600_000;
 /** Maximum number of notices; the oldest are discarded. */
 export const MAX_KEPT_NOTICES = 2_048;
+/**
+ * Length of the identifier of a start, in bytes; every exchange carries two, and
+ * it only has to differ between the starts of one process.
+ */
+const START_BYTES = 4;
 /** Peers whose cursors are kept; the oldest are discarded. */
 const MAX_PEERS = 1_024;
 
@@ -56,7 +61,7 @@
 
 /** Notices of one process. */
 export class NoticeBoard {
-  readonly #start = randomUUID();
+  readonly #start = randomBytes(START_BYTES).toString("hex");
   /** By key, in the order of their sequence numbers. */
   readonly #posted = new Map<string, PostedNotice>();
   readonly #peers = new Map<string, PeerCursors>();
@@ -125,7 +130,7 @@
     else if (known?.start === this.#start) cursors.acknowledged = known.upTo;
   }
 
-  #hear({ sent, notices }: NoticeMessage): void {
+  #hear({ sent, notices = [] }: NoticeMessage): void {
     const now = monotonicMs();
     this.#hearing = sent.start;
     notices.forEach((value) => {
@@ -152,17 +157,18 @@
       .filter(({ sequence }) => sequence > after)
       .slice(0, MAX_NOTICES);
     const isAll = lacking.length < MAX_NOTICES;
+    const notices = lacking
+      .filter(({ from }) => from === undefined || from !== known?.start)
+      .map(({ body, at }) => ({
+        ...body,
+        ageMs: Math.max(0, Math.round(now - at)),
+      }));
     return {
       sent: {
         start: this.#start,
         upTo: isAll ? this.#sequence : lacking.at(-1)?.sequence ?? after,
       },
-      notices: lacking
-        .filter(({ from }) => from === undefined || from !== known?.start)
-        .map(({ body, at }) => ({
-          ...body,
-          ageMs: Math.max(0, Math.round(now - at)),
-        })),
+      notices: notices.length > 0 ? notices : undefined,
       known,
     };
   }
--- a/src/notices/notice_board_test.ts
+++ b/src/notices/notice_board_test.ts
@@ -31,7 +31,8 @@
     const message = this.board.messageTo(peer.name);
     const response = peer.board.respond(this.name, message);
     this.board.handleResponse(peer.name, response);
-    return message.notices.length + response.notices.length;
+    return [message, response]
+      .reduce((sum, { notices = [] }) => sum + notices.length, 0);
   }
 }
 
--- a/src/wire/notices.ts
+++ b/src/wire/notices.ts
@@ -68,7 +68,7 @@
 export const noticeMessageSchema = z.object({
   /** Notices of the sender that the receiver may lack, and up to which. */
   sent: cursorSchema,
-  notices: z.array(z.unknown()).max(MAX_NOTICES),
+  notices: z.array(z.unknown()).max(MAX_NOTICES).optional(),
   /** Notices of the receiver that the sender has. */
   known: cursorSchema.optional(),
 });
