End paused responses whose connection ends, instead of the process

What callers saw: a process ended, and with it all its requests, when a server ended an answer without a length (or with Connection: close) while the answer was paused for a slow caller.

Cause: undici 7.30.2 asserts that a response is not paused when the end of its connection may be that of the body. Node reports that end also to a reader that is paused, once it has read all bytes.

Change: the client of bounded responses resumes such a response first, and gives a reset of its connection another code, by which undici only reports the error.

The four tests of paused answers in platform/target_client_test.ts failed before (the assertion ended the process, or the call never ended) and pass; the tests of src/http, wire, agent and platform: 153 passed.

--- a/src/http/bounded_client.ts
+++ b/src/http/bounded_client.ts
@@ -5,6 +5,9 @@
  * interim heads, the reason phrase and the extensions of chunks. A peer could
  * send those without end, also on an idle connection.
  *
+ * It also ends responses that are paused when their connection ends, which
+ * `undici` asserts never to happen if the end may be that of the body.
+ *
  * @module
  */
 
@@ -28,6 +31,49 @@
 /** Further bytes for each byte of the body: a chunk has five or more. */
 const FRAMING_PER_BODY_BYTE = 1;
 
+/** Pauses of the response on one connection. */
+class PausedResponse {
+  #resume: (() => void) | undefined;
+  #isPaused = false;
+  #hasEnded = false;
+
+  /** True once all bytes have been read: there is nothing to hold back. */
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
+  /** Records the head of a response and how it is resumed. */
+  begin(resume: () => void): void {
+    this.#resume = resume;
+    this.#isPaused = false;
+  }
+
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  end(): void {
+    this.#resume = undefined;
+    this.#isPaused = false;
+  }
+
+  /** Called before `undici` adds its own listeners, so these run first. */
+  watch(socket: Socket): void {
+    this.#hasEnded = false;
+    socket.on("end", () => {
+      this.#hasEnded = true;
+      if (this.#isPaused) this.#resume?.();
+      this.#isPaused = false;
+    });
+    // By this code `undici` would look for the end of a body in what arrived.
+    socket.on("error", (err: NodeJS.ErrnoException) => {
+      if (this.#isPaused && err.code === "ECONNRESET") {
+        err.code = "ECONNRESET_PAUSED";
+      }
+    });
+  }
+}
+
 /** Counts the bytes that one connection receives outside of bodies. */
 class FramingMeter {
   #socket: Socket | undefined;
@@ -87,10 +133,15 @@
 class MeteredHandler implements Dispatcher.DispatchHandler {
   readonly #handler: Dispatcher.DispatchHandler;
   readonly #meter: FramingMeter;
+  readonly #paused: PausedResponse;
 
-  constructor(handler: Dispatcher.DispatchHandler, meter: FramingMeter) {
+  constructor(
+    handler: Dispatcher.DispatchHandler,
+    { meter, paused }: { meter: FramingMeter; paused: PausedResponse },
+  ) {
     this.#handler = handler;
     this.#meter = meter;
+    this.#paused = paused;
   }
 
   onConnect(...args: Parameters<Handler["onConnect"]>): void {
@@ -103,43 +154,72 @@
   }
 
   onHeaders(...args: Parameters<Handler["onHeaders"]>): boolean {
+    const [, , resume] = args;
+    this.#paused.begin(resume);
     return this.#handler.onHeaders?.(...args) ?? true;
   }
 
   onData(chunk: Buffer): boolean {
     this.#meter.body(chunk.length);
-    return this.#handler.onData?.(chunk) ?? true;
+    const mayContinue = this.#handler.onData?.(chunk) ?? true;
+    if (mayContinue || this.#paused.hasEnded) return true;
+    this.#paused.pause();
+    return false;
   }
 
   onComplete(...args: Parameters<Handler["onComplete"]>): void {
     this.#meter.restart();
+    this.#paused.end();
     this.#handler.onComplete?.(...args);
   }
 
   onError(...args: Parameters<Handler["onError"]>): void {
+    this.#paused.end();
     this.#handler.onError?.(...args);
   }
 }
 
+/** Returns a connector whose connections end what is paused. */
+function watched(
+  connect: buildConnector.connector,
+  paused: PausedResponse,
+): buildConnector.connector {
+  return (opts, done) =>
+    connect(opts, (...args) => {
+      const [, socket] = args;
+      if (socket) paused.watch(socket);
+      done(...args);
+    });
+}
+
 class BoundedClient extends Client {
   readonly #meter: FramingMeter;
+  readonly #paused: PausedResponse;
 
   constructor(origin: URL, opts: BoundedClientOptions) {
     const meter = new FramingMeter();
+    const paused = new PausedResponse();
     super(origin, {
       ...opts,
       maxHeaderSize: MAX_HEAD_BYTES,
       pipelining: 1,
-      connect: meter.connector(opts.connect),
+      connect: meter.connector(watched(opts.connect, paused)),
     });
     this.#meter = meter;
+    this.#paused = paused;
   }
 
   override dispatch(
     opts: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    return super.dispatch(opts, new MeteredHandler(handler, this.#meter));
+    return super.dispatch(
+      opts,
+      new MeteredHandler(handler, {
+        meter: this.#meter,
+        paused: this.#paused,
+      }),
+    );
   }
 }
 
