Wait for the reports of other processes before a quarantine

Cause: a gateway judged a crash by its own report. The prompt that caused it had come from another gateway, so its segment was missing, and the shared one was in progress at all three crashes. Written to the store, such a quarantine would have lasted until a probe.

Change: a segment is not quarantined while a more suspicious one was in progress at all its crashes that are older than 0.4 s, nor without any such crash; by then the reports of all have arrived. Quarantines are recorded after 2 s.

--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -14,6 +14,7 @@
   probeDueAt,
   type PromptSegment,
   type Quarantine,
+  SETTLE_MS,
   sharedSegments,
 } from "../quarantine/mod.ts";
 import { rendezvousOrder } from "../routing/mod.ts";
@@ -258,6 +259,7 @@
         .map(({ id, depth, inProgressMs }) => [id, depth, inProgressMs]),
     }, known.at);
     this.#judge();
+    setTimeout(() => this.#judge(), SETTLE_MS + 1).unref();
   }
 
   #recordSurvival(segment: string, at: number): void {
@@ -284,10 +286,10 @@
   /** Decides anew which segments are in quarantine. */
   #judge(): void {
     const before = this.#quarantined;
-    this.#quarantined = findQuarantined(
-      this.#evidence,
-      (segment) => this.#served.has(segment),
-    );
+    this.#quarantined = findQuarantined(this.#evidence, {
+      hasServed: (segment) => this.#served.has(segment),
+      now: monotonicMs(),
+    });
     const { log } = this.#deps;
     this.#quarantined.forEach(({ segment, crashes }) => {
       if (before.get(segment)?.crashes === crashes) return;
--- a/src/crashes/crash_watch_test.ts
+++ b/src/crashes/crash_watch_test.ts
@@ -236,6 +236,7 @@
       call.completed({ endsWithConnection: true });
       await sleep(CHECK_MS);
     }
+    await sleep(SPREAD_MS);
     assert.equal(fleet.isRefused(0, BAD), true);
     fleet.reachability = Reachability.Accepts;
     const call = fleet.start(0, BAD);
--- a/src/crashes/quarantine_recorder.ts
+++ b/src/crashes/quarantine_recorder.ts
@@ -18,6 +18,8 @@
 const WRITE_PAUSE_MS = 5_000;
 /** Longest wait for the response to a write, in milliseconds. */
 const WRITE_TIMEOUT_MS = 1_500;
+/** Age from which a change is recorded, in ms: late reports may revise it. */
+const RECORD_AFTER_MS = 2_000;
 /**
  * Time that each entry leaves to the one before it to write, in milliseconds: a
  * write and the feed that returns it.
@@ -86,12 +88,13 @@
     });
   }
 
-  /** Time that other entries have to write a change first, in milliseconds. */
+  /** Age at which it is this entry's turn to write a change, in ms. */
   #turnMs(segment: string): number {
     const order = rendezvousOrder(this.#deps.processes(), {
       key: segment,
       idOf: (name) => name,
     });
-    return TURN_MS * Math.min(order.indexOf(this.#deps.self), MAX_TURNS);
+    const turn = Math.min(order.indexOf(this.#deps.self), MAX_TURNS);
+    return RECORD_AFTER_MS + TURN_MS * turn;
   }
 }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -24,6 +24,11 @@
 export const MIN_CRASHES = 3;
 /** Crashes after which one on which answers are known is quarantined. */
 export const MIN_CRASHES_ONCE_SERVED = 5;
+/**
+ * Time after which the reports of all processes on a crash have arrived, in
+ * milliseconds. Before, the prompt that caused it may be missing.
+ */
+export const SETTLE_MS = 400;
 /** Time from the last crash to the first probe, in milliseconds. */
 export const FIRST_PROBE_MS = 30_000;
 /** Ratio of the times to the following probes. */
@@ -37,19 +42,28 @@
   readonly crashedAt: number;
 }
 
-interface Candidate extends Quarantine {
+/** How much speaks against a segment. */
+interface Suspicion {
+  readonly segment: string;
   readonly depth: number;
   readonly isServed: boolean;
 }
 
+interface Candidate extends Quarantine, Suspicion {}
+
 /**
- * Returns the segments in quarantine. `hasServed` tells whether an answer on a
- * segment is known from before the crashes.
+ * Returns the segments in quarantine at monotonic time `now`. `hasServed` tells
+ * whether an answer on a segment is known from before the crashes.
  */
 export function findQuarantined(
   evidence: CrashEvidence,
-  hasServed: (segment: string) => boolean,
+  { hasServed, now }: {
+    hasServed: (segment: string) => boolean;
+    now: number;
+  },
 ): ReadonlyMap<string, Quarantine> {
+  const isServed = (segment: string) =>
+    evidence.survivedAt(segment) !== undefined || hasServed(segment);
   const found = new Map(
     recordedOf(evidence).map((one) => [one.segment, one] as const),
   );
@@ -57,8 +71,10 @@
     suspects.every(({ id }) => !found.has(id))
   );
   while (unexplained.length >= MIN_CRASHES) {
-    const [first] = candidatesOf(unexplained, evidence, hasServed)
-      .sort(bySuspicion);
+    const settled = unexplained.filter(({ at }) => at <= now - SETTLE_MS);
+    const first = candidatesOf(unexplained, evidence, isServed)
+      .sort(byCandidacy)
+      .find((one) => !isContested(one, settled, isServed));
     if (!first) break;
     const { segment, crashes, lastCrashAt } = first;
     found.set(segment, { segment, crashes, lastCrashAt });
@@ -107,7 +123,7 @@
 function candidatesOf(
   crashes: readonly CrashReport[],
   evidence: CrashEvidence,
-  hasServed: (segment: string) => boolean,
+  isServed: (segment: string) => boolean,
 ): Candidate[] {
   const counted = new Map<string, { depth: number; calls: CrashedCall[] }>();
   crashes.forEach(({ at, suspects }) =>
@@ -119,14 +135,17 @@
     })
   );
   return [...counted].flatMap(([segment, { depth, calls }]) => {
-    const isServed = evidence.survivedAt(segment) !== undefined ||
-      hasServed(segment);
-    const needed = isServed ? MIN_CRASHES_ONCE_SERVED : MIN_CRASHES;
+    const wasServed = isServed(segment);
+    const needed = wasServed ? MIN_CRASHES_ONCE_SERVED : MIN_CRASHES;
     const lastCrashAt = calls.at(-1)?.crashedAt ?? Number.NEGATIVE_INFINITY;
     const count = countSeparate(calls);
-    return count < needed
-      ? []
-      : [{ segment, depth, isServed, crashes: count, lastCrashAt }];
+    return count < needed ? [] : [{
+      segment,
+      depth,
+      isServed: wasServed,
+      crashes: count,
+      lastCrashAt,
+    }];
   });
 }
 
@@ -147,10 +166,44 @@
 }
 
 /**
- * Orders candidates, the most suspicious first: those on which no answer is
- * known, then those of most crashes, then the most specific segments.
+ * True when a more suspicious segment was in progress at all settled crashes of
+ * a candidate: it may have been at the newer ones too, where its process has not
+ * reported yet. So it is without any settled crash.
+ */
+function isContested(
+  candidate: Candidate,
+  settled: readonly CrashReport[],
+  isServed: (segment: string) => boolean,
+): boolean {
+  const { segment, lastCrashAt } = candidate;
+  const own = settled.filter(({ suspects }) =>
+    suspects.some(({ id }) => id === segment)
+  );
+  const [first, ...others] = own;
+  if (!first) return true;
+  if (own.at(-1)?.at === lastCrashAt) return false;
+  return first.suspects
+    .filter(({ id }) =>
+      others.every(({ suspects }) => suspects.some((one) => one.id === id))
+    )
+    .some(({ id, depth }) =>
+      compareSuspicion(
+        { segment: id, depth, isServed: isServed(id) },
+        candidate,
+      ) < 0
+    );
+}
+
+/**
+ * Orders segments, the most suspicious first: those on which no answer is known,
+ * then the most specific ones.
  */
-function bySuspicion(a: Candidate, b: Candidate): number {
+function compareSuspicion(a: Suspicion, b: Suspicion): number {
+  return Number(a.isServed) - Number(b.isServed) || b.depth - a.depth;
+}
+
+/** The same for candidates, with those of more crashes before specific ones. */
+function byCandidacy(a: Candidate, b: Candidate): number {
   return Number(a.isServed) - Number(b.isServed) || b.crashes - a.crashes ||
     b.depth - a.depth || (a.segment < b.segment ? -1 : 1);
 }
