--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -11,6 +11,7 @@
 import { domainOut } from "./domain_out.ts";
 import type { Experiment } from "./experiment.ts";
 import { listsScale } from "./lists_scale.ts";
+import { notices } from "./notices.ts";
 import { overhead } from "./overhead.ts";
 import { overload } from "./overload.ts";
 import { prefix } from "./prefix.ts";
@@ -27,6 +28,7 @@
   overload,
   shares,
   domainOut,
+  notices,
   overhead,
   prefix,
   silentConnections,
