--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -114,6 +114,7 @@
     return this.#runWithRetries(stage, opts.signal);
   }
 
+  /** Refuses a call on whose content targets have crashed. */
   #admit(
     { requestId }: StageRequest,
     promptParts: readonly string[],
--- a/src/testing/mod.ts
+++ b/src/testing/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers for tests and simulated runs.
+ * Support for tests and simulated runs.
  *
  * @module
  */
