Let only usable heads cancel a handover from a silent target

Cause: Relay.head recorded progress before it looked at the response, so a late refusal (or an answer to another request, or a failure) of a silent target cancelled the handover that its silence had started. The retry budget and the attempts were then spent, and the caller got 502. Change: a head only restarts the watchdog; progress is recorded for heads that the caller can be sent.

--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -36,6 +36,9 @@
 /** Silence after which a stream of the route is looked after, in ms. */
 const SILENCE_MS = 2_000;
 
+/** Time after which the head of the first response is overdue, in ms. */
+const OVERDUE_MS = 800;
+
 const NO_FINDINGS = { survived: () => {}, broke: () => {} };
 
 interface FakeCall {
@@ -182,11 +185,29 @@
 
 function whileSilent(
   body: (setup: Setup) => Promise<void>,
+): () => Promise<void> {
+  return withSetup(async (setup) => {
+    await setup.begin();
+    await body(setup);
+  });
+}
+
+/** Runs `body` once the first target has the request and sent no answer. */
+function whileUnanswered(
+  body: (setup: Setup) => Promise<void>,
+): () => Promise<void> {
+  return withSetup(async (setup) => {
+    await sleep(setup.stageMs + 1);
+    await body(setup);
+  });
+}
+
+function withSetup(
+  body: (setup: Setup) => Promise<void>,
 ): () => Promise<void> {
   return () =>
     withPausedClock(async () => {
       const setup = new Setup();
-      await setup.begin();
       await body(setup);
       await setup.done;
       assert.equal(setup.reserved, 0, "reservations left");
@@ -261,6 +282,36 @@
   }),
 );
 
+test(
+  "a refusal of the silent target does not cancel the handover",
+  whileUnanswered(async (setup) => {
+    await sleep(OVERDUE_MS + 50);
+    setup.call(0).listener.head(REFUSAL);
+    setup.call(0).listener.ended();
+    await sleep(setup.stageMs);
+    assert.equal(setup.calls.length, 2);
+    setup.call(1).listener.head(HEAD);
+    setup.event(1, 1);
+    setup.call(1).listener.ended();
+    assert.equal(setup.text, "begin id: 1 ");
+    assert.equal(setup.retriesLeft, 4);
+  }),
+);
+
+test(
+  "an answer to another request does not cancel the handover",
+  whileUnanswered(async (setup) => {
+    await sleep(OVERDUE_MS + 50);
+    setup.call(0).listener.head({ ...HEAD, isMatching: false });
+    await sleep(setup.stageMs);
+    setup.call(1).listener.head(HEAD);
+    setup.event(1, 1);
+    setup.call(1).listener.ended();
+    assert.equal(setup.text, "begin id: 1 ");
+    assert.equal(setup.retriesLeft, 4);
+  }),
+);
+
 test(
   "a silent call that breaks during the preparation is continued",
   whileSilent(async (setup) => {
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -110,7 +110,7 @@
   onEvent(lastId: string | undefined): void;
   /** Called each time that the target has been silent for `ms`. */
   onSilent(ms: number): void;
-  /** Called when the target goes on after a silence. */
+  /** Called when the target goes on with a usable response after a silence. */
   onProgress(): void;
   /** Called with the time until the first bytes of a response. */
   onFirstBytes(ms: number): void;
@@ -185,7 +185,7 @@
   }
 
   head(head: ResponseHead): void {
-    this.#recordProgress();
+    this.#watchdog?.recordProgress();
     this.#deps.reservation.head(head);
     const isSuccess = head.status >= 200 && head.status < 300;
     if (head.isOtherTarget) {
@@ -207,7 +207,10 @@
         this.#isStream && route.isResumable ? silenceMsOf(route) : undefined,
       );
     }
-    if (head.status < 500) this.#deps.onAccepted();
+    if (head.status < 500) {
+      this.#recordProgress();
+      this.#deps.onAccepted();
+    }
     if (this.#isStream && !this.#deps.isResumed) {
       this.#deps.response.begin(head);
     }
