Keep new work away from targets that say they leave or ask for a pause

Change: the adapter decodes both; an unreadable value is logged and skipped, and no longer hides what else the answer says. A leaving start of a target takes no new work; entries tell each other by a notice. A pause holds for the entry that was asked, for requests, retries, pieces and releases of results.

--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -10,6 +10,7 @@
 import type { ChainClient, StagedInputs } from "./chain_client.ts";
 import type { FirstByteTimes } from "./first_byte_times.ts";
 import type { RateLimits } from "../rates/mod.ts";
+import type { BuildHolder } from "../serving/mod.ts";
 import type { CallerRequest } from "./ports.ts";
 import type { Admitted } from "./relay.ts";
 import type {
@@ -51,7 +52,10 @@
 
 /** Services that prepare attempts. */
 export interface PreparerDeps {
-  readonly tracker: Pick<TargetTracker, "reserve" | "preferredDomain">;
+  readonly tracker: Pick<
+    TargetTracker,
+    "reserve" | "preferredDomain" | "reopensInMs"
+  >;
   readonly chains: Pick<ChainClient, "run">;
   readonly firstByteTimes: FirstByteTimes;
   readonly rates: Pick<RateLimits, "acquire">;
@@ -162,9 +166,18 @@
       reason: choice.sameBuildAs
         ? "no target of the stream's build is open"
         : "no target is open",
-      retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
+      retryAfterMs: this.reopensInMs(choice.sameBuildAs) ??
+        NO_TARGET_RETRY_AFTER_MS,
     });
   }
+
+  /**
+   * Time until a target takes requests again, in milliseconds; undefined when
+   * some do, or when that is not known.
+   */
+  reopensInMs(sameBuildAs?: BuildHolder): number | undefined {
+    return this.#deps.tracker.reopensInMs(this.#admitted.pool, sameBuildAs);
+  }
 }
 
 const NO_INPUTS: StagedInputs = { results: [], release: () => {} };
--- a/src/gateway/chain_runner_test.ts
+++ b/src/gateway/chain_runner_test.ts
@@ -7,7 +7,12 @@
 import type { ChainResponse, StageChain } from "../wire/mod.ts";
 import { ChainRunner } from "./chain_runner.ts";
 import { StageBatcher } from "./stage_batcher.ts";
-import { FakeStageTargets, NO_RATE_LIMITS, stateOf } from "./testing.ts";
+import {
+  FakeStageTargets,
+  NO_PAUSES,
+  NO_RATE_LIMITS,
+  stateOf,
+} from "./testing.ts";
 
 /** Two pools: results of `parts` are small, those of `wholes` are large. */
 const POOLS = [
@@ -46,6 +51,7 @@
     const state = () => fleet;
     const batcher = new StageBatcher({
       rates: NO_RATE_LIMITS,
+      pauses: NO_PAUSES,
       state,
       client: this.targets,
       log: SILENT_LOGGER,
--- a/src/gateway/conclusion.ts
+++ b/src/gateway/conclusion.ts
@@ -65,12 +65,15 @@
     this.#finish("answered", { target });
   }
 
-  /** Sends the final response after the last attempt failed. */
-  failed(end: AttemptEnd): void {
+  /**
+   * Sends the final response after the last attempt failed. `reopensInMs` is
+   * the time until a target takes requests again, if none takes any now.
+   */
+  failed(end: AttemptEnd, reopensInMs = TARGET_FULL_RETRY_AFTER_MS): void {
     if (this.isOver) return;
     if (this.#response.hasBegun) return this.#breakOff(end.kind);
     if (end.kind === "not-run") {
-      return this.abandon("the target refused", TARGET_FULL_RETRY_AFTER_MS);
+      return this.abandon("the target refused", reopensInMs);
     }
     if (end.kind === "error-answer") {
       this.#response.begin(end.head);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -28,7 +28,7 @@
 export interface ExchangeDeps extends PreparerDeps, ConclusionDeps {
   readonly tracker: Pick<
     TargetTracker,
-    "reserve" | "preferredDomain" | "request" | "spendRetry"
+    "reserve" | "preferredDomain" | "reopensInMs" | "request" | "spendRetry"
   >;
   readonly client: Pick<TargetClient, "send">;
   readonly origins: StreamOriginMemory;
@@ -282,13 +282,16 @@
     const mayRetry = end.kind === "not-run" || this.#isRepeatable;
     const hasAttemptLeft = this.#attempts < this.#admitted.route.maxAttempts;
     if (mayRetry && hasAttemptLeft && this.#spendRetry()) return true;
-    this.#conclusion.failed(end);
+    this.#conclusion.failed(end, this.#preparer.reopensInMs(this.#origin));
     return false;
   }
 
   #mayRetryUnsent(detail: string): boolean {
     if (this.#unsentAttempts < MAX_UNSENT_ATTEMPTS) return true;
-    this.#conclusion.abandon(detail, NO_TARGET_RETRY_AFTER_MS);
+    this.#conclusion.abandon(
+      detail,
+      this.#preparer.reopensInMs(this.#origin) ?? NO_TARGET_RETRY_AFTER_MS,
+    );
     return false;
   }
 
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -88,6 +88,7 @@
         tracker: {
           request: () => {},
           preferredDomain: () => undefined,
+          reopensInMs: () => undefined,
           spendRetry: () => this.retriesLeft-- > 0,
           reserve: (_pool, { exclude }) => this.#reserve(exclude),
         },
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -10,6 +10,7 @@
   type BuildHolder,
   FleetState,
   type StateChange,
+  type TargetStart,
 } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import { type SourceError, StatePart, type StateSource } from "./ports.ts";
@@ -141,6 +142,18 @@
     });
   }
 
+  /**
+   * Records that one start of a target leaves; false when that is known. Its
+   * work in hand goes on.
+   */
+  markLeaving(start: TargetStart): boolean {
+    const next = this.#state.withLeaving(start);
+    if (next === this.#state) return false;
+    this.#state = next;
+    this.#listeners.forEach((listener) => listener(next));
+    return true;
+  }
+
   async #follow(part: StatePart, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const isOk = await this.#poll(part, signal);
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -269,10 +269,17 @@
 export interface TargetAnswer {
   readonly target: ListedTarget;
   /**
-   * Requests a second that the target takes from all entries together;
-   * undefined when it names no limit.
+   * Limit of the target on the requests of all entries together, with no `perS`
+   * when it names none; undefined when the limit could not be read.
    */
-  readonly requestsPerS?: number;
+  readonly limit?: { readonly perS?: number };
+  /** True when the target says that it is about to leave. */
+  readonly isLeaving: boolean;
+  /**
+   * Time for which the target wants no request from this process, in
+   * milliseconds.
+   */
+  readonly pauseMs?: number;
   /** Monotonic time at which its request was sent. */
   readonly sentAt: number;
 }
--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -7,7 +7,7 @@
  */
 
 import { monotonicMs, timeoutSignal, Watchdog } from "../kernel/mod.ts";
-import type { RateLimits } from "../rates/mod.ts";
+import type { RateLimits, TargetPauses } from "../rates/mod.ts";
 import {
   addressOf,
   type BatchLimits,
@@ -84,6 +84,7 @@
   readonly #state: () => FleetState;
   readonly #client: TargetClient;
   readonly #rates: Pick<RateLimits, "waitMs" | "spend" | "isLimited">;
+  readonly #pauses: Pick<TargetPauses, "waitMs">;
   readonly #log: Logger;
   readonly #metrics: Metrics;
   readonly #pools = new Map<string, StagePool>();
@@ -94,6 +95,7 @@
       state: () => FleetState;
       client: TargetClient;
       rates: Pick<RateLimits, "waitMs" | "spend" | "isLimited">;
+      pauses: Pick<TargetPauses, "waitMs">;
       log: Logger;
       metrics: Metrics;
     },
@@ -101,6 +103,7 @@
     this.#state = deps.state;
     this.#client = deps.client;
     this.#rates = deps.rates;
+    this.#pauses = deps.pauses;
     this.#log = deps.log;
     this.#metrics = deps.metrics;
   }
@@ -251,9 +254,12 @@
   #refreshTargets(pool: StagePool, now: number): void {
     const usable = this.#state().usable(pool.name, now);
     pool.servers = usable.reduce(
-      (servers, { id }) => {
-        const waitMs = this.#rates.waitMs(id);
-        return waitMs > 0 ? servers.pause(id, now, waitMs) : servers;
+      (servers, target) => {
+        const waitMs = Math.max(
+          this.#rates.waitMs(target.id),
+          this.#pauses.waitMs(target),
+        );
+        return waitMs > 0 ? servers.pause(target.id, now, waitMs) : servers;
       },
       pool.servers.withMembers(usable.map(({ id }) => id)),
     );
@@ -499,8 +505,8 @@
   }
 
   /**
-   * Leaves out results at targets that limit their requests: calls go before
-   * releases there, and the results expire.
+   * Leaves out results at targets that limit their requests or have asked for a
+   * pause: calls go before releases there, and the results expire.
    */
   #withoutLimited(
     pool: StagePool,
@@ -508,7 +514,9 @@
   ): readonly ResultHandle[] {
     const limited = new Set(
       this.#state().usable(pool.name, monotonicMs())
-        .filter(({ id }) => this.#rates.isLimited(id))
+        .filter((target) =>
+          this.#rates.isLimited(target.id) || this.#pauses.waitMs(target) > 0
+        )
         .map(({ address }) => address),
     );
     return results.filter((handle) => !limited.has(addressOf(handle)));
--- a/src/gateway/stage_batcher_test.ts
+++ b/src/gateway/stage_batcher_test.ts
@@ -9,7 +9,7 @@
 import type { PieceOutcome, TargetClient } from "./ports.ts";
 import { StageBatcher } from "./stage_batcher.ts";
 import type { StageOutcome, StageWork } from "./stage_work.ts";
-import { NO_RATE_LIMITS, stateOf } from "./testing.ts";
+import { NO_PAUSES, NO_RATE_LIMITS, stateOf } from "./testing.ts";
 
 /** A call of one piece is expected to take 260 ms and is slow after 520 ms. */
 const POOL = batchPool("parts", { callMs: 240, pieceMs: 20 });
@@ -45,6 +45,7 @@
   };
   const batcher = new StageBatcher({
     rates: NO_RATE_LIMITS,
+    pauses: NO_PAUSES,
     state: () => state,
     client,
     log: SILENT_LOGGER,
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -14,7 +14,7 @@
 } from "../kernel/mod.ts";
 import { CrashWatch, QuarantineRecorder } from "../crashes/mod.ts";
 import { NoticeBoard } from "../notices/mod.ts";
-import { RateLimits } from "../rates/mod.ts";
+import { RateLimits, TargetPauses } from "../rates/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
 import { type Logger, Metrics, monitorStalls } from "../telemetry/mod.ts";
 import { StreamOriginService } from "../origins/mod.ts";
@@ -27,6 +27,7 @@
 import { Gateway } from "./gateway.ts";
 import { HttpFront, type ListenAddress } from "./http_front.ts";
 import { FirstByteTimes } from "./first_byte_times.ts";
+import { LeavingTargets } from "./leaving_targets.ts";
 import { Peers } from "./peers.ts";
 import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
 import { StageBatcher } from "./stage_batcher.ts";
@@ -107,13 +108,18 @@
     log,
     metrics,
   });
-  targets.onAnswer(({ target, requestsPerS, sentAt }) =>
-    rates.observe({ target: target.id, perS: requestsPerS, sentAt })
-  );
+  const pauses = new TargetPauses({ log, metrics });
+  const leaving = new LeavingTargets({ view, notices: board, log, metrics });
+  targets.onAnswer(({ target, limit, isLeaving, pauseMs = 0, sentAt }) => {
+    if (limit) rates.observe({ target: target.id, ...limit, sentAt });
+    if (isLeaving) leaving.observe(target);
+    if (pauseMs > 0) pauses.pause(target, pauseMs);
+  });
   const batcher = new StageBatcher({
     state,
     client: targets,
     rates,
+    pauses,
     log,
     metrics,
   });
@@ -125,6 +131,7 @@
     self: cfg.self,
     repeats: cfg.repeats,
     rates,
+    pauses,
   });
   const recorder = new BuildRecorder({
     view,
--- a/src/gateway/target_tracker.ts
+++ b/src/gateway/target_tracker.ts
@@ -24,7 +24,7 @@
   RetryShare,
   type ServingCandidate,
 } from "../serving/mod.ts";
-import type { RateLimits } from "../rates/mod.ts";
+import type { RateLimits, TargetPauses } from "../rates/mod.ts";
 import type { ResponseHead } from "./ports.ts";
 
 /** Budget of the retries of a pool's requests, for the whole fleet. */
@@ -90,7 +90,8 @@
   readonly #processes: () => readonly string[];
   readonly #self: { readonly name: string; readonly failureDomain: string };
   readonly #retryBudget: RetryBudget;
-  readonly #rates: Pick<RateLimits, "isOpen">;
+  readonly #rates: Pick<RateLimits, "isOpen" | "expectedWaitMs">;
+  readonly #pauses: Pick<TargetPauses, "waitMs">;
   readonly #records = new Map<string, TargetRecord>();
   readonly #health = new Map<string, PoolHealth>();
   readonly #retryShares = new Map<string, RetryShare>();
@@ -101,7 +102,8 @@
       processes: () => readonly string[];
       self: { readonly name: string; readonly failureDomain: string };
       repeats: RetryBudget;
-      rates: Pick<RateLimits, "isOpen">;
+      rates: Pick<RateLimits, "isOpen" | "expectedWaitMs">;
+      pauses: Pick<TargetPauses, "waitMs">;
     },
   ) {
     this.#state = deps.state;
@@ -109,6 +111,7 @@
     this.#self = deps.self;
     this.#retryBudget = deps.repeats;
     this.#rates = deps.rates;
+    this.#pauses = deps.pauses;
   }
 
   /** Records a request for a pool; the retry budget is a ratio of these. */
@@ -151,6 +154,23 @@
     return this.#reserve(pool, target, now);
   }
 
+  /**
+   * Time until a target of a pool takes requests again, in milliseconds, when
+   * all of them limit their requests or have asked for a pause; otherwise
+   * undefined.
+   */
+  reopensInMs(pool: Pool, sameBuildAs?: BuildHolder): number | undefined {
+    const usable = this.#state().usable(pool.name, monotonicMs());
+    const waits = ofBuild(usable, sameBuildAs).map((target) =>
+      Math.max(
+        this.#rates.expectedWaitMs(target.id),
+        this.#pauses.waitMs(target),
+      )
+    );
+    const ms = Math.min(...waits);
+    return Number.isFinite(ms) && ms > 0 ? Math.ceil(ms) : undefined;
+  }
+
   /** Failure domain of the target that a prompt prefix currently prefers. */
   preferredDomain(
     pool: Pool,
@@ -205,6 +225,7 @@
         weight: health ? weightOf(health, target.id, now) : 1,
         isOpen: record.own < this.#maxConnections(pool) &&
           this.#rates.isOpen(target.id) &&
+          this.#pauses.waitMs(target) === 0 &&
           this.#coldShare(pool, target, now) !== undefined,
       },
     };
--- a/src/gateway/target_tracker_test.ts
+++ b/src/gateway/target_tracker_test.ts
@@ -4,7 +4,7 @@
 import { pool, targetChange } from "../serving/testing.ts";
 import { withPausedClock } from "../testing/mod.ts";
 import { TargetTracker } from "./target_tracker.ts";
-import { stateOf } from "./testing.ts";
+import { NO_PAUSES, stateOf } from "./testing.ts";
 
 const POOL = pool("plain");
 const RESERVATIONS = 40;
@@ -18,7 +18,8 @@
     ),
   );
   return new TargetTracker({
-    rates: { isOpen: () => true },
+    rates: { isOpen: () => true, expectedWaitMs: () => 0 },
+    pauses: NO_PAUSES,
     state: () => state,
     processes: () => ["gateway"],
     self: { name: "gateway", failureDomain: "d1" },
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -170,6 +170,9 @@
   return new FleetState().apply(changes, 0);
 }
 
+/** Pauses of targets that have asked for none. */
+export const NO_PAUSES = { waitMs: () => 0 };
+
 /** Limits of targets that name none. */
 export const NO_RATE_LIMITS = {
   waitMs: () => 0,
--- a/src/rates/mod.ts
+++ b/src/rates/mod.ts
@@ -8,3 +8,4 @@
 export * from "./known_limits.ts";
 export * from "./ports.ts";
 export * from "./rate_limits.ts";
+export * from "./target_pauses.ts";
--- a/src/rates/rate_limits.ts
+++ b/src/rates/rate_limits.ts
@@ -61,6 +61,8 @@
   share: RequestBucket;
   /** Monotonic time until which no permit is asked for. */
   closedUntil: number;
+  /** Monotonic time at which the next permit is expected. */
+  expectedAt: number;
 }
 
 /** Limits of targets and permits under them. */
@@ -108,6 +110,17 @@
       this.#limits.perSOf(target, now) === undefined;
   }
 
+  /**
+   * Time until the target is expected to take a request of this process, in
+   * milliseconds.
+   */
+  expectedWaitMs(target: string): number {
+    const now = monotonicMs();
+    if (this.#limits.perSOf(target, now) === undefined) return 0;
+    const expectedAt = this.#rates.get(target)?.expectedAt ?? 0;
+    return Math.max(0, expectedAt - now);
+  }
+
   /** Takes a permit for one request; false when there is none now. */
   async acquire(target: string): Promise<boolean> {
     const perS = this.#limits.perSOf(target, monotonicMs());
@@ -276,7 +289,10 @@
 
   #close(target: string, perS: number, waitMs: number): void {
     const ms = Math.min(MAX_CLOSED_MS, Math.max(MIN_CLOSED_MS, waitMs));
-    this.#rate(target, perS).closedUntil = monotonicMs() + ms;
+    const now = monotonicMs();
+    const rate = this.#rate(target, perS);
+    rate.closedUntil = now + ms;
+    rate.expectedAt = now + Math.max(MIN_CLOSED_MS, waitMs);
   }
 
   /** The limit as known here; as the asking peer knows it when there is none. */
@@ -292,6 +308,7 @@
       bucket: new RequestBucket(Math.min(1, perS), now),
       share: new RequestBucket(0, now),
       closedUntil: 0,
+      expectedAt: 0,
     };
     this.#discardEnded(now);
     this.#rates.set(target, created);
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -15,6 +15,7 @@
   type PoolBuild,
   type RecordedQuarantine,
   type StateChange,
+  type TargetStart,
   TargetState,
 } from "./state_change.ts";
 
@@ -33,6 +34,9 @@
 /** Time in ms for which a lapsed target stays in use once the store is back. */
 export const LAPSE_GRACE_MS = 2_000;
 
+/** Maximum number of leaving targets; those known longest are discarded. */
+const MAX_LEAVING = 4_096;
+
 interface FleetRecords {
   readonly catalog: { readonly version: number; readonly value?: Catalog };
   readonly targets: ReadonlyMap<string, TargetRecord>;
@@ -51,6 +55,8 @@
     string,
     { readonly version: number; readonly crashes?: number }
   >;
+  /** Starts of targets that leave, by target; the newest last. */
+  readonly leaving: ReadonlyMap<string, TargetStart>;
 }
 
 const EMPTY: FleetRecords = {
@@ -61,6 +67,7 @@
   domainRestoredAt: new Map(),
   builds: new BuildHistory(),
   quarantines: new Map(),
+  leaving: new Map(),
 };
 
 /** View of the fleet. Immutable. */
@@ -117,6 +124,23 @@
     return records === this.#records ? this : new FleetState(records);
   }
 
+  /** Returns the state in which one start of a target leaves. */
+  withLeaving(start: TargetStart): FleetState {
+    if (this.isLeaving(start)) return this;
+    const leaving = new Map(this.#records.leaving);
+    leaving.delete(start.id);
+    leaving.set(start.id, start);
+    [...leaving.keys()].slice(0, Math.max(0, leaving.size - MAX_LEAVING))
+      .forEach((id) => leaving.delete(id));
+    return new FleetState({ ...this.#records, leaving });
+  }
+
+  /** True when this start of a target has said that it leaves. */
+  isLeaving({ id, bornMs }: TargetStart): boolean {
+    const start = this.#records.leaving.get(id);
+    return start !== undefined && start.bornMs === bornMs;
+  }
+
   /** Returns the changes that lead from an empty state to this one. */
   changes(): StateChange[] {
     const { catalog, targets, domains, peers, builds, quarantines } =
@@ -191,7 +215,8 @@
     return [...this.#records.targets.values()]
       .filter((record) => isUsable(record, now))
       .flatMap(({ target }) => target?.pool === pool ? [target] : [])
-      .filter(({ failureDomain }) => !this.isOut(failureDomain));
+      .filter(({ failureDomain }) => !this.isOut(failureDomain))
+      .filter((target) => !this.isLeaving(target));
   }
 
   /**
@@ -267,6 +292,7 @@
         ...records,
         targets: new Map(records.targets)
           .set(change.id, nextRecord(before, change, now)),
+        leaving: leavingAfter(records.leaving, change),
         builds: buildsAfter(records.builds, before?.target, now),
       };
     }
@@ -299,6 +325,23 @@
   }
 }
 
+/**
+ * Returns the leaving targets after a change. A removed target that reports no
+ * time of its start can't be told from its next start, so it is forgotten.
+ */
+function leavingAfter(
+  leaving: ReadonlyMap<string, TargetStart>,
+  { id, target, hasLapsed }: Extract<StateChange, { kind: "target" }>,
+): ReadonlyMap<string, TargetStart> {
+  const start = leaving.get(id);
+  const isForgotten = start && start.bornMs === undefined && !target &&
+    !hasLapsed;
+  if (!isForgotten) return leaving;
+  const remaining = new Map(leaving);
+  remaining.delete(id);
+  return remaining;
+}
+
 /** Returns the builds once a row shows a target no longer as it was before. */
 function buildsAfter(
   builds: BuildHistory,
--- a/src/serving/fleet_state_test.ts
+++ b/src/serving/fleet_state_test.ts
@@ -201,3 +201,40 @@
   const left = state.apply([{ kind: "target", version: 3, id: "b" }], 0);
   assert.deepEqual(left.buildsOf("plain", 0), ["v1"]);
 });
+
+test("FleetState.withLeaving() keeps one start of a target from new work", () => {
+  const listed = (version: number, bornMs?: number) =>
+    targetChange("a", version, { bornMs });
+  const leaving = new FleetState().apply([listed(1, 7)], 0)
+    .withLeaving({ id: "a", bornMs: 7 });
+  assert.deepEqual(ids(leaving, 0), []);
+  assert.deepEqual(ids(leaving.apply([listed(2, 7)], 0), 0), []);
+  assert.deepEqual(ids(leaving.apply([listed(2, 8)], 0), 0), ["a"]);
+});
+
+test("FleetState.withLeaving() works before the target is listed", () => {
+  const leaving = new FleetState().withLeaving({ id: "a", bornMs: 7 });
+  const listed = leaving.apply([targetChange("a", 1, { bornMs: 7 })], 0);
+  assert.deepEqual(ids(listed, 0), []);
+});
+
+test("a target without a known start takes work once its row was removed", () => {
+  const removed: StateChange = { kind: "target", version: 2, id: "a" };
+  const leaving = new FleetState().apply([targetChange("a", 1)], 0)
+    .withLeaving({ id: "a" });
+  const back = targetChange("a", 3);
+  assert.deepEqual(ids(leaving.apply([removed, back], 0), 0), ["a"]);
+  const lapsed = { ...removed, hasLapsed: true };
+  assert.deepEqual(ids(leaving.apply([lapsed, back], 0), 0), []);
+});
+
+test("FleetState keeps a bounded number of leaving targets", () => {
+  const names = Array.from({ length: 10_000 }, (_, i) => `t${i}`);
+  const state = names.reduce(
+    (state, id) => state.withLeaving({ id }),
+    new FleetState(),
+  );
+  const kept = names.filter((id) => state.isLeaving({ id }));
+  assert.ok(kept.length <= 4_096);
+  assert.ok(kept.includes("t9999"));
+});
--- a/src/serving/state_change.ts
+++ b/src/serving/state_change.ts
@@ -11,6 +11,13 @@
 export const TargetState = { Ready: "ready", Draining: "draining" } as const;
 export type TargetState = typeof TargetState[keyof typeof TargetState];
 
+/** One start of a target. */
+export interface TargetStart {
+  readonly id: string;
+  /** Unix time of the start in milliseconds; undefined when not reported. */
+  readonly bornMs?: number;
+}
+
 /** Target as listed in the store. */
 export interface ListedTarget {
   readonly id: string;
--- a/src/wire/notices.ts
+++ b/src/wire/notices.ts
@@ -45,6 +45,14 @@
     perS: z.number().nonnegative().optional(),
     ageMs: ageSchema,
   }),
+  /** A target has said that it leaves. */
+  z.object({
+    kind: z.literal("target-leaving"),
+    target: idSchema,
+    /** Unix time of its start in milliseconds; absent if not reported. */
+    bornMs: z.number().optional(),
+    ageMs: ageSchema,
+  }),
   /** A request was sent to test whether a segment still crashes targets. */
   z.object({
     kind: z.literal("segment-probed"),
