Keep what was acted on when the store returns from an older copy

Cause: versions of the store were trusted for ever. After a restoration they go back and are given out again, so newer changes were dropped as older, rows of the copy took hold again, and this system's own rows stayed lost. Change: a version is ordered by the era of the store, then by its number; the adapter decodes the era and reports a restoration. After one, a configuration older than the known one, reports of targets that have drained or gone, and ended quarantines are not taken back; what the copy lacks stays known until operator and targets had the time to write it again. Registrations and records of builds and quarantines are written again. The time at which a failure domain returned is kept only for domains that were out. Open: entries of an older build, beside new ones during a restoration, compare versions without eras.

--- a/src/gateway/build_recorder.ts
+++ b/src/gateway/build_recorder.ts
@@ -99,7 +99,7 @@
   #missing(): readonly PoolBuild[] {
     const { view } = this.#deps;
     const hasRead = view.versionOf(StatePart.Peers) > 0;
-    return hasRead ? view.state.unrecordedBuilds : [];
+    return hasRead ? view.unrecordedBuilds : [];
   }
 
   /** Time that other entries have to record a build first, in milliseconds. */
--- a/src/gateway/build_recorder_test.ts
+++ b/src/gateway/build_recorder_test.ts
@@ -116,7 +116,7 @@
     records.isRefusing = false;
     await sleep(MINUTE_MS);
     assert.equal(records.writes.length, refused + 1);
-    assert.deepEqual(records.views[0]?.state.unrecordedBuilds, []);
+    assert.deepEqual(records.views[0]?.state.unrecordedBuilds(), []);
     abort.abort();
   }, { seed: 2 }));
 
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -8,7 +8,10 @@
 import { monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
 import {
   type BuildHolder,
+  eraOf,
   FleetState,
+  type PoolBuild,
+  type RecordedQuarantine,
   type StateChange,
   type TargetStart,
 } from "../serving/mod.ts";
@@ -37,6 +40,15 @@
 const RETRY_PAUSE_MS = 300;
 /** Time without a response after which an entry is cut off from the store. */
 export const STORE_SILENCE_MS = 1_500;
+/**
+ * Time after a restoration of the store at which what it still does not list is
+ * dropped, in milliseconds: operators and targets first write again what it has
+ * lost. Targets report within two seconds; operators may take longer.
+ */
+const RESTORED_REVIEW_MS: Readonly<Partial<Record<StatePart, number>>> = {
+  [StatePart.Configuration]: 10_000,
+  [StatePart.Targets]: 3_000,
+};
 /**
  * Time after the last failed call to the store within which a removed target
  * counts as lapsed, in milliseconds: the store removes targets after three
@@ -61,6 +73,8 @@
    * may have lost the same changes.
    */
   readonly #needSnapshot = new Set<StatePart>(Object.values(StatePart));
+  /** Monotonic times at which a restored store is to be read again, by part. */
+  readonly #reviewAt = new Map<StatePart, number>();
   readonly #listeners = new Set<(state: FleetState) => void>();
   /** Monotonic time of the last response of the store. */
   #lastResponseAt = Number.NEGATIVE_INFINITY;
@@ -86,6 +100,26 @@
     return this.#versions.get(part) ?? 0;
   }
 
+  /** Builds that the store holds no record of. */
+  get unrecordedBuilds(): readonly PoolBuild[] {
+    return this.#state.unrecordedBuilds(this.ownRowsEra);
+  }
+
+  /** Segments of prompts that the store lists as in quarantine. */
+  get listedQuarantines(): readonly RecordedQuarantine[] {
+    return this.#state.listedQuarantines(this.ownRowsEra);
+  }
+
+  /** True while the store lists an entry as registered. */
+  isRegistered(name: string): boolean {
+    return this.#state.isRegistered(name, this.ownRowsEra);
+  }
+
+  /** Era of the store from which the rows of this system were read. */
+  get ownRowsEra(): number {
+    return eraOf(this.versionOf(StatePart.Peers));
+  }
+
   /** Time since the last response of the store, in milliseconds. */
   get storeAgeMs(): number {
     return monotonicMs() - this.#lastResponseAt;
@@ -136,9 +170,12 @@
     this.#targetsReadAt = Math.max(this.#targetsReadAt, targetsReadAt);
     Object.values(StatePart).forEach((part) => {
       const version = versions[part];
-      if (version !== undefined && version > this.versionOf(part)) {
-        this.#versions.set(part, version);
+      const known = this.versionOf(part);
+      if (version === undefined || version <= known) return;
+      if (known > 0 && eraOf(version) > eraOf(known)) {
+        this.#recordRestored(part, eraOf(version), "peer");
       }
+      this.#versions.set(part, version);
     });
   }
 
@@ -164,6 +201,9 @@
 
   /** Makes one call to the store; false when it failed. */
   async #poll(part: StatePart, signal: AbortSignal): Promise<boolean> {
+    if (monotonicMs() >= (this.#reviewAt.get(part) ?? Infinity)) {
+      this.#needSnapshot.add(part);
+    }
     const isSnapshot = this.#needSnapshot.has(part);
     const after = this.versionOf(part);
     const { waitMs } = FOLLOW_SPECS[part];
@@ -188,6 +228,11 @@
 
   #handleError(part: StatePart, error: SourceError): boolean {
     this.#metrics.count("store_failures_total", { kind: error.kind });
+    if (error.kind === "restored") {
+      this.#recordResponse();
+      this.#recordRestored(part, error.era, "store");
+      return true;
+    }
     if (error.kind === "history-lost") {
       this.#log.warn("store_history_lost", { part });
       this.#recordResponse();
@@ -202,6 +247,19 @@
     return false;
   }
 
+  /**
+   * Records that the store has returned from a copy. What it has lost stays
+   * known here until it was written again, or had the time to be.
+   */
+  #recordRestored(part: StatePart, era: number, from: string): void {
+    this.#log.warn("store_restored", { part, era, from });
+    this.#metrics.count("store_restored_total", { part });
+    this.#needSnapshot.add(part);
+    const reviewMs = RESTORED_REVIEW_MS[part];
+    if (reviewMs === undefined) return;
+    this.#reviewAt.set(part, monotonicMs() + reviewMs);
+  }
+
   #recordResponse(): void {
     this.#lastResponseAt = monotonicMs();
     if (!this.#isStoreLost) return;
@@ -217,7 +275,11 @@
     part: StatePart,
     read: { changes: readonly StateChange[]; version: number },
   ): readonly StateChange[] {
-    if (part === StatePart.Peers) return read.changes;
+    if (part === StatePart.Peers || this.#awaitsRewrites(part)) {
+      return read.changes;
+    }
+    // After a restoration the targets have had the time to report again.
+    const hasLapsed = this.#reviewAt.delete(part) ? false : undefined;
     const { version } = read;
     const present = new Set(read.changes.map(keyOf));
     const gone = this.#state.changes()
@@ -229,14 +291,20 @@
       .filter((change) => !present.has(keyOf(change)))
       .map((change): StateChange =>
         change.kind === "target"
-          ? { kind: "target", version, id: change.id }
+          ? { kind: "target", version, id: change.id, hasLapsed }
           : { ...change, version, isOut: false } as StateChange
       );
     return [...read.changes, ...gone];
   }
 
+  /** True while a restored store may lack rows that are still to be written. */
+  #awaitsRewrites(part: StatePart): boolean {
+    return monotonicMs() < (this.#reviewAt.get(part) ?? 0);
+  }
+
   #withLapse(change: StateChange): StateChange {
     if (change.kind !== "target" || change.target) return change;
+    if (change.hasLapsed !== undefined) return change;
     const sinceMs = monotonicMs() - this.#failedAt;
     return { ...change, hasLapsed: sinceMs < LAPSE_WINDOW_MS };
   }
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -218,7 +218,7 @@
       ? this.#view.state.changes()
         .filter((change) => change.version > (versions[partOf(change)] ?? 0))
       : [];
-    const unrecorded = this.#view.state.unrecordedBuilds
+    const unrecorded = this.#view.unrecordedBuilds
       .map((one) => ({ kind: "build", version: UNRECORDED, ...one }) as const);
     return {
       changes: [...changes, ...unrecorded],
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -33,7 +33,9 @@
 export type SourceError =
   | { readonly kind: "unreachable"; readonly detail: string }
   /** The store no longer holds the changes since the requested version. */
-  | { readonly kind: "history-lost" };
+  | { readonly kind: "history-lost" }
+  /** The store has returned from a copy: its versions are of a new era. */
+  | { readonly kind: "restored"; readonly era: number };
 
 /** Changes up to a version of the store. */
 export interface StateRead {
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -5,13 +5,7 @@
  */
 
 import { createServer, type Server } from "node:http";
-import {
-  Kernel,
-  service,
-  serviceKey,
-  sleep,
-  timeoutSignal,
-} from "../kernel/mod.ts";
+import { Kernel, service, serviceKey, sleep } from "../kernel/mod.ts";
 import { CrashWatch, QuarantineRecorder } from "../crashes/mod.ts";
 import { NoticeBoard } from "../notices/mod.ts";
 import { RateLimits, TargetPauses } from "../rates/mod.ts";
@@ -30,6 +24,7 @@
 import { LeavingTargets } from "./leaving_targets.ts";
 import { Peers } from "./peers.ts";
 import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
+import { Registration } from "./registration.ts";
 import { StageBatcher } from "./stage_batcher.ts";
 import { originFleet } from "./stream_binding.ts";
 import { type RetryBudget, TargetTracker } from "./target_tracker.ts";
@@ -55,15 +50,6 @@
   readonly codec: CallerCodec;
 }
 
-/**
- * Time after the start at which a process registers, in milliseconds: by then
- * the store and the peers have responded.
- */
-const REGISTER_AFTER_MS = 700;
-/** Pause between attempts to register with the store, in milliseconds. */
-const REGISTER_RETRY_MS = 1_000;
-/** Longest wait for the response to a registration, in milliseconds. */
-const REGISTER_TIMEOUT_MS = 1_500;
 /**
  * Time for which a leaving process still accepts requests, in milliseconds: the
  * load balancer checks once a second and removes a process after two failed
@@ -163,13 +149,20 @@
   });
   const quarantines = new QuarantineRecorder({
     watch: crashes,
-    listed: () => view.state.quarantines,
+    listed: () => view.listedQuarantines,
     write: async (changes, signal) =>
       (await source.recordQuarantines(changes, signal)).isOk(),
     self: cfg.self.name,
     processes: () => peers.processNames,
     log,
   });
+  const registration = new Registration({
+    source,
+    self: cfg.self,
+    peers,
+    view,
+    log,
+  });
   const gateway = new Gateway({
     view,
     peers,
@@ -228,7 +221,7 @@
         );
         peers.run(signal);
         origins.run(signal);
-        register(source, cfg.self, { peers, log, signal });
+        registration.run(signal);
         recorder.run(signal);
         quarantines.run(signal);
         return peers;
@@ -286,28 +279,6 @@
   ]);
 }
 
-/**
- * Registers this process for its peers, retrying until the store accepts it.
- */
-async function register(
-  source: StateSource,
-  self: ListedPeer,
-  opts: { peers: Peers; log: Logger; signal: AbortSignal },
-): Promise<void> {
-  const { peers, log, signal } = opts;
-  await sleep(REGISTER_AFTER_MS, signal);
-  while (!signal.aborted) {
-    if (peers.mayKeepRegistration) {
-      return log.info("registered", { name: self.name, kept: true });
-    }
-    const timeout = timeoutSignal(REGISTER_TIMEOUT_MS, signal);
-    const registration = await source.register(self, timeout);
-    if (registration.isOk()) return log.info("registered", { name: self.name });
-    log.warn("register_failed", { reason: registration.error.kind });
-    await sleep(REGISTER_RETRY_MS, signal);
-  }
-}
-
 /** Listens until `signal` aborts. */
 function listen(
   server: Server,
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -9,6 +9,7 @@
 
 import { BuildHistory, UNRECORDED } from "./builds.ts";
 import { Catalog } from "./catalog.ts";
+import { eraOf, numberOf } from "./store_version.ts";
 import {
   type ListedPeer,
   type ListedTarget,
@@ -29,6 +30,8 @@
   readonly coldUntil: number;
   /** Monotonic time until which a lapsed target stays in use. */
   readonly lapsesAt?: number;
+  /** Newest report of its latest start, also once it is removed. */
+  readonly lastReport?: { readonly bornMs: number; readonly report: number };
 }
 
 /** Time in ms for which a lapsed target stays in use once the store is back. */
@@ -37,6 +40,14 @@
 /** Maximum number of leaving targets; those known longest are discarded. */
 const MAX_LEAVING = 4_096;
 
+interface QuarantineRecord {
+  readonly version: number;
+  /** Undefined once the quarantine has ended. */
+  readonly crashes?: number;
+  /** What the row of an ended quarantine says in a restored store. */
+  readonly staleCrashes?: number;
+}
+
 interface FleetRecords {
   readonly catalog: { readonly version: number; readonly value?: Catalog };
   readonly targets: ReadonlyMap<string, TargetRecord>;
@@ -51,10 +62,7 @@
   /** Monotonic times at which failure domains returned to service. */
   readonly domainRestoredAt: ReadonlyMap<string, number>;
   readonly builds: BuildHistory;
-  readonly quarantines: ReadonlyMap<
-    string,
-    { readonly version: number; readonly crashes?: number }
-  >;
+  readonly quarantines: ReadonlyMap<string, QuarantineRecord>;
   /** Starts of targets that leave, by target; the newest last. */
   readonly leaving: ReadonlyMap<string, TargetStart>;
 }
@@ -91,25 +99,43 @@
    * of their registrations; one that restarts moves to the end.
    */
   get peers(): readonly ListedPeer[] {
+    // A restored store keeps the numbers of the registrations in its copy.
     return [...this.#records.peers.values()]
-      .sort((a, b) => a.version - b.version)
+      .sort((a, b) => numberOf(a.version) - numberOf(b.version))
       .flatMap(({ peer }) => peer ? [peer] : []);
   }
 
   /** Versions of the registrations by entry; a restart changes its version. */
   get registrations(): ReadonlyMap<string, number> {
     return new Map(
-      [...this.#records.peers].map(([name, { version }]) => [name, version]),
+      [...this.#records.peers]
+        .map(([name, { version }]) => [name, numberOf(version)]),
     );
   }
 
-  /** Segments of prompts that the store lists as kept away from targets. */
+  /** True when an entry is registered in a store of this or a later era. */
+  isRegistered(name: string, era: number): boolean {
+    const record = this.#records.peers.get(name);
+    return record?.peer !== undefined && eraOf(record.version) >= era;
+  }
+
+  /** Segments of prompts that are kept away from targets. */
   get quarantines(): readonly RecordedQuarantine[] {
     return [...this.#records.quarantines].flatMap(([segment, { crashes }]) =>
       crashes === undefined ? [] : [{ segment, crashes }]
     );
   }
 
+  /** Segments that have a row in a store of the given era. */
+  listedQuarantines(era: number): readonly RecordedQuarantine[] {
+    return [...this.#records.quarantines].flatMap(([segment, record]) => {
+      const crashes = record.crashes ?? record.staleCrashes;
+      return crashes === undefined || eraOf(record.version) < era
+        ? []
+        : [{ segment, crashes }];
+    });
+  }
+
   /** Returns the state after changes received at monotonic time `now`. */
   apply(changes: readonly StateChange[], now: number): FleetState {
     const records = changes.reduce(
@@ -175,20 +201,25 @@
         ({ kind: "peer", version, name, peer }) satisfies StateChange
       ),
       ...builds.all.map((one) => ({ kind: "build", ...one }) as const),
-      ...[...quarantines].map(([segment, one]) =>
-        ({ kind: "quarantine", segment, ...one }) satisfies StateChange
+      ...[...quarantines].map(([segment, { version, crashes }]) =>
+        ({
+          kind: "quarantine",
+          version,
+          segment,
+          crashes,
+        }) satisfies StateChange
       ),
     ];
   }
 
   /**
-   * Returns the builds of pools of resumable streams that the store holds no
-   * record of.
+   * Returns the builds of pools of resumable streams that a store of the given
+   * era holds no record of.
    */
-  get unrecordedBuilds(): readonly PoolBuild[] {
+  unrecordedBuilds(era = 0): readonly PoolBuild[] {
     const pools = this.catalog?.resumablePools;
     return this.#records.builds.all
-      .filter(({ version }) => version === UNRECORDED)
+      .filter(({ version }) => version === UNRECORDED || eraOf(version) < era)
       .flatMap(({ pool, build }) => pools?.has(pool) ? [{ pool, build }] : []);
   }
 
@@ -282,12 +313,14 @@
   const { version } = change;
   switch (change.kind) {
     case "catalog":
+      if (isOlderCatalog(records.catalog, change)) return records;
       return {
         ...records,
         catalog: { version, value: new Catalog(change.catalog) },
       };
     case "target": {
       const before = records.targets.get(change.id);
+      if (before && isOldReport(before, change)) return records;
       return {
         ...records,
         targets: new Map(records.targets)
@@ -301,9 +334,9 @@
         ...records,
         domains: new Map(records.domains)
           .set(change.failureDomain, { version, isOut: change.isOut }),
-        domainRestoredAt: change.isOut
-          ? records.domainRestoredAt
-          : new Map(records.domainRestoredAt).set(change.failureDomain, now),
+        domainRestoredAt: isRestoredDomain(records, change)
+          ? new Map(records.domainRestoredAt).set(change.failureDomain, now)
+          : records.domainRestoredAt,
       };
     case "peer":
       return {
@@ -320,11 +353,68 @@
       return {
         ...records,
         quarantines: new Map(records.quarantines)
-          .set(change.segment, { version, crashes: change.crashes }),
+          .set(change.segment, nextQuarantine(records, change)),
       };
   }
 }
 
+/** True when a failure domain that was out returns to service. */
+function isRestoredDomain(
+  { domains }: FleetRecords,
+  { failureDomain, isOut }: Extract<StateChange, { kind: "domain" }>,
+): boolean {
+  return !isOut && domains.get(failureDomain)?.isOut === true;
+}
+
+/**
+ * True when a restored store brings a catalog that is older than the known one.
+ * The known one stays in force until the operator has written it again.
+ */
+function isOlderCatalog(
+  { version, value }: FleetRecords["catalog"],
+  change: Extract<StateChange, { kind: "catalog" }>,
+): boolean {
+  return value !== undefined && eraOf(change.version) > eraOf(version) &&
+    change.catalog.version < value.spec.version;
+}
+
+/**
+ * True when a restored store brings a report of a target that is no newer than
+ * what is known of the same start, and would give it work that it no longer
+ * takes.
+ */
+function isOldReport(
+  before: TargetRecord,
+  { version, target }: Extract<StateChange, { kind: "target" }>,
+): boolean {
+  if (eraOf(version) <= eraOf(before.version)) return false;
+  if (target?.state !== TargetState.Ready || isTakingWork(before)) return false;
+  const { lastReport } = before;
+  const isSameStart = target.bornMs !== undefined &&
+    target.bornMs === lastReport?.bornMs;
+  if (!isSameStart || target.report === undefined) return false;
+  // A last report may have been removed before it was read.
+  return target.report <= lastReport.report + 1;
+}
+
+function isTakingWork({ target, lapsesAt }: TargetRecord): boolean {
+  return target?.state === TargetState.Ready && lapsesAt === undefined;
+}
+
+/**
+ * Returns the record of a quarantine. One that has ended does not begin again
+ * because a restored store still holds its row.
+ */
+function nextQuarantine(
+  { quarantines }: FleetRecords,
+  { segment, version, crashes }: Extract<StateChange, { kind: "quarantine" }>,
+): QuarantineRecord {
+  const before = quarantines.get(segment);
+  const isStale = before !== undefined && before.crashes === undefined &&
+    eraOf(version) > eraOf(before.version);
+  return isStale ? { version, staleCrashes: crashes } : { version, crashes };
+}
+
 /**
  * Returns the leaving targets after a change. A removed target that reports no
  * time of its start can't be told from its next start, so it is forgotten.
@@ -368,6 +458,7 @@
       coldUntil: isSameStart
         ? Math.max(before?.coldUntil ?? 0, coldUntil)
         : coldUntil,
+      lastReport: lastReportOf(target),
     };
   }
   const wasReady = before?.target?.state === TargetState.Ready;
@@ -377,5 +468,14 @@
     receivedAt: now,
     coldUntil: 0,
     lapsesAt: change.hasLapsed && wasReady ? now + LAPSE_GRACE_MS : undefined,
+    lastReport: before?.lastReport,
   };
 }
+
+function lastReportOf(
+  { bornMs, report }: ListedTarget,
+): TargetRecord["lastReport"] {
+  return bornMs === undefined || report === undefined
+    ? undefined
+    : { bornMs, report };
+}
--- a/src/serving/fleet_state_test.ts
+++ b/src/serving/fleet_state_test.ts
@@ -163,7 +163,7 @@
         .filter((build) => !recorded.has(build));
       const state = new FleetState().apply([RESUMABLE, ...changes], 0);
       assert.deepEqual(
-        new Set(state.unrecordedBuilds.map(({ build }) => build)),
+        new Set(state.unrecordedBuilds().map(({ build }) => build)),
         new Set(expected),
       );
     },
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -20,6 +20,7 @@
 export * from "./route_history.ts";
 export * from "./shares.ts";
 export * from "./state_change.ts";
+export * from "./store_version.ts";
 export * from "./stage_plan.ts";
 export * from "./stage_targets.ts";
 export * from "./stream_origins.ts";
--- a/src/serving/state_change.ts
+++ b/src/serving/state_change.ts
@@ -32,6 +32,8 @@
   readonly coldMs: number;
   /** Unix time of its start in milliseconds; undefined when not reported. */
   readonly bornMs?: number;
+  /** Number of its report, which grows with each one since its start. */
+  readonly report?: number;
 }
 
 /** Entry as it registered itself. */
@@ -55,7 +57,10 @@
   readonly crashes: number;
 }
 
-/** One decoded change of the store. `version` grows with each change. */
+/**
+ * One decoded change of the store. `version` grows with each change; see
+ * `versionInEra`.
+ */
 export type StateChange =
   | {
     readonly kind: "catalog";
@@ -68,7 +73,10 @@
     readonly id: string;
     /** Undefined once the target is removed. */
     readonly target?: ListedTarget;
-    /** True when it may be gone only because its row could not be renewed. */
+    /**
+     * True when it may be gone only because its row could not be renewed;
+     * undefined while that is not decided.
+     */
     readonly hasLapsed?: boolean;
   }
   | {
