Keep a host without work that goes missing before it is readmitted

Cause: a host listed as leaving, then as live, counted as readmitted as soon as it went missing, and got work until the timeout for missing hosts. Change: only time listed as live readmits a host. Result: the new test failed before (no host avoided), passes.

--- a/src/membership/hosts.ts
+++ b/src/membership/hosts.ts
@@ -111,8 +111,9 @@
 
 function isAvoidedAsLeaving(record: HostRecord, now: number): boolean {
   if (record.isLeaving) return true;
-  return record.wasLeaving && !record.isMissing &&
-    now - record.since < READMIT_AFTER_MS;
+  // A host that goes missing was not listed as live for long enough.
+  return record.wasLeaving &&
+    (record.isMissing || now - record.since < READMIT_AFTER_MS);
 }
 
 function updateRecord(
@@ -124,7 +125,8 @@
   const isUnchanged = before?.isMissing === isMissing &&
     before.isLeaving === isLeaving;
   const since = isUnchanged ? before.since : now;
-  const isReadmitted = !isLeaving && now - since >= READMIT_AFTER_MS;
+  const isReadmitted = !isLeaving && !isMissing &&
+    now - since >= READMIT_AFTER_MS;
   const wasLeaving = isLeaving ||
     (before?.wasLeaving === true && !isReadmitted);
   return { isLeaving, isMissing, since, wasLeaving };
--- a/src/membership/hosts_test.ts
+++ b/src/membership/hosts_test.ts
@@ -41,6 +41,16 @@
   assert.equal(avoidedAfter(lists, 6_000), "");
 });
 
+test("assessHosts() avoids a host that goes missing before it is readmitted", () => {
+  const lists: [number, string][] = [[0, "Abcd"], [1_000, "abcd"], [
+    2_000,
+    "bcd",
+  ]];
+  assert.equal(avoidedAfter(lists, 2_000), "a");
+  assert.equal(avoidedAfter(lists, 8_000), "a");
+  assert.equal(avoidedAfter([...lists, [8_000, "bcd"]], 8_000), "a");
+});
+
 test("assessHosts() avoids a flapping host all the time", () => {
   const lists = Array.from(
     { length: 20 },
