Count pipelined requests of a caller that disconnects as ended

Cause: Node reports no close of a response that waits behind an earlier one, so such requests stayed in flight, and a planned stop waited for them. Change: a response ends with its connection, too. Result: the new test failed before (2 of 3 requests left in hand), passes.

--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -15,7 +15,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { Server as NetServer } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { CallerLimits } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
@@ -84,6 +84,8 @@
       (req, res) => this.#read(req, res),
     );
     closeIdleConnections(this.#server);
+    // Each pipelined request listens to its connection.
+    this.#server.on("connection", (socket) => socket.setMaxListeners(0));
     this.setLimits(INITIAL_LIMITS);
   }
 
@@ -142,7 +144,7 @@
     }
     const receivedAt = monotonicMs();
     this.#inHand += 1;
-    res.once("close", () => this.#inHand -= 1);
+    onClosed(res, req.socket, () => this.#inHand -= 1);
     this.#idleCloser.follow(req, res);
     const response = new HttpResponse(res, {
       codec: this.#codec,
@@ -163,7 +165,7 @@
       req.removeAllListeners("data");
       this.#refuseUnread(req, response, BODY_TOO_LARGE);
     });
-    res.once("close", () => this.#bufferedBytes -= size);
+    onClosed(res, req.socket, () => this.#bufferedBytes -= size);
     req.on("end", () => {
       if (response.hasBegun || response.gone.aborted) return;
       this.#serve(req, response, Buffer.concat(chunks), receivedAt);
@@ -231,6 +233,26 @@
   }
 }
 
+/**
+ * Calls `listener` once a response has been sent or its connection has closed.
+ * Node reports no close of a response that waits behind an earlier one.
+ */
+function onClosed(
+  res: ServerResponse,
+  socket: Socket,
+  listener: () => void,
+): void {
+  let isClosed = false;
+  const notify = () => {
+    res.off("close", notify);
+    socket.off("close", notify);
+    if (!isClosed) listener();
+    isClosed = true;
+  };
+  res.once("close", notify);
+  socket.once("close", notify);
+}
+
 const BODY_TOO_LARGE: Refusal = {
   kind: RefusalKind.TooLarge,
   reason: "body is too large",
@@ -259,7 +281,7 @@
     this.#codec = codec;
     this.id = id;
     this.#endsConnection = endsConnection;
-    res.once("close", () => {
+    onClosed(res, res.req.socket, () => {
       if (!res.writableFinished) this.#gone.abort();
     });
     res.on("error", () => this.#gone.abort());
--- a/src/gateway/http_front_test.ts
+++ b/src/gateway/http_front_test.ts
@@ -288,3 +288,24 @@
   assert.equal(caller.answers, 1);
   assert.equal(front.inHand, 0);
 });
+
+test("pipelined requests of a caller that disconnects are not in hand", async (t) => {
+  const responses: CallerResponse[] = [];
+  const { front, port } = await startFront((response) => {
+    responses.push(response);
+  });
+  t.after(() => front.drain(0));
+  const socket = connect(port, "127.0.0.1");
+  socket.on("error", () => {});
+  socket.write(REQUEST + REQUEST + REQUEST);
+  await sleep(SETTLE_MS);
+  assert.equal(responses.length, 3);
+  socket.resetAndDestroy();
+  await sleep(SETTLE_MS);
+  assert.equal(front.inHand, 0);
+  assert.deepEqual(responses.map(({ gone }) => gone.aborted), [
+    true,
+    true,
+    true,
+  ]);
+});
