Do not take a failed probe for a fresh load report

Cause: a probe set the time of the newest report before it had one, so an old report counted as new after each failed probe. Change: the time of a probe is kept apart; it spaces probes only.

--- a/src/entry/known_targets.ts
+++ b/src/entry/known_targets.ts
@@ -17,8 +17,10 @@
   /** Process that registered the target; a new process gets new state. */
   readonly instance?: string;
   load?: TargetLoad;
-  /** Time of the newest load report or probe, initially of the creation. */
+  /** Time of the newest load report, initially of the creation. */
   lastReportAt: number;
+  /** Time of the newest probe, whether it succeeded or not. */
+  lastProbeAt: number;
   /** Calls of this entry that are in flight at the target. */
   outstanding: number;
   /** Calls started since the newest load report. */
@@ -52,6 +54,7 @@
       url: target.agentUrl,
       instance: instanceOf(target),
       lastReportAt: monotonicMs(),
+      lastProbeAt: 0,
       outstanding: 0,
       startedSinceReport: 0,
       suspectedUntil: 0,
--- a/src/entry/probe.ts
+++ b/src/entry/probe.ts
@@ -9,7 +9,7 @@
 
 import { every, monotonicMs } from "../kernel/mod.ts";
 import type { Target } from "../model/mod.ts";
-import type { KnownTargets } from "./known_targets.ts";
+import type { KnownTarget, KnownTargets } from "./known_targets.ts";
 
 /** Age of a load report from which a target is probed, in milliseconds. */
 export const PROBE_AFTER_MS = 10_000;
@@ -37,22 +37,27 @@
   return targets()
     .map((target) => ({
       target,
-      lastReportAt: known.of(target).lastReportAt,
+      refreshedAt: refreshedAt(known.of(target)),
     }))
-    .filter(({ lastReportAt }) => now - lastReportAt > PROBE_AFTER_MS)
-    .sort((a, b) => a.lastReportAt - b.lastReportAt)
+    .filter(({ refreshedAt }) => now - refreshedAt > PROBE_AFTER_MS)
+    .sort((a, b) => a.refreshedAt - b.refreshedAt)
     .slice(0, MAX_PROBES_PER_INTERVAL)
     .map(({ target }) => target);
 }
 
+/** Time of the newest report or attempt to get one. */
+function refreshedAt({ lastReportAt, lastProbeAt }: KnownTarget): number {
+  return Math.max(lastReportAt, lastProbeAt);
+}
+
 async function probe(
   target: Target,
   { known, onFailure, signal }: ProbeOptions,
 ): Promise<void> {
   const probed = known.of(target);
-  // Set before the probe, so that a failed one is retried no sooner than a
-  // successful one.
-  probed.lastReportAt = monotonicMs();
+  // A failed probe is retried no sooner than a successful one, but makes no
+  // report look fresh.
+  probed.lastProbeAt = monotonicMs();
   try {
     const { load } = await probed.client.targetState(signal);
     if (known.find(target.id) === probed) known.recordLoad(target, load);
