Keep a listener that fails from ending the process

Cause: a throw in a listener of the fleet's state went through the loop that follows the store, unhandled. Change: it is logged (listener_failed); the other listeners are called. An unused constant is gone. Result: the new test failed before with the thrown error, passes.

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -38,8 +38,6 @@
 const RESPONSE_SLACK_MS = 900;
 /** Pause after a failed call, in milliseconds. */
 const RETRY_PAUSE_MS = 300;
-/** Time without a response after which an entry is cut off from the store. */
-export const STORE_SILENCE_MS = 1_500;
 /**
  * Time after a restoration of the store at which what it still does not list is
  * dropped, in milliseconds: operators and targets first write again what it has
@@ -187,7 +185,7 @@
     const next = this.#state.withLeaving(start);
     if (next === this.#state) return false;
     this.#state = next;
-    this.#listeners.forEach((listener) => listener(next));
+    this.#notify();
     return true;
   }
 
@@ -314,7 +312,19 @@
     this.#state = before.apply(changes, monotonicMs());
     if (this.#state === before) return;
     this.#logChanges(before, changes, from);
-    this.#listeners.forEach((listener) => listener(this.#state));
+    this.#notify();
+  }
+
+  /** Tells all listeners; one that fails keeps the change from no other. */
+  #notify(): void {
+    this.#listeners.forEach((listener) => {
+      try {
+        listener(this.#state);
+      } catch (err) {
+        const detail = err instanceof Error ? err.stack : String(err);
+        this.#log.error("listener_failed", { detail });
+      }
+    });
   }
 
   #logChanges(
--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -77,3 +77,22 @@
     );
     abort.abort();
   }, { seed: 1 }));
+
+test("a listener that throws does not keep a change from the others", () =>
+  withPausedClock(async () => {
+    const view = new FleetView({
+      source: new TruncatingSource(),
+      log: SILENT_LOGGER,
+      metrics: new Metrics(),
+    });
+    let heard = 0;
+    view.onChange(() => {
+      throw new Error("faulty listener");
+    });
+    view.onChange(() => heard += 1);
+    const abort = new AbortController();
+    view.run(abort.signal);
+    await sleep(10);
+    abort.abort();
+    assert.ok(heard > 0);
+  }, { seed: 1 }));
