Count pieces as sent once, and refuse those of a dropped pool

Causes: a piece that a target refused as full was counted as sent each time, so inputs were released while pieces still needed them; and a queue whose pool the catalog had dropped was not looked at until its deadlines. Changes: a submission knows which pieces no target has accepted; pieces of an unknown pool are refused at once.

--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -154,7 +154,7 @@
         work,
         results: work.pieces.map(() => undefined),
         queuedAt: monotonicMs(),
-        unsentPieces: work.pieces.length,
+        unsentPieces: new Set(work.pieces.keys()),
         openTasks: work.pieces.map(() => 1),
         settle: resolve,
       };
@@ -199,7 +199,7 @@
   #dispatch(pool: StagePool): void {
     clearTimeout(pool.timer);
     const limits = this.#limitsOf(pool.name);
-    if (!limits) return;
+    if (!limits) return this.#discardAll(pool);
     const now = monotonicMs();
     this.#refreshTargets(pool, now);
     this.#discardOverdue(pool, limits, now);
@@ -215,6 +215,14 @@
     pool.timer = setTimeout(() => this.#dispatch(pool), waitMs);
   }
 
+  /** Refuses what waits for a pool that the catalog no longer has. */
+  #discardAll(pool: StagePool): void {
+    const [queue, discarded] = pool.queue.expire(Number.POSITIVE_INFINITY);
+    pool.queue = queue;
+    const tasks = discarded.map(({ item }) => item);
+    this.#closeTasks(pool, tasks, "the pool is not known");
+  }
+
   /** Sends a call to one free target; false when none can be sent. */
   #trySendCall(pool: StagePool, limits: BatchLimits, now: number): boolean {
     if (pool.queue.length === 0) return false;
@@ -375,19 +383,28 @@
    * among `tasks`.
    */
   #scheduleInputsRead(tasks: readonly PieceTask[]): void {
-    const firstAttempts = tasks.filter(({ attempts }) => attempts === 0);
-    firstAttempts.forEach(({ submission }) => submission.unsentPieces -= 1);
-    const fullySent = new Set(
-      firstAttempts.map(({ submission }) => submission)
-        .filter(({ unsentPieces }) => unsentPieces === 0),
+    tasks.forEach(({ submission, index }) =>
+      submission.unsentPieces.delete(index)
     );
-    if (fullySent.size === 0) return;
+    const isSent = ({ unsentPieces }: Submission) => unsentPieces.size === 0;
+    const sent = [...new Set(tasks.map(({ submission }) => submission))]
+      .filter(isSent);
+    if (sent.length === 0) return;
     setTimeout(
-      () => fullySent.forEach(({ work }) => work.onInputsRead()),
+      () => sent.filter(isSent).forEach(({ work }) => work.onInputsRead()),
       INPUT_READ_MS,
     );
   }
 
+  /** Queues pieces again that a target has not accepted. */
+  #enqueueRefused(pool: StagePool, tasks: readonly PieceTask[]): void {
+    const pending = tasks.filter(isPending);
+    pending.forEach(({ submission, index }) =>
+      submission.unsentPieces.add(index)
+    );
+    this.#enqueue(pool, pending);
+  }
+
   /**
    * Retries the pieces of a slow call at other targets while it continues. A
    * piece without attempts left waits for its running calls.
@@ -428,7 +445,7 @@
     });
     if (error.kind === "full") {
       pool.recordCallRefused(target.id, now);
-      this.#enqueue(pool, tasks.filter(isPending));
+      this.#enqueueRefused(pool, tasks);
       return;
     }
     pool.servers = pool.servers.failed(target.id, now);
@@ -486,8 +503,7 @@
       return this.#settle(pool, submission, { kind: "input-gone" });
     }
     if (outcome.fault === PieceFault.ResultMemoryFull) {
-      if (isPending(task)) this.#enqueue(pool, [task]);
-      return;
+      return this.#enqueueRefused(pool, [task]);
     }
     if (wasSlow) this.#closeTasks(pool, [task], PIECES_FAILED);
     else this.#retry(pool, [task]);
--- a/src/gateway/stage_batcher_test.ts
+++ b/src/gateway/stage_batcher_test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { Reachability } from "../crashes/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
+import type { StateChange } from "../serving/mod.ts";
 import { batchPool, catalogChange, targetChange } from "../serving/testing.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
@@ -14,9 +15,12 @@
 /** A call of one piece is expected to take 260 ms and is slow after 520 ms. */
 const POOL = batchPool("parts", { callMs: 240, pieceMs: 20 });
 
-/** Batcher of three targets whose calls take `callMs(n)`, n counted from 1. */
-function setup(callMs: (n: number) => Promise<void>) {
-  const state = stateOf([
+/**
+ * Batcher of three targets whose calls take `callMs(n)`, n counted from 1; the
+ * first `refusals` calls are refused.
+ */
+function setup(callMs: (n: number) => Promise<void>, refusals = 0) {
+  let state = stateOf([
     catalogChange({ pools: [POOL] }),
     ...[1, 2, 3].map((i) =>
       targetChange(`t${i}`, 1 + i, {
@@ -32,6 +36,7 @@
     },
     runPieces: async (target, pieces) => {
       const n = ++calls;
+      if (n <= refusals) return err({ kind: "full" });
       await callMs(n);
       return ok(pieces.map((): PieceOutcome => ({
         result: `${target.address}/${n}`,
@@ -51,7 +56,10 @@
     log: SILENT_LOGGER,
     metrics: new Metrics(),
   });
-  return { batcher, calls: () => calls };
+  const change = (change: StateChange) => {
+    state = state.apply([change], monotonicMs());
+  };
+  return { batcher, calls: () => calls, change };
 }
 
 function submit(
@@ -101,3 +109,30 @@
   assert.equal((await outcome).kind, "done");
   assert.equal(calls(), 1);
 });
+
+test("inputs are kept until a call that was not refused has read them", () =>
+  withPausedClock(async () => {
+    const refusals = 40;
+    const { batcher, calls } = setup(() => sleep(260), refusals);
+    let callsBeforeRelease: number | undefined;
+    const pieces = [0, 1].map((segment) => (
+      { requestId: "r", stage: 1, segment, inputs: ["10.0.0.9:80/1"] }
+    ));
+    const outcome = await submit(batcher, {
+      pieces,
+      onInputsRead: () => callsBeforeRelease = calls(),
+    });
+    assert.equal(outcome.kind, "done");
+    assert.ok((callsBeforeRelease ?? 0) > refusals, `${callsBeforeRelease}`);
+  }, { seed: 1 }));
+
+test("pieces of a pool that the catalog drops are refused at once", () =>
+  withPausedClock(async () => {
+    const { batcher, change } = setup(() => sleep(260), 1_000);
+    let kind: string | undefined;
+    submit(batcher).then((outcome) => kind = outcome.kind);
+    await sleep(100);
+    change(catalogChange({ pools: [] }, 9));
+    await sleep(300);
+    assert.equal(kind, "refused");
+  }, { seed: 1 }));
--- a/src/gateway/stage_work.ts
+++ b/src/gateway/stage_work.ts
@@ -36,8 +36,8 @@
   readonly work: StageWork;
   readonly results: (ResultHandle | undefined)[];
   readonly queuedAt: number;
-  /** Number of pieces that no call has carried yet. */
-  unsentPieces: number;
+  /** Indexes of the pieces that no target has accepted yet. */
+  readonly unsentPieces: Set<number>;
   /** Number of tasks that are queued or running, by piece. */
   readonly openTasks: number[];
   /** Reports the outcome; undefined once that is done. */
