Let no slow entry pass for gone, and no entry run stages for itself

Change: - The time after which a peer is silent grows with its measured response times (RFC 6298); the owner is asked by its two successors, and by others only while a call waits and nothing is heard. - An entry accepts a chain only if it owns the stages by its own view, which its watch on the entries before it makes; else it names the owner. Nobody runs a chain because others did not respond; after four tries it is refused. - Owners are the entries with most processor time, then the longest registered. - Peers call each other without fetch; neighbours are asked once a second while there are no notices and the store responds.

--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -22,12 +22,15 @@
 import type { ChainRunner } from "./chain_runner.ts";
 import type { Peers } from "./peers.ts";
 import type { CallerRequest, TargetClient } from "./ports.ts";
+import type { StageOwners } from "./stage_owners.ts";
 
+/** Owners that are asked to run one chain before it is refused. */
+const MAX_ATTEMPTS = 4;
 /**
- * Attempts to run one chain: the last one runs it in this process instead of
- * calling an owner.
+ * Pause before the owner is determined again when an entry declines a chain
+ * whose owner has not responded, in milliseconds: that entry checks it first.
  */
-const MAX_ATTEMPTS = 3;
+const DECLINED_PAUSE_MS = 250;
 /**
  * Time for which a silent owner may still finish a chain whose repeat was
  * refused, in milliseconds. Later the refusal would only reach the caller late.
@@ -36,6 +39,11 @@
 /** Timeout of a call to an owner to release results, in milliseconds. */
 const RELEASE_TIMEOUT_MS = 1_000;
 
+const NO_OWNER: ChainResponse = {
+  kind: "refused",
+  reason: "no owner of the stages responds",
+};
+
 const CALLER_GONE: ChainResponse = {
   kind: "refused",
   reason: "caller has gone",
@@ -71,10 +79,10 @@
 }
 
 /** Owners of the groups of pools, and their failures. */
-type ChainOwners = Pick<
-  Peers,
-  "ownerOf" | "lossSignalOf" | "markFailed" | "markLeaving"
->;
+export interface ChainOwners
+  extends Pick<Peers, "await" | "heard" | "markFailed" | "markLeaving"> {
+  readonly owners: Pick<StageOwners, "ownerOf">;
+}
 /** Client of the owners of stages. */
 type ChainOwnerClients = Pick<EntryPeerClients, "runChain" | "freeResults">;
 
@@ -140,18 +148,19 @@
     group: string,
     attempt: number,
   ): Promise<OwnedResponse> {
-    const owner = attempt < MAX_ATTEMPTS
-      ? this.#peers.ownerOf(group)
-      : undefined;
+    if (request.signal.aborted) return { response: CALLER_GONE };
+    if (attempt > MAX_ATTEMPTS) return { response: NO_OWNER };
+    const owner = this.#peers.owners.ownerOf(group);
     if (!owner) {
       const response = await this.#runner
         .run(chainOf(request), request.signal);
       return { response };
     }
     const call = new AbortController();
-    const end = this.#callOwner(owner, request, call.signal);
-    const loss = this.#peers.lossSignalOf(owner);
-    if (await isAbortedBefore(loss, end)) {
+    const waiting = this.#peers.await(owner);
+    const end = this.#callOwner(owner, request, call.signal)
+      .finally(waiting.end);
+    if (await isAbortedBefore(waiting.lost, end)) {
       this.#log.warn("chain_owner_silent", {
         request: request.req.id,
         owner: owner.name,
@@ -167,9 +176,10 @@
       );
     }
     const owned = await end;
-    if (owned && owned.response.kind !== "leaving") return owned;
-    if (owned) this.#peers.markLeaving(owner);
-    else this.#peers.markFailed(owner);
+    if (!owned) this.#peers.markFailed(owner);
+    else if (owned.response.kind === "leaving") this.#peers.markLeaving(owner);
+    else if (!isDeclined(owned.response)) return owned;
+    else await sleep(DECLINED_PAUSE_MS, request.signal);
     return this.#submit(request, group, attempt + 1);
   }
 
@@ -185,6 +195,7 @@
         chainOf(request),
         AbortSignal.any([request.signal, signal]),
       );
+      this.#peers.heard(owner);
       return { response, owner };
     } catch (cause) {
       if (request.signal.aborted) return { response: CALLER_GONE };
@@ -265,6 +276,11 @@
   return result;
 }
 
+/** True when the entry that was asked does not own the stages. */
+function isDeclined(response: ChainResponse): boolean {
+  return response.kind === "refused" && response.owner !== undefined;
+}
+
 function chainOf(request: ChainRequest): StageChain {
   const { req, route } = request;
   const now = monotonicMs();
@@ -276,6 +292,7 @@
     sizeRank: request.sizeRank,
     key: req.pieceKey,
     resultDomain: request.resultDomain,
+    mayDecline: true,
     stages: route.stages.map(({ pool, after, resultBytes }, i) => ({
       pool,
       after: [...after],
--- a/src/gateway/chain_client_test.ts
+++ b/src/gateway/chain_client_test.ts
@@ -26,8 +26,9 @@
       release: () => calls.push("free self"),
     },
     peers: {
-      ownerOf: () => owners.current,
-      lossSignalOf: () => new AbortController().signal,
+      owners: { ownerOf: () => owners.current },
+      await: () => ({ lost: new AbortController().signal, end: () => {} }),
+      heard: () => {},
       markFailed: () => {},
       markLeaving: () => {},
     },
@@ -102,12 +103,17 @@
       release: () => calls.push("free self"),
     },
     peers: {
-      ownerOf: () => {
-        const next = scripts.find(({ name }) => !silent.has(name));
-        return next && peer(next.name);
+      owners: {
+        ownerOf: () => {
+          const next = scripts.find(({ name }) => !silent.has(name));
+          return next && peer(next.name);
+        },
       },
-      lossSignalOf: ({ name }) =>
-        losses.get(name)?.signal ?? new AbortController().signal,
+      await: ({ name }) => ({
+        lost: losses.get(name)?.signal ?? new AbortController().signal,
+        end: () => {},
+      }),
+      heard: () => {},
       markFailed: ({ name }) => {
         silent.add(name);
         losses.get(name)?.abort();
--- /dev/null
+++ b/src/gateway/chain_service.ts
@@ -0,0 +1,47 @@
+/**
+ * Serves the chains of stages that peers send to this process as their owner.
+ *
+ * @module
+ */
+
+import type { Catalog } from "../serving/mod.ts";
+import type { ChainResponse, StageChain } from "../wire/mod.ts";
+import type { ChainRunner } from "./chain_runner.ts";
+import type { StageOwners } from "./stage_owners.ts";
+
+/** Services that it uses. */
+export interface ChainServiceDeps {
+  readonly runner: Pick<ChainRunner, "run">;
+  readonly owners: Pick<StageOwners, "otherOwnerOf">;
+  catalog(): Catalog | undefined;
+  /** True once this process accepts no further chains. */
+  isLeaving(): boolean;
+}
+
+/** Runs or declines chains of peers. */
+export class ChainService {
+  readonly #deps: ChainServiceDeps;
+
+  constructor(deps: ChainServiceDeps) {
+    this.#deps = deps;
+  }
+
+  run(chain: StageChain, gone: AbortSignal): Promise<ChainResponse> {
+    const { runner, isLeaving } = this.#deps;
+    if (isLeaving()) return Promise.resolve({ kind: "leaving" });
+    const owner = chain.mayDecline ? this.#otherOwnerOf(chain) : undefined;
+    if (owner === undefined) return runner.run(chain, gone);
+    return Promise.resolve({
+      kind: "refused",
+      reason: "another entry owns the stages",
+      owner,
+    });
+  }
+
+  #otherOwnerOf({ stages }: StageChain): string | undefined {
+    const { catalog, owners } = this.#deps;
+    const pool = stages[0]?.pool;
+    const group = pool && catalog()?.groupOfPool(pool);
+    return group ? owners.otherOwnerOf(group)?.name : undefined;
+  }
+}
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { monotonicMs, sleep, Watchdog } from "../kernel/mod.ts";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { NoticeBoard } from "../notices/mod.ts";
 import { rendezvousOrder } from "../routing/mod.ts";
 import {
@@ -20,28 +20,37 @@
   SyncResponse,
 } from "../wire/mod.ts";
 import type { FleetView } from "./fleet_view.ts";
+import { PeerHealth } from "./peer_health.ts";
 import { StatePart } from "./ports.ts";
+import { StageOwners } from "./stage_owners.ts";
 
 /** Pause between rounds of requests to peers, in milliseconds. */
 const SYNC_PAUSE_MS = 400;
 /** The same while there are notices that peers lack, in milliseconds. */
 const NEWS_PAUSE_MS = 100;
-/** Longest wait for the response of a peer, in milliseconds. */
-const SYNC_TIMEOUT_MS = 350;
-/** Time without a response after which a peer counts as silent, in ms. */
-const SILENT_AFTER_MS = 900;
-/** Smoothing factor of the moving average of response times. */
-const RESPONSE_TIME_SMOOTHING = 0.2;
-/** Response time above which a peer may count as slow, in milliseconds. */
-const SLOW_RESPONSE_MS = 200;
-/** Multiple of the median response time above which it does. */
-const SLOW_RATIO = 4;
+/** Longest wait for the response of a seed, in milliseconds. */
+const SEED_TIMEOUT_MS = 1_000;
 /** Lead in uptime that shows that a peer was not restarted, in milliseconds. */
 const UPTIME_MARGIN_MS = 2_000;
-/** Likely next owners of pools that are contacted in each round. */
-const STANDBY_OWNERS = 1;
-/** Neighbours that are contacted in each round besides the owners of pools. */
-const NEIGHBOURS = 2;
+/**
+ * Neighbours that are contacted in each round. Each process is chosen by about
+ * as many others, so news reach hundreds of processes in a few rounds.
+ */
+const NEIGHBOURS = 4;
+/**
+ * Pause between requests to a neighbour while this process hears from the store
+ * and there are no notices, in milliseconds.
+ */
+const CALM_PAUSE_MS = 1_000;
+/** Age of the store's last response from which peers are asked more often. */
+const STALE_MS = 1_500;
+/** Pause between requests to a peer that is not usable, in milliseconds. */
+const UNUSABLE_PAUSE_MS = 1_200;
+/**
+ * Time without a sign of life after which a peer is asked on whose response
+ * this process waits, in milliseconds.
+ */
+const ASK_AWAITED_AFTER_MS = 500;
 
 /** Notices that are exchanged with the state. */
 type NoticeExchange = Pick<
@@ -49,19 +58,6 @@
   "messageTo" | "respond" | "handleResponse" | "news"
 >;
 
-interface PeerRecord {
-  /** Expires when the peer has been silent since an unanswered request. */
-  silence?: Watchdog;
-  isLeaving: boolean;
-  isSilent: boolean;
-  /** Aborts when the peer becomes silent. */
-  lossAbort?: AbortController;
-  /** Moving average of its response times, in milliseconds. */
-  responseMs?: number;
-  /** Monotonic time of its start. */
-  startedAt?: number;
-}
-
 /** Tracks the other entries and exchanges state with them. */
 export class Peers {
   readonly #self: ListedPeer;
@@ -71,10 +67,17 @@
   readonly #log: Logger;
   readonly #metrics: Metrics;
   readonly #board: NoticeExchange;
-  readonly #records = new Map<string, PeerRecord>();
-  /** Last known owner of each group. */
-  readonly #owners = new Map<string, string>();
+  readonly #records = new Map<string, PeerHealth>();
+  /** Number of calls that wait for a response, by peer. */
+  readonly #awaited = new Map<string, number>();
+  /** Owners of the groups of stage pools. */
+  readonly owners: StageOwners;
   readonly #startedAt = monotonicMs();
+  /** Order of neighbours for the names of all others. */
+  #neighboursOf: { key: string; names: readonly string[] } = {
+    key: "",
+    names: [],
+  };
   #isLeaving = false;
 
   constructor(
@@ -98,6 +101,13 @@
     this.#log = deps.log;
     this.#metrics = deps.metrics;
     this.#board = deps.board;
+    this.owners = new StageOwners({
+      self: deps.self,
+      entries: () => this.entries,
+      isUsable: (peer) => this.isUsable(peer),
+      catalog: () => deps.view.state.catalog,
+      log: deps.log,
+    });
   }
 
   /** Names of the processes that may use a share of a fleet-wide limit. */
@@ -136,41 +146,26 @@
   }
 
   /**
-   * Owner of a group of pools; undefined when it is this process. The entries
-   * registered longest own the groups, so that ownership changes only when an
-   * owner ends, and not again when it returns.
+   * Waits for the response of a peer: until the returned function is called,
+   * the peer is asked whether it still responds. The signal aborts when it
+   * becomes silent.
    */
-  ownerOf(group: string): ListedPeer | undefined {
-    const usable = this.#bySeniority().filter((peer) => this.isUsable(peer));
-    const groups = this.#view.state.catalog?.stageGroups ?? [];
-    const index = Math.max(0, groups.indexOf(group));
-    const owner = usable[index % Math.max(1, usable.length)];
-    this.#recordOwner(group, owner?.name ?? this.#self.name);
-    return owner?.name === this.#self.name ? undefined : owner;
-  }
-
-  #recordOwner(group: string, owner: string): void {
-    if (this.#owners.get(group) === owner) return;
-    this.#owners.set(group, owner);
-    this.#log.info("stage_owner_changed", {
-      group,
-      owner,
-      silent: this.#namesOf(({ isSilent }) => isSilent),
-      leaving: this.#namesOf(({ isLeaving }) => isLeaving),
-      slow: this.#namesOf((record) => this.#isSlow(record)),
-    });
-  }
-
-  #namesOf(predicate: (record: PeerRecord) => boolean): string {
-    return [...this.#records].filter(([, record]) => predicate(record))
-      .map(([name]) => name).join(",");
+  await({ name }: ListedPeer): { lost: AbortSignal; end: () => void } {
+    this.#awaited.set(name, (this.#awaited.get(name) ?? 0) + 1);
+    let isOpen = true;
+    const end = () => {
+      if (!isOpen) return;
+      isOpen = false;
+      const left = (this.#awaited.get(name) ?? 1) - 1;
+      if (left > 0) this.#awaited.set(name, left);
+      else this.#awaited.delete(name);
+    };
+    return { lost: this.#record(name).lossSignal, end };
   }
 
-  /** Signal that aborts when a peer becomes silent. */
-  lossSignalOf({ name }: ListedPeer): AbortSignal {
-    const record = this.#record(name);
-    record.lossAbort ??= new AbortController();
-    return record.lossAbort.signal;
+  /** Records a sign of life of a peer other than a response to this class. */
+  heard({ name }: ListedPeer): void {
+    if (this.#record(name).heard()) this.#logRegained(name);
   }
 
   /** Marks a peer as silent after a failed call, until it responds again. */
@@ -195,14 +190,14 @@
   run(signal: AbortSignal): void {
     this.#runRounds(signal);
     signal.addEventListener("abort", () => {
-      this.#records.forEach(({ silence }) => silence?.end());
+      this.#records.forEach((record) => record.end());
     });
   }
 
   /** Runs rounds with pauses, which news that peers lack shorten. */
   async #runRounds(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await this.#round();
+      this.#round(this.#board.news.aborted);
       await sleep(NEWS_PAUSE_MS, signal);
       if (signal.aborted) return;
       await sleep(SYNC_PAUSE_MS - NEWS_PAUSE_MS, this.#board.news);
@@ -230,38 +225,67 @@
     };
   }
 
-  async #round(): Promise<void> {
-    const urls = this.#peersToSync();
-    await Promise.all(urls.map((peer) => this.#syncWith(peer)));
-  }
-
   /**
-   * Owners of pools with their standby, the unusable entries registered before
-   * them, and neighbours; the seeds while no peer is known.
+   * Asks each peer that is due and has no request in flight; with news, also
+   * peers that are not due.
    */
+  #round(hasNews: boolean): void {
+    const now = monotonicMs();
+    this.#peersToSync().forEach((peer) => {
+      const record = peer.name ? this.#record(peer.name) : undefined;
+      const isDue = hasNews || now >= (record?.notBefore ?? 0);
+      if (record?.isAsked || !isDue) return;
+      this.#syncWith(peer, record);
+    });
+  }
+
+  /** The seeds while no peer is known; a few neighbours and owners later. */
   #peersToSync(): readonly { name?: string; url: string }[] {
     const others = this.#others();
     if (others.length === 0) {
       return this.#seeds.map((url) => ({ url }));
     }
-    const order = this.#bySeniority();
-    const ownerCount = STANDBY_OWNERS +
-      (this.#view.state.catalog?.stageGroups.length ?? 0);
-    const usable = order.filter((peer) => this.isUsable(peer));
-    const lastOwner = usable[Math.min(ownerCount, usable.length) - 1];
-    const owners = order.slice(0, lastOwner ? order.indexOf(lastOwner) + 1 : 0);
-    const neighbours = rendezvousOrder(others, {
-      key: this.#self.name,
-      idOf: ({ name }) => name,
-    }).slice(0, NEIGHBOURS);
-    const all = [...owners, ...neighbours]
-      .filter(({ name }) => name !== this.#self.name);
+    const watched = [
+      ...this.owners.watched(),
+      ...others.filter((peer) => this.#isDoubtful(peer)),
+    ];
+    const names = new Set(watched.map(({ name }) => name));
+    this.#records.forEach((record, name) => {
+      record.isWatched = names.has(name);
+      if (record.isWatched && !record.isSilent) record.notBefore = 0;
+    });
+    const all = [
+      ...watched,
+      ...this.#neighbours(others),
+      ...this.owners.unusable(),
+    ].filter(({ name }) => name !== this.#self.name);
     return [...new Map(all.map((peer) => [peer.name, peer])).values()];
   }
 
-  async #syncWith(peer: { name?: string; url: string }): Promise<void> {
-    const record = peer.name ? this.#record(peer.name) : undefined;
-    if (record) record.silence ??= new Watchdog(SILENT_AFTER_MS);
+  #neighbours(others: readonly ListedPeer[]): readonly ListedPeer[] {
+    const key = others.map(({ name }) => name).join("\n");
+    if (key !== this.#neighboursOf.key) {
+      const order = rendezvousOrder(others, {
+        key: this.#self.name,
+        idOf: ({ name }) => name,
+      });
+      this.#neighboursOf = { key, names: order.map(({ name }) => name) };
+    }
+    const names = this.#neighboursOf.names.slice(0, NEIGHBOURS);
+    return others.filter(({ name }) => names.includes(name));
+  }
+
+  /** True while a call waits for a peer of which nothing is heard. */
+  #isDoubtful({ name }: ListedPeer): boolean {
+    return this.#awaited.has(name) &&
+      this.#record(name).heardAgoMs > ASK_AWAITED_AFTER_MS;
+  }
+
+  async #syncWith(
+    peer: { name?: string; url: string },
+    record: PeerHealth | undefined,
+  ): Promise<void> {
+    record?.asked();
     const boardKey = peer.name ?? peer.url;
     const request = {
       from: this.#self.name,
@@ -269,9 +293,9 @@
       notices: this.#board.messageTo(boardKey),
     };
     const startedAt = monotonicMs();
+    const timeoutMs = record?.timeoutMs ?? SEED_TIMEOUT_MS;
     try {
-      const response = await this.#clients
-        .sync(peer.url, request, SYNC_TIMEOUT_MS);
+      const response = await this.#clients.sync(peer.url, request, timeoutMs);
       if (peer.name) {
         this.#recordResponse(peer.name, response, monotonicMs() - startedAt);
       }
@@ -280,62 +304,58 @@
       this.#view.merge(changes, versions, startedAt - targetsAgeMs);
     } catch (err) {
       this.#metrics.count("peer_failures_total");
-      if (peer.name && record?.silence?.isExpired) {
-        this.#markSilent(peer.name, String(err));
-      }
+      if (record?.failed()) this.#logLost(peer.name ?? "", String(err));
+    } finally {
+      if (record) this.#endRequest(record, startedAt);
+    }
+  }
+
+  #endRequest(record: PeerHealth, startedAt: number): void {
+    record.isAsked = false;
+    if (record.isSilent || record.isLeaving) {
+      record.notBefore = monotonicMs() + UNUSABLE_PAUSE_MS;
+      return;
     }
+    const isCalm = this.#view.storeAgeMs < STALE_MS && !record.isWatched;
+    record.notBefore = isCalm ? startedAt + CALM_PAUSE_MS : 0;
   }
 
   #recordResponse(name: string, response: SyncResponse, tookMs: number): void {
     const record = this.#record(name);
-    record.responseMs ??= tookMs;
-    record.responseMs += RESPONSE_TIME_SMOOTHING * (tookMs - record.responseMs);
-    if (record.isSilent) this.#log.info("peer_regained", { peer: name });
+    if (record.responded(tookMs)) this.#logRegained(name);
     if (record.isLeaving !== response.isLeaving) {
       this.#log.info("peer_leaving", { peer: name, on: response.isLeaving });
     }
     record.startedAt = monotonicMs() - response.upMs;
-    record.silence?.end();
-    record.silence = undefined;
-    record.isSilent = false;
     record.isLeaving = response.isLeaving;
   }
 
   #markSilent(name: string, detail: string): void {
-    const record = this.#record(name);
-    if (record.isSilent) return;
-    record.isSilent = true;
-    record.lossAbort?.abort();
-    record.lossAbort = undefined;
-    this.#log.warn("peer_lost", { peer: name, detail });
+    if (this.#record(name).lost()) this.#logLost(name, detail);
+  }
+
+  #logLost(peer: string, detail: string): void {
+    this.#log.warn("peer_lost", { peer, detail });
   }
 
-  #record(name: string): PeerRecord {
+  #logRegained(peer: string): void {
+    this.#log.info("peer_regained", { peer });
+  }
+
+  #record(name: string): PeerHealth {
     const found = this.#records.get(name);
     if (found) return found;
-    const created: PeerRecord = {
-      isLeaving: false,
-      isSilent: false,
-    };
+    const created = new PeerHealth();
     this.#records.set(name, created);
     return created;
   }
 
-  /** False for a peer that is silent, leaving or much slower than the others. */
+  /** False for a peer that is silent or leaving; a slow one is usable. */
   isUsable({ name }: ListedPeer): boolean {
     if (name === this.#self.name) return !this.#isLeaving;
     const record = this.#records.get(name);
     if (!record) return true;
-    return !record.isSilent && !record.isLeaving && !this.#isSlow(record);
-  }
-
-  /** True when a peer responds much more slowly than the others. */
-  #isSlow({ responseMs = 0 }: PeerRecord): boolean {
-    const times = [...this.#records.values()]
-      .flatMap(({ isSilent, responseMs }) => isSilent ? [] : responseMs ?? [])
-      .sort((a, b) => a - b);
-    const usualMs = times[Math.floor(times.length / 2)] ?? 0;
-    return responseMs > SLOW_RESPONSE_MS && responseMs > SLOW_RATIO * usualMs;
+    return !record.isSilent && !record.isLeaving;
   }
 
   #others(): readonly ListedPeer[] {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -36,6 +36,10 @@
     allowance: z.number().min(0)
       .describe("Additional retries that a pool may use in a window"),
   }),
+  processor: z.object({
+    share: z.number().positive().describe("Share of a core that it may use"),
+    speed: z.number().positive().describe("Speed of the core; 1 is usual"),
+  }).optional().describe("Processor time; the largest entries own the stages"),
   logLevel: z.enum(LogLevel).default(LogLevel.Info)
     .describe("Least severe log level that is written"),
 });
@@ -45,12 +49,13 @@
 
 /** Derives the configuration from validated settings. */
 export function gatewayConfig(settings: GatewaySettings): GatewayConfig {
-  const { repeats: retryBudget } = settings;
+  const { repeats: retryBudget, processor } = settings;
   return {
     self: {
       name: settings.name,
       failureDomain: settings.failureDomain,
       url: `http://${settings.control}`,
+      capacity: processor && processor.share * processor.speed,
     },
     seeds: settings.seeds.map((address) => `http://${address}`),
     front: listenAddress(settings.front),
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -17,6 +17,7 @@
 import { BuildRecorder } from "./build_recorder.ts";
 import { ChainClient } from "./chain_client.ts";
 import { ChainRunner } from "./chain_runner.ts";
+import { ChainService } from "./chain_service.ts";
 import { FleetView } from "./fleet_view.ts";
 import { Gateway } from "./gateway.ts";
 import { HttpFront, type ListenAddress } from "./http_front.ts";
@@ -83,6 +84,7 @@
     board,
   });
   const state = () => view.state;
+  let isLeaving = false;
   const rates = new RateLimits({
     self: cfg.self,
     fleet: {
@@ -110,6 +112,12 @@
     metrics,
   });
   const runner = new ChainRunner({ batcher, state, log });
+  const chainService = new ChainService({
+    runner,
+    owners: peers.owners,
+    catalog: () => view.state.catalog,
+    isLeaving: () => isLeaving,
+  });
   const chains = new ChainClient({ runner, peers, clients, targets, log });
   const tracker = new TargetTracker({
     state,
@@ -192,7 +200,6 @@
       ),
     );
   });
-  let isLeaving = false;
   return Kernel.start([
     service({
       key: FLEET,
@@ -208,10 +215,7 @@
           createServer(entryPeerHandler({
             sync: (request) => peers.handleSync(request),
             freeResults: (results) => runner.release(results),
-            runChain: (chain, gone) =>
-              isLeaving
-                ? Promise.resolve({ kind: "leaving" })
-                : runner.run(chain, gone),
+            runChain: (chain, gone) => chainService.run(chain, gone),
             keepOrigins: (batch) => origins.keepOrigins(batch),
             permit: (request) => rates.handlePermit(request),
             findOrigin: (query) => origins.findOrigin(query),
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -162,7 +162,12 @@
    * pool.
    */
   stageGroupOf(route: Route): string {
-    return this.#groups.get(route.stages[0]?.pool ?? "") ?? "";
+    return this.groupOfPool(route.stages[0]?.pool ?? "") ?? "";
+  }
+
+  /** Group of a pool of stages; undefined for other pools. */
+  groupOfPool(pool: string): string | undefined {
+    return this.#groups.get(pool);
   }
 
   /** Names of all groups of pools of stages. */
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -81,6 +81,7 @@
 /** View of the fleet. Immutable. */
 export class FleetState {
   readonly #records: FleetRecords;
+  #peers: readonly ListedPeer[] | undefined;
 
   constructor(records: FleetRecords = EMPTY) {
     this.#records = records;
@@ -99,6 +100,11 @@
    * of their registrations; one that restarts moves to the end.
    */
   get peers(): readonly ListedPeer[] {
+    this.#peers ??= this.#sortedPeers();
+    return this.#peers;
+  }
+
+  #sortedPeers(): readonly ListedPeer[] {
     // A restored store keeps the numbers of the registrations in its copy.
     return [...this.#records.peers.values()]
       .sort((a, b) => numberOf(a.version) - numberOf(b.version))
--- a/src/serving/state_change.ts
+++ b/src/serving/state_change.ts
@@ -42,6 +42,8 @@
   /** Base URL of its control address. */
   readonly url: string;
   readonly failureDomain: string;
+  /** Processor time that it may use, in cores; undefined if not reported. */
+  readonly capacity?: number;
 }
 
 /** Build that targets of a pool have or had. */
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -10,12 +10,12 @@
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { fetch as undiciFetch } from "undici";
 import { z } from "zod";
 import { boundedAgent } from "../http/mod.ts";
 import { timeoutSignal } from "../kernel/mod.ts";
 import type { StateChange } from "../serving/mod.ts";
 import { type NoticeMessage, noticeMessageSchema } from "./notices.ts";
+import { streamingFetch } from "./streaming_fetch.ts";
 import {
   type PermitAnswer,
   permitAnswerSchema,
@@ -80,6 +80,8 @@
     resultBytes: z.number(),
     pieces: z.number(),
   })),
+  /** True when the sender understands a refusal that names another owner. */
+  mayDecline: z.boolean().optional(),
 });
 
 /** All stages of one request, sent to the owner of their pools. */
@@ -97,7 +99,12 @@
 export type ChainResponse =
   /** Results of the final stages, in the order of the stages. */
   | { readonly kind: "done"; readonly results: readonly ChainResults[] }
-  | { readonly kind: "refused"; readonly reason: string }
+  | {
+    readonly kind: "refused";
+    readonly reason: string;
+    /** Name of the entry that owns the stages instead of the receiver. */
+    readonly owner?: string;
+  }
   /** This process no longer accepts chains. */
   | { readonly kind: "leaving" };
 
@@ -229,13 +236,10 @@
   #clientOf(url: string) {
     const existing = this.#clients.get(url);
     if (existing) return existing;
-    const send = (to: unknown, init?: unknown) =>
-      undiciFetch(to as string, {
-        ...(init as object),
-        dispatcher: this.#agent,
-      });
+    // `fetch` itself costs several times as much processor time.
+    const fetch = streamingFetch(() => this.#agent);
     const created = createTRPCClient<EntryPeerRouter>({
-      links: [httpLink({ url, fetch: send as unknown as typeof fetch })],
+      links: [httpLink({ url, fetch })],
     });
     this.#clients.set(url, created);
     return created;
