Cut a group of stage pools into shares that their owners can carry

Cause (small twin of the large deployment): one owner of 0.12 cores runs all chains of 19 entries; after slow entries no longer passed for gone, chains waited there until their callers left (649 of 1,703). Change: the targets of a group are cut into as few shares as the entries with most processor time can carry, by the calls that busy targets take; targets of a failure domain stay together. A chain runs inside one share; entries choose it by the waits that answers carry, of two random ones the shorter, and ask another one once when refused. The loss of an owner moves its share only. Result: tests of the cut, of the choice and of 20 entries with several owners, slow ones among them, pass. Where one owner carries the group, as on the earlier deployments, nothing is cut.

--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -11,6 +11,7 @@
   ListedPeer,
   ResultHandle,
   Route,
+  StageShard,
 } from "../serving/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import type {
@@ -19,13 +20,16 @@
   EntryPeerClients,
   StageChain,
 } from "../wire/mod.ts";
-import type { ChainRunner } from "./chain_runner.ts";
 import type { Peers } from "./peers.ts";
 import type { CallerRequest, TargetClient } from "./ports.ts";
+import { ShardChoice } from "./shard_choice.ts";
+import type { ShardRunners } from "./shard_runners.ts";
 import type { StageOwners } from "./stage_owners.ts";
 
 /** Owners that are asked to run one chain before it is refused. */
 const MAX_ATTEMPTS = 4;
+/** Shares that are asked to run one chain before it is refused. */
+const MAX_SHARES = 2;
 /**
  * Pause before the owner is determined again when an entry declines a chain
  * whose owner has not responded, in milliseconds: that entry checks it first.
@@ -78,10 +82,15 @@
   readonly signal: AbortSignal;
 }
 
+/** Request with the share of the pools in which its stages run. */
+interface ShardRequest extends ChainRequest {
+  readonly shard: StageShard;
+}
+
 /** Owners of the groups of pools, and their failures. */
 export interface ChainOwners
   extends Pick<Peers, "await" | "heard" | "markFailed" | "markLeaving"> {
-  readonly owners: Pick<StageOwners, "ownerOf">;
+  readonly owners: Pick<StageOwners, "ownerOf" | "shardCount">;
 }
 /** Client of the owners of stages. */
 type ChainOwnerClients = Pick<EntryPeerClients, "runChain" | "freeResults">;
@@ -100,15 +109,16 @@
 
 /** Sends the chain of a request to the owner of its stages. */
 export class ChainClient {
-  readonly #runner: Pick<ChainRunner, "run" | "release">;
+  readonly #runner: Pick<ShardRunners, "run" | "release">;
   readonly #peers: ChainOwners;
   readonly #clients: ChainOwnerClients;
   readonly #targets: Pick<TargetClient, "freeResults">;
   readonly #log: Logger;
+  readonly #choices = new Map<string, ShardChoice>();
 
   constructor(
     deps: {
-      runner: Pick<ChainRunner, "run" | "release">;
+      runner: Pick<ShardRunners, "run" | "release">;
       peers: ChainOwners;
       clients: ChainOwnerClients;
       targets: Pick<TargetClient, "freeResults">;
@@ -126,8 +136,7 @@
   async run(
     request: ChainRequest,
   ): Promise<Result<StagedInputs, ChainRefusal>> {
-    const group = request.catalog.stageGroupOf(request.route);
-    const { response, owner } = await this.#submit(request, group, 1);
+    const { response, owner } = await this.#runInShares(request);
     if (response.kind === "leaving") {
       return err({ reason: "no owner of the stages" });
     }
@@ -143,14 +152,32 @@
     });
   }
 
+  /** Runs a chain in a share of the pools, and in another one if refused. */
+  async #runInShares(request: ChainRequest): Promise<OwnedResponse> {
+    const group = request.catalog.stageGroupOf(request.route);
+    const count = this.#peers.owners.shardCount(group);
+    const choice = this.#choices.get(group) ?? new ShardChoice();
+    this.#choices.set(group, choice);
+    let shard = choice.choose(count);
+    for (let share = 1;; share++) {
+      const owned = await this.#submit({ ...request, shard }, group, 1);
+      const { response } = owned;
+      const waitMs = "waitMs" in response ? response.waitMs : undefined;
+      if (waitMs !== undefined) choice.observe(shard, waitMs);
+      const isQueueLong = response.kind === "refused" && waitMs !== undefined;
+      if (!isQueueLong || share >= Math.min(count, MAX_SHARES)) return owned;
+      shard = choice.choose(count, shard);
+    }
+  }
+
   async #submit(
-    request: ChainRequest,
+    request: ShardRequest,
     group: string,
     attempt: number,
   ): Promise<OwnedResponse> {
     if (request.signal.aborted) return { response: CALLER_GONE };
     if (attempt > MAX_ATTEMPTS) return { response: NO_OWNER };
-    const owner = this.#peers.owners.ownerOf(group);
+    const owner = this.#peers.owners.ownerOf(group, request.shard);
     if (!owner) {
       const response = await this.#runner
         .run(chainOf(request), request.signal);
@@ -186,7 +213,7 @@
   /** Runs a chain at an owner; undefined when the call failed. */
   async #callOwner(
     owner: ListedPeer,
-    request: ChainRequest,
+    request: ShardRequest,
     signal: AbortSignal,
   ): Promise<OwnedResponse | undefined> {
     try {
@@ -281,8 +308,8 @@
   return response.kind === "refused" && response.owner !== undefined;
 }
 
-function chainOf(request: ChainRequest): StageChain {
-  const { req, route } = request;
+function chainOf(request: ShardRequest): StageChain {
+  const { req, route, shard } = request;
   const now = monotonicMs();
   return {
     requestId: req.id,
@@ -293,6 +320,7 @@
     key: req.pieceKey,
     resultDomain: request.resultDomain,
     mayDecline: true,
+    shard,
     stages: route.stages.map(({ pool, after, resultBytes }, i) => ({
       pool,
       after: [...after],
--- a/src/gateway/chain_client_test.ts
+++ b/src/gateway/chain_client_test.ts
@@ -26,7 +26,7 @@
       release: () => calls.push("free self"),
     },
     peers: {
-      owners: { ownerOf: () => owners.current },
+      owners: { ownerOf: () => owners.current, shardCount: () => 1 },
       await: () => ({ lost: new AbortController().signal, end: () => {} }),
       heard: () => {},
       markFailed: () => {},
@@ -108,6 +108,7 @@
           const next = scripts.find(({ name }) => !silent.has(name));
           return next && peer(next.name);
         },
+        shardCount: () => 1,
       },
       await: ({ name }) => ({
         lost: losses.get(name)?.signal ?? new AbortController().signal,
--- a/src/gateway/chain_runner.ts
+++ b/src/gateway/chain_runner.ts
@@ -111,7 +111,7 @@
     const isRefused = waitMs > limitMs;
     this.#pressure = this.#pressure.observe(isRefused);
     if (isRefused) {
-      return refused("the queue is too long");
+      return refused("the queue is too long", waitMs);
     }
     const startedAt = monotonicMs();
     const unfinished = new Map(
@@ -132,10 +132,10 @@
       },
     });
     unfinished.forEach(({ pool, pieces }) => this.#addPending(pool, -pieces));
-    if (response.kind === "done") {
-      this.#recordError(monotonicMs() - startedAt - expectedMs);
-    }
-    return response;
+    if (response.kind !== "done") return response;
+    this.#recordError(monotonicMs() - startedAt - expectedMs);
+    const nowMs = this.#expectedMs(plan) - this.#unloadedMs(plan);
+    return { ...response, waitMs: nowMs };
   }
 
   /** Longest expected wait with which a chain is admitted, in milliseconds. */
@@ -416,6 +416,6 @@
   }));
 }
 
-function refused(reason: string): ChainResponse {
-  return { kind: "refused", reason };
+function refused(reason: string, waitMs?: number): ChainResponse {
+  return { kind: "refused", reason, waitMs };
 }
--- a/src/gateway/chain_runner_test.ts
+++ b/src/gateway/chain_runner_test.ts
@@ -52,6 +52,7 @@
     const batcher = new StageBatcher({
       rates: NO_RATE_LIMITS,
       pauses: NO_PAUSES,
+      usable: (pool, now) => fleet.usable(pool, now),
       state,
       client: this.targets,
       log: SILENT_LOGGER,
--- a/src/gateway/chain_service.ts
+++ b/src/gateway/chain_service.ts
@@ -4,14 +4,14 @@
  * @module
  */
 
-import type { Catalog } from "../serving/mod.ts";
+import { type Catalog, WHOLE_GROUP } from "../serving/mod.ts";
 import type { ChainResponse, StageChain } from "../wire/mod.ts";
-import type { ChainRunner } from "./chain_runner.ts";
+import type { ShardRunners } from "./shard_runners.ts";
 import type { StageOwners } from "./stage_owners.ts";
 
 /** Services that it uses. */
 export interface ChainServiceDeps {
-  readonly runner: Pick<ChainRunner, "run">;
+  readonly runner: Pick<ShardRunners, "run">;
   readonly owners: Pick<StageOwners, "otherOwnerOf">;
   catalog(): Catalog | undefined;
   /** True once this process accepts no further chains. */
@@ -38,10 +38,12 @@
     });
   }
 
-  #otherOwnerOf({ stages }: StageChain): string | undefined {
+  #otherOwnerOf(
+    { stages, shard = WHOLE_GROUP }: StageChain,
+  ): string | undefined {
     const { catalog, owners } = this.#deps;
     const pool = stages[0]?.pool;
     const group = pool && catalog()?.groupOfPool(pool);
-    return group ? owners.otherOwnerOf(group)?.name : undefined;
+    return group ? owners.otherOwnerOf(group, shard)?.name : undefined;
   }
 }
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -105,7 +105,7 @@
       self: deps.self,
       entries: () => this.entries,
       isUsable: (peer) => this.isUsable(peer),
-      catalog: () => deps.view.state.catalog,
+      state: () => deps.view.state,
       log: deps.log,
     });
   }
--- a/src/gateway/stage_batcher.ts
+++ b/src/gateway/stage_batcher.ts
@@ -79,9 +79,22 @@
 
 const PIECES_FAILED = "pieces failed";
 
+/** Services that batchers use. */
+export interface StageBatcherDeps {
+  readonly state: () => FleetState;
+  /** Targets of a pool that get its calls at a monotonic time. */
+  readonly usable: FleetState["usable"];
+  readonly client: TargetClient;
+  readonly rates: Pick<RateLimits, "waitMs" | "spend" | "isLimited">;
+  readonly pauses: Pick<TargetPauses, "waitMs">;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+}
+
 /** Forms the calls to the targets of batched pools. */
 export class StageBatcher {
   readonly #state: () => FleetState;
+  readonly #usable: FleetState["usable"];
   readonly #client: TargetClient;
   readonly #rates: Pick<RateLimits, "waitMs" | "spend" | "isLimited">;
   readonly #pauses: Pick<TargetPauses, "waitMs">;
@@ -90,17 +103,9 @@
   readonly #pools = new Map<string, StagePool>();
   #submissions = 0;
 
-  constructor(
-    deps: {
-      state: () => FleetState;
-      client: TargetClient;
-      rates: Pick<RateLimits, "waitMs" | "spend" | "isLimited">;
-      pauses: Pick<TargetPauses, "waitMs">;
-      log: Logger;
-      metrics: Metrics;
-    },
-  ) {
+  constructor(deps: StageBatcherDeps) {
     this.#state = deps.state;
+    this.#usable = deps.usable;
     this.#client = deps.client;
     this.#rates = deps.rates;
     this.#pauses = deps.pauses;
@@ -260,7 +265,7 @@
   }
 
   #refreshTargets(pool: StagePool, now: number): void {
-    const usable = this.#state().usable(pool.name, now);
+    const usable = this.#usable(pool.name, now);
     pool.servers = usable.reduce(
       (servers, target) => {
         const waitMs = Math.max(
@@ -529,7 +534,7 @@
     results: readonly ResultHandle[],
   ): readonly ResultHandle[] {
     const limited = new Set(
-      this.#state().usable(pool.name, monotonicMs())
+      this.#usable(pool.name, monotonicMs())
         .filter((target) =>
           this.#rates.isLimited(target.id) || this.#pauses.waitMs(target) > 0
         )
--- a/src/gateway/stage_batcher_test.ts
+++ b/src/gateway/stage_batcher_test.ts
@@ -51,6 +51,7 @@
   const batcher = new StageBatcher({
     rates: NO_RATE_LIMITS,
     pauses: NO_PAUSES,
+    usable: (pool, now) => state.usable(pool, now),
     state: () => state,
     client,
     log: SILENT_LOGGER,
--- a/src/gateway/stage_owners.ts
+++ b/src/gateway/stage_owners.ts
@@ -1,6 +1,6 @@
 /**
- * Owners of the groups of stage pools. One entry owns a group, so that a single
- * process sees all the work of its pools.
+ * Owners of the groups of stage pools. One entry owns a share of a group, so that
+ * a single process sees all the work of the share's targets.
  *
  * The order of the entries decides: the most capable ones first, of these the
  * ones that registered first, so that ownership changes when an owner ends, and
@@ -12,7 +12,13 @@
  */
 
 import { monotonicMs } from "../kernel/mod.ts";
-import type { Catalog, ListedPeer } from "../serving/mod.ts";
+import {
+  type FleetState,
+  type ListedPeer,
+  shardCountOf,
+  type ShardedPool,
+  type StageShard,
+} from "../serving/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 
 /** Entries after the owners that keep watch on those before them. */
@@ -23,35 +29,99 @@
  */
 const DOUBT_MS = 5_000;
 
+/** Time for which a number of shares is not calculated again, in ms. */
+const COUNT_TTL_MS = 500;
+
 /** What owners are determined by. */
 export interface OwnerDeps {
   readonly self: ListedPeer;
   /** All entries, this one included, in the order of their registrations. */
   entries(): readonly ListedPeer[];
   isUsable(peer: ListedPeer): boolean;
-  catalog(): Catalog | undefined;
+  state(): FleetState;
   readonly log: Logger;
 }
 
 /** Determines the owners. */
 export class StageOwners {
   readonly #deps: OwnerDeps;
-  /** Last known owner of each group. */
+  /** Last known owner of each share. */
   readonly #owners = new Map<string, string>();
+  readonly #counts = new Map<string, { count: number; until: number }>();
+  /** Entries as last sorted. */
+  #ordered: {
+    readonly entries: readonly ListedPeer[];
+    readonly order: readonly ListedPeer[];
+  } = { entries: [], order: [] };
   #doubtUntil = 0;
 
   constructor(deps: OwnerDeps) {
     this.#deps = deps;
   }
 
-  /** Owner of a group of pools; undefined when it is this process. */
-  ownerOf(group: string): ListedPeer | undefined {
+  /** Number of shares into which the targets of a group are cut. */
+  shardCount(group: string): number {
+    const now = monotonicMs();
+    const known = this.#counts.get(group);
+    if (known && now < known.until) return known.count;
+    const count = this.#countShards(group, now);
+    this.#counts.set(group, { count, until: now + COUNT_TTL_MS });
+    return count;
+  }
+
+  #countShards(group: string, now: number): number {
+    const state = this.#deps.state();
+    const pools = state.catalog?.poolsOfGroup(group) ?? [];
+    const sharded = pools.map(({ name, batch }): ShardedPool => ({
+      limits: batch,
+      targets: state.usable(name, now).length,
+    }));
+    const capacities = this.#order().map(({ capacity }) => capacity);
+    return shardCountOf(sharded, capacities);
+  }
+
+  /**
+   * Owner of a share of a group of pools; undefined when it is this process.
+   * An owner that is not usable is replaced by the first entry that owns
+   * nothing, so that the other owners stay.
+   */
+  ownerOf(group: string, shard: StageShard): ListedPeer | undefined {
+    const { isUsable, self } = this.#deps;
+    const order = this.#order();
+    const { first, total } = this.#placesOf(group, shard.count);
+    const place = first + shard.index;
+    const owners = order.slice(0, total);
+    const spare = order.slice(total).filter((peer) => isUsable(peer));
+    const lost = owners.filter((peer) => !isUsable(peer));
+    const primary = owners[place];
+    const owner = primary && isUsable(primary)
+      ? primary
+      : spare[primary ? lost.indexOf(primary) : lost.length] ??
+        this.#anyUsable(place);
+    this.#record(`${group} ${shard.index}/${shard.count}`, owner.name);
+    return owner.name === self.name ? undefined : owner;
+  }
+
+  /** A usable entry when there are too few for all places. */
+  #anyUsable(place: number): ListedPeer {
     const { isUsable, self } = this.#deps;
     const usable = this.#order().filter((peer) => isUsable(peer));
-    const index = Math.max(0, this.#groups.indexOf(group));
-    const owner = usable[index % Math.max(1, usable.length)];
-    this.#record(group, owner?.name ?? self.name);
-    return owner?.name === self.name ? undefined : owner;
+    return usable[place % Math.max(1, usable.length)] ?? self;
+  }
+
+  /** Places in the order of the entries that the shares of a group have. */
+  #placesOf(
+    group: string,
+    count: number,
+  ): { readonly first: number; readonly total: number } {
+    const groups = this.#groups;
+    const counts = groups.map((one) =>
+      one === group ? count : this.shardCount(one)
+    );
+    const sum = (numbers: readonly number[]) =>
+      numbers.reduce((total, one) => total + one, 0);
+    const first = sum(counts.slice(0, Math.max(0, groups.indexOf(group))));
+    return { first, total: Math.max(1, sum(counts)) };
   }
 
   /**
@@ -59,8 +129,8 @@
    * it, else the owner by this process's view. From then on it keeps watch on
    * the entries before it, which the peer may have found silent.
    */
-  otherOwnerOf(group: string): ListedPeer | undefined {
-    const owner = this.ownerOf(group);
+  otherOwnerOf(group: string, shard: StageShard): ListedPeer | undefined {
+    const owner = this.ownerOf(group, shard);
     if (owner) this.#doubtUntil = monotonicMs() + DOUBT_MS;
     return owner;
   }
@@ -69,38 +139,45 @@
   watched(): readonly ListedPeer[] {
     const order = this.#order();
     const rank = order.findIndex(({ name }) => name === this.#deps.self.name);
-    const isStandby = rank < this.#groups.length + STANDBY_OWNERS;
+    const isStandby = rank < this.#ownerCount + STANDBY_OWNERS;
     const isDoubting = monotonicMs() < this.#doubtUntil;
     return isStandby || isDoubting ? order.slice(0, rank) : [];
   }
 
-  /** Peers that come before the owners and are not usable. */
+  /** Owners, and entries that may replace them, that are not usable. */
   unusable(): readonly ListedPeer[] {
     const { isUsable } = this.#deps;
-    const order = this.#order();
-    const usable = order.filter((peer) => isUsable(peer));
-    const last = usable[Math.min(this.#groups.length, usable.length) - 1];
-    const until = last ? order.indexOf(last) : order.length;
-    return order.slice(0, until).filter((peer) => !isUsable(peer));
+    return this.#order().slice(0, this.#ownerCount + STANDBY_OWNERS)
+      .filter((peer) => !isUsable(peer));
   }
 
   get #groups(): readonly string[] {
-    return this.#deps.catalog()?.stageGroups ?? [];
+    return this.#deps.state().catalog?.stageGroups ?? [];
+  }
+
+  get #ownerCount(): number {
+    return this.#groups
+      .reduce((sum, group) => sum + this.shardCount(group), 0);
   }
 
   #order(): readonly ListedPeer[] {
-    return this.#deps.entries()
-      .toSorted((a, b) => (b.capacity ?? 0) - (a.capacity ?? 0));
+    const entries = this.#deps.entries();
+    if (entries !== this.#ordered.entries) {
+      const order = entries
+        .toSorted((a, b) => (b.capacity ?? 0) - (a.capacity ?? 0));
+      this.#ordered = { entries, order };
+    }
+    return this.#ordered.order;
   }
 
-  #record(group: string, owner: string): void {
-    if (this.#owners.get(group) === owner) return;
-    this.#owners.set(group, owner);
+  #record(share: string, owner: string): void {
+    if (this.#owners.get(share) === owner) return;
+    this.#owners.set(share, owner);
     const { entries, isUsable, log } = this.#deps;
     const passed = this.#order().filter((peer) => !isUsable(peer))
       .map(({ name }) => name).slice(0, 8).join(",");
     log.info("stage_owner_changed", {
-      group,
+      share,
       owner,
       passed,
       entries: entries().length,
--- a/src/gateway/stage_owners_test.ts
+++ b/src/gateway/stage_owners_test.ts
@@ -12,6 +12,7 @@
   FleetState,
   type ListedPeer,
   type StateChange,
+  WHOLE_GROUP,
 } from "../serving/mod.ts";
 import {
   batchPool,
@@ -19,6 +20,7 @@
   catalogSpec,
   pool,
   route,
+  targetChange,
 } from "../serving/testing.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
@@ -131,20 +133,30 @@
   readonly view: FleetView;
   readonly #random: Random;
 
-  constructor(delays: readonly Delay[], seed: number) {
+  constructor(
+    delays: readonly Delay[],
+    seed: number,
+    opts: { capacity?: number; targets?: number } = {},
+  ) {
     this.#random = seededRandom(seed);
     const peers = delays.map((_, i): ListedPeer => ({
       name: `e${i}`,
       url: `http://e${i}`,
       failureDomain: `d${i % 3}`,
+      capacity: opts.capacity,
     }));
+    const targets = Array.from(
+      { length: opts.targets ?? 0 },
+      (_, i) => targetChange(`t${i}`, 100 + i, { pool: "parts" }),
+    );
     const listed = peers.map((peer, i): StateChange => ({
       kind: "peer",
       version: i + 1,
       name: peer.name,
       peer,
     }));
-    const state = new FleetState().apply([catalogChange(POOLS), ...listed], 0);
+    const state = new FleetState()
+      .apply([catalogChange(POOLS), ...listed, ...targets], 0);
     this.view = {
       state,
       targetsAgeMs: 0,
@@ -282,6 +294,49 @@
     }, { seed: 7 }))
 );
 
+/** Fleet whose entries can each carry a small share of the stages. */
+function shardedFleet(slow: (i: number) => boolean): SimFleet {
+  return new SimFleet(delaysOf(20, slow), 9, { capacity: 0.1, targets: 12 });
+}
+
+[
+  { title: "fast", slow: () => false },
+  { title: "with slow ones", slow: (i: number) => i % 3 === 0 },
+].forEach(({ title, slow }) =>
+  test(`each share has one owner, ${title}`, () =>
+    withPausedClock(async () => {
+      const fleet = shardedFleet(slow);
+      const count = fleet.entries[0]?.peers.owners.shardCount("parts") ?? 0;
+      assert.ok(count > 2, `${count} shares`);
+      await fleet.run(8_000);
+      const names = fleet.entries.slice(0, count).map(({ self }) => self.name);
+      assert.deepEqual(fleet.owners, names);
+      assert.deepEqual(fleet.refusals, []);
+    }, { seed: 9 }))
+);
+
+test("the loss of an owner moves its share only", () =>
+  withPausedClock(async () => {
+    const fleet = shardedFleet(() => false);
+    const [lost, asked] = fleet.entries;
+    if (!lost || !asked) throw new Error("no entries");
+    const { owners } = asked.peers;
+    const count = owners.shardCount("parts");
+    const ownersNow = () =>
+      Array.from(
+        { length: count },
+        (_, index) => owners.ownerOf("parts", { index, count })?.name,
+      );
+    const before = ownersNow();
+    setTimeout(() => lost.mode = "silent", 1_000);
+    await fleet.run(6_000);
+    const after = ownersNow();
+    const spare = fleet.entries[count]?.self.name;
+    assert.deepEqual(after, [spare, ...before.slice(1)]);
+    const served = fleet.entries.reduce((sum, { served }) => sum + served, 0);
+    assert.ok(fleet.refusals.length < served / 10);
+  }, { seed: 9 }));
+
 test("the most capable of the usable entries owns the stages", () => {
   const peers = [1, 4, 4, 2].map((capacity, i): ListedPeer => ({
     name: `e${i}`,
@@ -296,10 +351,10 @@
     self,
     entries: () => peers,
     isUsable: ({ name }) => !lost.has(name),
-    catalog: () => new Catalog(SPEC),
+    state: () => new FleetState().apply([catalogChange(POOLS)], 0),
     log: SILENT_LOGGER,
   });
-  const owner = () => owners.ownerOf("parts")?.name;
+  const owner = () => owners.ownerOf("parts", WHOLE_GROUP)?.name;
   assert.equal(owner(), "e1");
   lost.add("e1");
   assert.equal(owner(), "e2");
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -16,7 +16,6 @@
 import { HeldBytes } from "./answer_body.ts";
 import { BuildRecorder } from "./build_recorder.ts";
 import { ChainClient } from "./chain_client.ts";
-import { ChainRunner } from "./chain_runner.ts";
 import { ChainService } from "./chain_service.ts";
 import { FleetView } from "./fleet_view.ts";
 import { Gateway } from "./gateway.ts";
@@ -26,7 +25,7 @@
 import { Peers } from "./peers.ts";
 import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
 import { Registration } from "./registration.ts";
-import { StageBatcher } from "./stage_batcher.ts";
+import { ShardRunners } from "./shard_runners.ts";
 import { originFleet } from "./stream_binding.ts";
 import { type RetryBudget, TargetTracker } from "./target_tracker.ts";
 
@@ -103,7 +102,7 @@
     if (isLeaving) leaving.observe(target);
     if (pauseMs > 0) pauses.pause(target, pauseMs);
   });
-  const batcher = new StageBatcher({
+  const runner = new ShardRunners({
     state,
     client: targets,
     rates,
@@ -111,7 +110,6 @@
     log,
     metrics,
   });
-  const runner = new ChainRunner({ batcher, state, log });
   const chainService = new ChainService({
     runner,
     owners: peers.owners,
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -165,6 +165,15 @@
     return this.groupOfPool(route.stages[0]?.pool ?? "") ?? "";
   }
 
+  /** Batched pools of a group. */
+  poolsOfGroup(group: string): readonly BatchedPool[] {
+    return this.spec.pools.flatMap((pool) =>
+      pool.batch && this.#groups.get(pool.name) === group
+        ? [{ name: pool.name, batch: pool.batch }]
+        : []
+    );
+  }
+
   /** Group of a pool of stages; undefined for other pools. */
   groupOfPool(pool: string): string | undefined {
     return this.#groups.get(pool);
@@ -191,6 +200,12 @@
   }
 }
 
+/** Pool whose targets run pieces in calls. */
+export interface BatchedPool {
+  readonly name: string;
+  readonly batch: BatchLimits;
+}
+
 /** Returns the pool of a request, always the same one for the same id. */
 export function poolFor(route: Route, requestId: string): string | undefined {
   const total = route.pools.reduce((sum, { weight }) => sum + weight, 0);
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -22,6 +22,7 @@
 export * from "./state_change.ts";
 export * from "./store_version.ts";
 export * from "./stage_plan.ts";
+export * from "./stage_shards.ts";
 export * from "./stage_targets.ts";
 export * from "./stream_origins.ts";
 export * from "./event_splitter.ts";
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -58,6 +58,11 @@
   readonly notices?: NoticeMessage;
 }
 
+const shardSchema = z.object({
+  index: z.int().nonnegative(),
+  count: z.int().positive(),
+});
+
 const chainSchema = z.object({
   requestId: z.string(),
   /** Priority; 0 is the most urgent. */
@@ -82,6 +87,8 @@
   })),
   /** True when the sender understands a refusal that names another owner. */
   mayDecline: z.boolean().optional(),
+  /** Share of the pools' targets in which the chain runs; absent: all. */
+  shard: shardSchema.optional(),
 });
 
 /** All stages of one request, sent to the owner of their pools. */
@@ -90,6 +97,8 @@
 const resultsSchema = z.object({
   pool: z.string(),
   results: z.array(z.string()),
+  /** Share of the pool's targets that made the results; absent: all. */
+  shard: shardSchema.optional(),
 });
 
 /** Results of the stages of one pool. */
@@ -98,12 +107,18 @@
 /** Outcome of a chain. */
 export type ChainResponse =
   /** Results of the final stages, in the order of the stages. */
-  | { readonly kind: "done"; readonly results: readonly ChainResults[] }
+  | {
+    readonly kind: "done";
+    readonly results: readonly ChainResults[];
+    /** Wait of a chain that arrives now, in milliseconds. */
+    readonly waitMs?: number;
+  }
   | {
     readonly kind: "refused";
     readonly reason: string;
     /** Name of the entry that owns the stages instead of the receiver. */
     readonly owner?: string;
+    readonly waitMs?: number;
   }
   /** This process no longer accepts chains. */
   | { readonly kind: "leaving" };
