Count the time until an owner reads a chain as its wait

Cause (trial with four owners on the small twin): owners with little processor time refused chains seconds after they had been sent; 250 callers had left by then, and chains refused for their wait went to the next such owner. Change: answers say for how long the owner held the chain; the rest of their time counts as wait of the share. A chain that no chosen share can serve before its end is refused at once. The measured wait fades, so shares are tried again.

--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -48,6 +48,11 @@
   reason: "no owner of the stages responds",
 };
 
+const OVERLOADED: ChainResponse = {
+  kind: "refused",
+  reason: "the owners of the stages are overloaded",
+};
+
 const CALLER_GONE: ChainResponse = {
   kind: "refused",
   reason: "caller has gone",
@@ -159,15 +164,21 @@
     const choice = this.#choices.get(group) ?? new ShardChoice();
     this.#choices.set(group, choice);
     let shard = choice.choose(count);
-    for (let share = 1;; share++) {
+    let refusal: OwnedResponse = { response: OVERLOADED };
+    for (let share = 1; share <= Math.min(count, MAX_SHARES); share++) {
+      const isLate = monotonicMs() + choice.waitMs(shard) > request.expiresAt;
+      if (isLate) return refusal;
+      const startedAt = monotonicMs();
       const owned = await this.#submit({ ...request, shard }, group, 1);
-      const { response } = owned;
-      const waitMs = "waitMs" in response ? response.waitMs : undefined;
+      const waitMs = waitOf(owned.response, monotonicMs() - startedAt);
       if (waitMs !== undefined) choice.observe(shard, waitMs);
-      const isQueueLong = response.kind === "refused" && waitMs !== undefined;
-      if (!isQueueLong || share >= Math.min(count, MAX_SHARES)) return owned;
+      const isQueueLong = owned.response.kind === "refused" &&
+        waitMs !== undefined;
+      if (!isQueueLong) return owned;
+      refusal = owned;
       shard = choice.choose(count, shard);
     }
+    return refusal;
   }
 
   async #submit(
@@ -303,6 +314,18 @@
   return result;
 }
 
+/**
+ * Wait of the next chain in the share of an answer that took `tookMs`, in
+ * milliseconds: that which the owner expects, and that until it read the chain.
+ */
+function waitOf(response: ChainResponse, tookMs: number): number | undefined {
+  if (response.kind === "leaving" || response.waitMs === undefined) {
+    return undefined;
+  }
+  const { waitMs, heldMs = tookMs } = response;
+  return Math.max(0, waitMs) + Math.max(0, tookMs - heldMs);
+}
+
 /** True when the entry that was asked does not own the stages. */
 function isDeclined(response: ChainResponse): boolean {
   return response.kind === "refused" && response.owner !== undefined;
--- a/src/gateway/chain_client_test.ts
+++ b/src/gateway/chain_client_test.ts
@@ -69,6 +69,36 @@
   });
 }
 
+test("chains are refused at once while their owner is known to be overloaded", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners({
+      name: "a",
+      afterMs: 10,
+      response: { kind: "refused", reason: "queue", waitMs: 9_000 },
+    });
+    await submitChain(client);
+    const startedAt = monotonicMs();
+    const outcome = await submitChain(client);
+    assert.match(outcome._unsafeUnwrapErr().reason, /overloaded/);
+    assert.equal(monotonicMs(), startedAt);
+    assert.equal(calls.length, 1);
+    await sleep(3_000);
+    await submitChain(client);
+    assert.equal(calls.length, 2);
+  }, { seed: 1 }));
+
+test("the time until an owner reads a chain counts as its wait", () =>
+  withPausedClock(async () => {
+    const { client, calls } = setupOwners({
+      name: "a",
+      afterMs: 2_500,
+      response: { kind: "refused", reason: "queue", waitMs: 10, heldMs: 0 },
+    });
+    await submitChain(client);
+    await submitChain(client);
+    assert.equal(calls.length, 1);
+  }, { seed: 1 }));
+
 const REFUSED: ChainResponse = { kind: "refused", reason: "queue" };
 
 /** How one owner responds to a chain. */
--- a/src/gateway/chain_service.ts
+++ b/src/gateway/chain_service.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { monotonicMs } from "../kernel/mod.ts";
 import { type Catalog, WHOLE_GROUP } from "../serving/mod.ts";
 import type { ChainResponse, StageChain } from "../wire/mod.ts";
 import type { ShardRunners } from "./shard_runners.ts";
@@ -26,16 +27,19 @@
     this.#deps = deps;
   }
 
-  run(chain: StageChain, gone: AbortSignal): Promise<ChainResponse> {
+  async run(chain: StageChain, gone: AbortSignal): Promise<ChainResponse> {
     const { runner, isLeaving } = this.#deps;
-    if (isLeaving()) return Promise.resolve({ kind: "leaving" });
+    if (isLeaving()) return { kind: "leaving" };
     const owner = chain.mayDecline ? this.#otherOwnerOf(chain) : undefined;
-    if (owner === undefined) return runner.run(chain, gone);
-    return Promise.resolve({
-      kind: "refused",
-      reason: "another entry owns the stages",
-      owner,
-    });
+    if (owner !== undefined) {
+      const reason = "another entry owns the stages";
+      return { kind: "refused", reason, owner };
+    }
+    const startedAt = monotonicMs();
+    const response = await runner.run(chain, gone);
+    return response.kind === "leaving"
+      ? response
+      : { ...response, heldMs: monotonicMs() - startedAt };
   }
 
   #otherOwnerOf(
--- a/src/gateway/shard_choice.ts
+++ b/src/gateway/shard_choice.ts
@@ -30,7 +30,7 @@
     if (count === 1) return WHOLE_GROUP;
     const first = this.#draw(count, exclude?.index);
     const second = this.#draw(count, first.index, exclude?.index);
-    return this.#waitMs(second) < this.#waitMs(first) ? second : first;
+    return this.waitMs(second) < this.waitMs(first) ? second : first;
   }
 
   /** Records the wait that the answer of a share's owner carried. */
@@ -38,6 +38,13 @@
     this.#waits.set(keyOf(shard), { ms, at: monotonicMs() });
   }
 
+  /** Wait that is expected in a share, in milliseconds; 0 if unknown. */
+  waitMs(shard: StageShard): number {
+    const known = this.#waits.get(keyOf(shard));
+    if (!known) return 0;
+    return known.ms * 0.5 ** ((monotonicMs() - known.at) / WAIT_HALF_LIFE_MS);
+  }
+
   /** Draws a share that is not excluded; the last one if all are. */
   #draw(
     count: number,
@@ -48,12 +55,6 @@
     const index = open[Math.floor(this.#random() * open.length)];
     return { index: index ?? excluded[0] ?? 0, count };
   }
-
-  #waitMs(shard: StageShard): number {
-    const known = this.#waits.get(keyOf(shard));
-    if (!known) return 0;
-    return known.ms * 0.5 ** ((monotonicMs() - known.at) / WAIT_HALF_LIFE_MS);
-  }
 }
 
 function keyOf({ index, count }: StageShard): string {
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -112,6 +112,8 @@
     readonly results: readonly ChainResults[];
     /** Wait of a chain that arrives now, in milliseconds. */
     readonly waitMs?: number;
+    /** Time between the chain's arrival and this response, in milliseconds. */
+    readonly heldMs?: number;
   }
   | {
     readonly kind: "refused";
@@ -119,6 +121,7 @@
     /** Name of the entry that owns the stages instead of the receiver. */
     readonly owner?: string;
     readonly waitMs?: number;
+    readonly heldMs?: number;
   }
   /** This process no longer accepts chains. */
   | { readonly kind: "leaving" };
