Read the store as often as the drain and contact times need

Change: the pause between these reads is a fifth of the drain time (0.4 s at 2 s, 0.8 s at 4 s); a call waits a third of the contact time (1 s at 3 s), so that a silent connection is still replaced within it. Both are settings. Result: tests of 2 s and 4 s of drain time pass.

--- a/src/gateway/build_recorder_test.ts
+++ b/src/gateway/build_recorder_test.ts
@@ -15,6 +15,8 @@
 import { FleetView } from "./fleet_view.ts";
 import { type SourceError, StatePart, type StateSource } from "./ports.ts";
 
+const BOUNDS = { contactMs: 3_000, drainMs: 2_000 };
+
 const MINUTE_MS = 60_000;
 /** Writes that one entry makes in a minute at most. */
 const MAX_WRITES_PER_MINUTE = 4;
@@ -58,6 +60,7 @@
   const names = Array.from({ length: count }, (_, i) => `entry-${i}`);
   names.forEach((self) => {
     const view = new FleetView({
+      bounds: BOUNDS,
       source: {} as StateSource,
       log: SILENT_LOGGER,
       metrics: new Metrics(),
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -26,11 +26,32 @@
   readonly pauseMs: number;
 }
 
-const FOLLOW_SPECS: Readonly<Record<StatePart, FollowSpec>> = {
-  [StatePart.Configuration]: { waitMs: 1_000, pauseMs: 0 },
-  [StatePart.Targets]: { waitMs: 1_000, pauseMs: 400 },
-  [StatePart.Peers]: { waitMs: 10_000, pauseMs: 1_000 },
-};
+/** Times within which changes have to be in force, in milliseconds. */
+export interface FollowBounds {
+  /** Time after which an entry that was disturbed has to be up to date. */
+  readonly contactMs: number;
+  /** Time after which a draining target gets no new work. */
+  readonly drainMs: number;
+}
+
+/**
+ * Part of the contact time for which a call waits: a silent connection is then
+ * noticed and replaced in time.
+ */
+const WAIT_SHARE = 1 / 3;
+/** Part of the drain time between two reads of the targets. */
+const PAUSE_SHARE = 1 / 5;
+
+function followSpecs(
+  { contactMs, drainMs }: FollowBounds,
+): Readonly<Record<StatePart, FollowSpec>> {
+  const waitMs = WAIT_SHARE * contactMs;
+  return {
+    [StatePart.Configuration]: { waitMs, pauseMs: 0 },
+    [StatePart.Targets]: { waitMs, pauseMs: PAUSE_SHARE * drainMs },
+    [StatePart.Peers]: { waitMs: 10_000, pauseMs: 1_000 },
+  };
+}
 
 /**
  * Time that a response may take beyond the wait of its call, in milliseconds.
@@ -62,6 +83,7 @@
 /** View of the fleet and the tasks that keep it up to date. */
 export class FleetView {
   readonly #source: StateSource;
+  readonly #specs: Readonly<Record<StatePart, FollowSpec>>;
   readonly #log: Logger;
   readonly #metrics: Metrics;
   #state = new FleetState();
@@ -82,8 +104,14 @@
   #isStoreLost = false;
 
   constructor(
-    deps: { source: StateSource; log: Logger; metrics: Metrics },
+    deps: {
+      source: StateSource;
+      bounds: FollowBounds;
+      log: Logger;
+      metrics: Metrics;
+    },
   ) {
+    this.#specs = followSpecs(deps.bounds);
     this.#source = deps.source;
     this.#log = deps.log;
     this.#metrics = deps.metrics;
@@ -193,7 +221,7 @@
     while (!signal.aborted) {
       const isOk = await this.#poll(part, signal);
       if (isOk && this.#needSnapshot.has(part)) continue;
-      await sleep(isOk ? FOLLOW_SPECS[part].pauseMs : RETRY_PAUSE_MS, signal);
+      await sleep(isOk ? this.#specs[part].pauseMs : RETRY_PAUSE_MS, signal);
     }
   }
 
@@ -204,7 +232,7 @@
     }
     const isSnapshot = this.#needSnapshot.has(part);
     const after = this.versionOf(part);
-    const { waitMs } = FOLLOW_SPECS[part];
+    const waitMs = Math.round(this.#specs[part].waitMs);
     const timeout = timeoutSignal(
       (isSnapshot ? 0 : waitMs) + RESPONSE_SLACK_MS,
       signal,
--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -13,6 +13,8 @@
   type StateSource,
 } from "./ports.ts";
 
+const BOUNDS = { contactMs: 3_000, drainMs: 2_000 };
+
 /** Version below which the fake store no longer holds the changes. */
 const OLDEST_VERSION = 10;
 
@@ -57,6 +59,7 @@
   withPausedClock(async () => {
     const source = new TruncatingSource();
     const view = new FleetView({
+      bounds: BOUNDS,
       source,
       log: SILENT_LOGGER,
       metrics: new Metrics(),
@@ -81,6 +84,7 @@
 test("a listener that throws does not keep a change from the others", () =>
   withPausedClock(async () => {
     const view = new FleetView({
+      bounds: BOUNDS,
       source: new TruncatingSource(),
       log: SILENT_LOGGER,
       metrics: new Metrics(),
@@ -96,3 +100,29 @@
     abort.abort();
     assert.ok(heard > 0);
   }, { seed: 1 }));
+
+[{ drainMs: 2_000, most: 30 }, { drainMs: 4_000, most: 16 }].forEach((
+  { drainMs, most },
+) =>
+  test(`targets that change all the time are read as often as ${drainMs} ms of drain time need`, () =>
+    withPausedClock(async () => {
+      const source = new TruncatingSource();
+      let reads = 0;
+      source.follow = async (part, { after }, signal) => {
+        if (part === StatePart.Targets) reads += 1;
+        else await sleep(1_000, signal);
+        return ok({ changes: [], version: after + 1 });
+      };
+      const view = new FleetView({
+        bounds: { contactMs: 3_000, drainMs },
+        source,
+        log: SILENT_LOGGER,
+        metrics: new Metrics(),
+      });
+      const abort = new AbortController();
+      view.run(abort.signal);
+      await sleep(10_000);
+      abort.abort();
+      assert.ok(reads <= most && reads > most / 2, `${reads} reads`);
+    }, { seed: 1 }))
+);
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -36,6 +36,13 @@
     allowance: z.number().min(0)
       .describe("Additional retries that a pool may use in a window"),
   }),
+  bounds: z.object({
+    contactMs: z.number().positive().default(3_000).describe(
+      "Time after a disturbance within which the process is up to date, in ms",
+    ),
+    drainMs: z.number().positive().default(2_000)
+      .describe("Time after which a draining target gets no new work, in ms"),
+  }).prefault({}).describe("Times within which changes are in force"),
   processor: z.object({
     share: z.number().positive().describe("Share of a core that it may use"),
     speed: z.number().positive().describe("Speed of the core; 1 is usual"),
@@ -67,6 +74,7 @@
       windowMs: retryBudget.windowS * MS_PER_S,
       allowance: retryBudget.allowance,
     },
+    bounds: settings.bounds,
     graceMs: settings.graceS * MS_PER_S,
   };
 }
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -17,7 +17,7 @@
 import { BuildRecorder } from "./build_recorder.ts";
 import { ChainClient } from "./chain_client.ts";
 import { ChainService } from "./chain_service.ts";
-import { FleetView } from "./fleet_view.ts";
+import { FleetView, type FollowBounds } from "./fleet_view.ts";
 import { Gateway } from "./gateway.ts";
 import { HttpFront, type ListenAddress } from "./http_front.ts";
 import { FirstByteTimes } from "./first_byte_times.ts";
@@ -39,6 +39,7 @@
   readonly control: ListenAddress;
   readonly metrics?: ListenAddress;
   readonly repeats: RetryBudget;
+  readonly bounds: FollowBounds;
   /** Time from the announcement of a stop to the kill, in milliseconds. */
   readonly graceMs: number;
 }
@@ -71,7 +72,7 @@
   const { source, targets, codec } = adapters;
   const metrics = new Metrics();
   const clients = new EntryPeerClients();
-  const view = new FleetView({ source, log, metrics });
+  const view = new FleetView({ source, bounds: cfg.bounds, log, metrics });
   const board = new NoticeBoard({ metrics });
   const peers = new Peers({
     self: cfg.self,
