Take a target for gone that is removed later than two seconds after an outage

The removal fell within 4 s of the last failed call, so it counted as a lapse, and the server stayed in use for 2 s more: a request reached it 2036 ms after the removal. Change: what is missing 2 s after the last failed call is gone; a lapsed target stays in use until then, also at peers that learn of it. Result: a new test failed before (in use 2 s after the outage), passes, as does the one that keeps targets in use during that time; 160 tests of gateway and serving pass.

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -10,6 +10,7 @@
   type BuildHolder,
   eraOf,
   FleetState,
+  LAPSE_GRACE_MS,
   type PoolBuild,
   type RecordedQuarantine,
   type StateChange,
@@ -68,12 +69,6 @@
   [StatePart.Configuration]: 10_000,
   [StatePart.Targets]: 3_000,
 };
-/**
- * Time after the last failed call to the store within which a removed target
- * counts as lapsed, in milliseconds: the store removes targets after three
- * missed heartbeats, which its own outage may have caused.
- */
-const LAPSE_WINDOW_MS = 4_000;
 /**
  * Age of the list of targets up to which it shows whether a pool has one build,
  * in milliseconds: a call that follows it, its pause and its slack.
@@ -331,8 +326,10 @@
   #withLapse(change: StateChange): StateChange {
     if (change.kind !== "target" || change.target) return change;
     if (change.hasLapsed !== undefined) return change;
-    const sinceMs = monotonicMs() - this.#failedAt;
-    return { ...change, hasLapsed: sinceMs < LAPSE_WINDOW_MS };
+    // Rows that lapsed in an outage are back within a short time of its end; one
+    // that is removed later, or still missing then, is gone.
+    const lapseMs = this.#failedAt + LAPSE_GRACE_MS - monotonicMs();
+    return { ...change, hasLapsed: lapseMs > 0, lapseMs };
   }
 
   #apply(changes: readonly StateChange[], from: string): void {
--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { err, ok, type Result } from "neverthrow";
 import { test } from "node:test";
-import { sleep } from "../kernel/mod.ts";
+import { monotonicMs, sleep } from "../kernel/mod.ts";
 import { targetChange } from "../serving/testing.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
@@ -15,6 +15,13 @@
 
 const BOUNDS = { contactMs: 3_000, drainMs: 2_000 };
 
+/** Time for which the store fails in tests of its return, in ms. */
+const FAILS_MS = 1_000;
+/** Time at which a target is removed in such a test, in ms. */
+const REMOVED_MS = 2_500;
+/** Time that targets have to be listed again after an outage, in ms. */
+const RETURN_MS = 2_000;
+
 /** Version below which the fake store no longer holds the changes. */
 const OLDEST_VERSION = 10;
 
@@ -126,3 +133,61 @@
       assert.ok(reads <= most && reads > most / 2, `${reads} reads`);
     }, { seed: 1 }))
 );
+
+test("a target that is removed after the store has returned is gone in time", () =>
+  withPausedClock(async () => {
+    const source = new TruncatingSource();
+    const startAt = monotonicMs();
+    const ageMs = () => monotonicMs() - startAt;
+    source.follow = async (part, { after }, signal) => {
+      await sleep(100, signal);
+      if (ageMs() < FAILS_MS) return err({ kind: "unreachable", detail: "" });
+      if (part !== StatePart.Targets || ageMs() < REMOVED_MS) {
+        return ok({ changes: [], version: after });
+      }
+      const removed = { kind: "target", version: 9, id: "a" } as const;
+      return ok({ changes: [removed], version: 9 });
+    };
+    const view = new FleetView({
+      bounds: BOUNDS,
+      source,
+      log: SILENT_LOGGER,
+      metrics: new Metrics(),
+    });
+    const abort = new AbortController();
+    view.run(abort.signal);
+    const isUsed = () => view.state.usable("plain", monotonicMs()).length > 0;
+    await sleep(REMOVED_MS - 100);
+    assert.equal(isUsed(), true);
+    await sleep(FAILS_MS + RETURN_MS - ageMs() + 200);
+    abort.abort();
+    assert.equal(isUsed(), false);
+  }, { seed: 1 }));
+
+test("a target whose row lapsed in an outage stays in use until it had time to return", () =>
+  withPausedClock(async () => {
+    const source = new TruncatingSource();
+    const startAt = monotonicMs();
+    source.follow = async (part, { after }, signal) => {
+      await sleep(100, signal);
+      if (monotonicMs() - startAt < FAILS_MS) {
+        return err({ kind: "unreachable", detail: "" });
+      }
+      const removed = { kind: "target", version: 9, id: "a" } as const;
+      const changes = part === StatePart.Targets ? [removed] : [];
+      return ok({ changes, version: Math.max(after, 9) });
+    };
+    const view = new FleetView({
+      bounds: BOUNDS,
+      source,
+      log: SILENT_LOGGER,
+      metrics: new Metrics(),
+    });
+    const abort = new AbortController();
+    view.run(abort.signal);
+    await sleep(FAILS_MS + RETURN_MS - 500);
+    assert.equal(view.state.usable("plain", monotonicMs()).length, 1);
+    await sleep(1_000);
+    abort.abort();
+    assert.equal(view.state.usable("plain", monotonicMs()).length, 0);
+  }, { seed: 1 }));
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -210,7 +210,7 @@
     const isBehind = Object.values(StatePart)
       .some((part) => (versions[part] ?? 0) < (known[part] ?? 0));
     const changes = isBehind
-      ? this.#view.state.changes()
+      ? this.#view.state.changes(monotonicMs())
         .filter((change) => change.version > (versions[partOf(change)] ?? 0))
       : [];
     const unrecorded = this.#view.unrecordedBuilds
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -174,8 +174,11 @@
     return start !== undefined && start.bornMs === bornMs;
   }
 
-  /** Returns the changes that lead from an empty state to this one. */
-  changes(): StateChange[] {
+  /**
+   * Returns the changes that lead from an empty state to this one at monotonic
+   * time `now`.
+   */
+  changes(now = 0): StateChange[] {
     const { catalog, targets, domains, peers, builds, quarantines } =
       this.#records;
     const catalogChanges: StateChange[] = catalog.value
@@ -194,6 +197,9 @@
           id,
           target: lapsesAt === undefined ? target : undefined,
           hasLapsed: lapsesAt !== undefined,
+          lapseMs: lapsesAt === undefined
+            ? undefined
+            : Math.max(0, lapsesAt - now),
         }) satisfies StateChange
       ),
       ...[...domains].map(([failureDomain, { version, isOut }]) =>
@@ -479,12 +485,13 @@
     };
   }
   const wasReady = before?.target?.state === TargetState.Ready;
+  const lapseMs = Math.min(LAPSE_GRACE_MS, change.lapseMs ?? LAPSE_GRACE_MS);
   return {
     version,
     target: change.hasLapsed && wasReady ? before?.target : undefined,
     receivedAt: now,
     coldUntil: 0,
-    lapsesAt: change.hasLapsed && wasReady ? now + LAPSE_GRACE_MS : undefined,
+    lapsesAt: change.hasLapsed && wasReady ? now + lapseMs : undefined,
     lastReport: before?.lastReport,
   };
 }
--- a/src/serving/state_change.ts
+++ b/src/serving/state_change.ts
@@ -80,6 +80,8 @@
      * undefined while that is not decided.
      */
     readonly hasLapsed?: boolean;
+    /** Time that it then has to be listed again, in milliseconds. */
+    readonly lapseMs?: number;
   }
   | {
     readonly kind: "domain";
