Take only whole events of a stream for progress

Cause: each byte of a stream counted as progress, so a target that sent a byte now and then but no event was never found silent, and its stream never ended. Change: progress is recorded when an event is complete. Result: the new test failed before (no second call), passes; sound slow streams are covered by the tests beside it and by silent_server_test.

--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -258,6 +258,23 @@
   }),
 );
 
+test(
+  "a target that sends a byte now and then but no event is replaced",
+  whileSilent(async (setup) => {
+    const drip = setInterval(
+      () => setup.call(0).listener.data(Buffer.from("i")),
+      500,
+    );
+    await sleep(SILENCE_MS + 300);
+    clearInterval(drip);
+    assert.equal(setup.calls.length, 2);
+    setup.call(1).listener.head(HEAD);
+    setup.event(1, 2);
+    setup.call(1).listener.ended();
+    assert.equal(setup.text, "begin id: 1 id: 2 ");
+  }),
+);
+
 test(
   "a call that goes on before another target answers keeps its request",
   whileSilent(async (setup) => {
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -220,13 +220,14 @@
     if (this.#outcome) return this.#skip(bytes, this.#outcome);
     this.#recordFirstBytes();
     if (!this.#isStream) return this.#holdOrForward(bytes);
-    this.#recordProgress();
     const complete = this.#splitter.push(bytes);
     const canHold = this.#held.tryHold(this.#splitter.rest.length);
     if (this.#splitter.isOverlong || !canHold) {
       this.#breakOff("event is too large");
     }
     if (this.#outcome || !complete) return true;
+    // Bytes that complete no event are no progress for the caller.
+    this.#recordProgress();
     this.#firstEventAt ??= monotonicMs();
     this.#deps.watch.wrote();
     this.#deps.onEvent(complete.lastId);
