--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -94,7 +94,8 @@
 
 /** Owners of the groups of pools, and their failures. */
 export interface ChainOwners
-  extends Pick<Peers, "await" | "heard" | "markFailed" | "markLeaving"> {
+  extends
+    Pick<Peers, "awaitResponse" | "heard" | "markFailed" | "markLeaving"> {
   readonly owners: Pick<StageOwners, "ownerOf" | "shardCount">;
 }
 /** Client of the owners of stages. */
@@ -195,7 +196,7 @@
       return { response };
     }
     const call = new AbortController();
-    const waiting = this.#peers.await(owner);
+    const waiting = this.#peers.awaitResponse(owner);
     const end = this.#callOwner(owner, request, call.signal)
       .finally(waiting.end);
     if (await isAbortedBefore(waiting.lost, end)) {
--- a/src/gateway/chain_client_test.ts
+++ b/src/gateway/chain_client_test.ts
@@ -27,7 +27,10 @@
     },
     peers: {
       owners: { ownerOf: () => owners.current, shardCount: () => 1 },
-      await: () => ({ lost: new AbortController().signal, end: () => {} }),
+      awaitResponse: () => ({
+        lost: new AbortController().signal,
+        end: () => {},
+      }),
       heard: () => {},
       markFailed: () => {},
       markLeaving: () => {},
@@ -140,7 +143,7 @@
         },
         shardCount: () => 1,
       },
-      await: ({ name }) => ({
+      awaitResponse: ({ name }) => ({
         lost: losses.get(name)?.signal ?? new AbortController().signal,
         end: () => {},
       }),
--- /dev/null
+++ b/src/gateway/change_log.ts
@@ -0,0 +1,71 @@
+/**
+ * Log lines for changes of what an entry knows of the fleet.
+ *
+ * @module
+ */
+
+import { monotonicMs } from "../kernel/mod.ts";
+import type { FleetState, StateChange } from "../serving/mod.ts";
+import type { Logger } from "../telemetry/mod.ts";
+
+/** Logs the changes that made a state what it is; heartbeats are left out. */
+export function logChanges(
+  log: Logger,
+  before: FleetState,
+  { changes, from }: {
+    readonly changes: readonly StateChange[];
+    /** Who reported the changes. */
+    readonly from: string;
+  },
+): void {
+  changes.forEach((change) => {
+    const { version } = change;
+    if (change.kind === "catalog") {
+      const { version: catalog } = change.catalog;
+      log.info("catalog_applied", { version, catalog, from });
+      return;
+    }
+    if (change.kind === "domain") {
+      const { failureDomain, isOut } = change;
+      log.info("domain_changed", {
+        version,
+        failureDomain,
+        isOut,
+        from,
+      });
+      return;
+    }
+    if (change.kind === "build") {
+      const { pool, build } = change;
+      const known = before.buildsOf(pool, monotonicMs());
+      if (known.includes(build)) return;
+      log.info("build_learned", { version, pool, build, from });
+      return;
+    }
+    if (change.kind === "quarantine") {
+      const { segment, crashes } = change;
+      log.info("quarantine_learned", {
+        version,
+        segment,
+        crashes,
+        from,
+      });
+      return;
+    }
+    if (change.kind !== "target") return;
+    const old = before.targets.get(change.id)?.target;
+    const isSame = old?.state === change.target?.state &&
+      old?.build === change.target?.build;
+    if (isSame) return;
+    log.info("target_changed", {
+      version,
+      target: change.id,
+      pool: change.target?.pool ?? old?.pool,
+      build: change.target?.build ?? old?.build,
+      state: change.target?.state ?? "gone",
+      lapsed: change.hasLapsed,
+      coldMs: change.target?.coldMs,
+      from,
+    });
+  });
+}
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -17,43 +17,10 @@
   type TargetStart,
 } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
+import { logChanges } from "./change_log.ts";
+import { type FollowBounds, type FollowSpec, followSpecs } from "./follow.ts";
 import { type SourceError, StatePart, type StateSource } from "./ports.ts";
 
-/** How a part of the state is followed. Times are in milliseconds. */
-interface FollowSpec {
-  /** Longest time that one call waits for a change. */
-  readonly waitMs: number;
-  /** Pause between calls, so that one call returns several frequent changes. */
-  readonly pauseMs: number;
-}
-
-/** Times within which changes have to be in force, in milliseconds. */
-export interface FollowBounds {
-  /** Time after which an entry that was disturbed has to be up to date. */
-  readonly contactMs: number;
-  /** Time after which a draining target gets no new work. */
-  readonly drainMs: number;
-}
-
-/**
- * Part of the contact time for which a call waits: a silent connection is then
- * noticed and replaced in time.
- */
-const WAIT_SHARE = 1 / 3;
-/** Part of the drain time between two reads of the targets. */
-const PAUSE_SHARE = 1 / 5;
-
-function followSpecs(
-  { contactMs, drainMs }: FollowBounds,
-): Readonly<Record<StatePart, FollowSpec>> {
-  const waitMs = WAIT_SHARE * contactMs;
-  return {
-    [StatePart.Configuration]: { waitMs, pauseMs: 0 },
-    [StatePart.Targets]: { waitMs, pauseMs: PAUSE_SHARE * drainMs },
-    [StatePart.Peers]: { waitMs: 10_000, pauseMs: 1_000 },
-  };
-}
-
 /**
  * Time that a response may take beyond the wait of its call, in milliseconds.
  */
@@ -336,7 +303,7 @@
     const before = this.#state;
     this.#state = before.apply(changes, monotonicMs());
     if (this.#state === before) return;
-    this.#logChanges(before, changes, from);
+    logChanges(this.#log, before, { changes, from });
     this.#notify();
   }
 
@@ -351,63 +318,6 @@
       }
     });
   }
-
-  #logChanges(
-    before: FleetState,
-    changes: readonly StateChange[],
-    from: string,
-  ): void {
-    changes.forEach((change) => {
-      const { version } = change;
-      if (change.kind === "catalog") {
-        const { version: catalog } = change.catalog;
-        this.#log.info("catalog_applied", { version, catalog, from });
-        return;
-      }
-      if (change.kind === "domain") {
-        const { failureDomain, isOut } = change;
-        this.#log.info("domain_changed", {
-          version,
-          failureDomain,
-          isOut,
-          from,
-        });
-        return;
-      }
-      if (change.kind === "build") {
-        const { pool, build } = change;
-        const known = before.buildsOf(pool, monotonicMs());
-        if (known.includes(build)) return;
-        this.#log.info("build_learned", { version, pool, build, from });
-        return;
-      }
-      if (change.kind === "quarantine") {
-        const { segment, crashes } = change;
-        this.#log.info("quarantine_learned", {
-          version,
-          segment,
-          crashes,
-          from,
-        });
-        return;
-      }
-      if (change.kind !== "target") return;
-      const old = before.targets.get(change.id)?.target;
-      const isSame = old?.state === change.target?.state &&
-        old?.build === change.target?.build;
-      if (isSame) return;
-      this.#log.info("target_changed", {
-        version,
-        target: change.id,
-        pool: change.target?.pool ?? old?.pool,
-        build: change.target?.build ?? old?.build,
-        state: change.target?.state ?? "gone",
-        lapsed: change.hasLapsed,
-        coldMs: change.target?.coldMs,
-        from,
-      });
-    });
-  }
 }
 
 function keyOf(change: StateChange): string {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -42,7 +42,10 @@
  * and there are no notices, in milliseconds.
  */
 const CALM_PAUSE_MS = 1_000;
-/** Age of the store's last response from which peers are asked more often. */
+/**
+ * Age of the store's last response from which peers are asked more often, in
+ * milliseconds.
+ */
 const STALE_MS = 1_500;
 /** Pause between requests to a peer that is not usable, in milliseconds. */
 const UNUSABLE_PAUSE_MS = 1_200;
@@ -146,11 +149,11 @@
   }
 
   /**
-   * Waits for the response of a peer: until the returned function is called,
-   * the peer is asked whether it still responds. The signal aborts when it
-   * becomes silent.
+   * Records that a call waits for a peer, until `end` is called. A peer of which
+   * nothing is heard meanwhile is asked whether it still responds; `lost` aborts
+   * when it does not.
    */
-  await({ name }: ListedPeer): { lost: AbortSignal; end: () => void } {
+  awaitResponse({ name }: ListedPeer): { lost: AbortSignal; end: () => void } {
     this.#awaited.set(name, (this.#awaited.get(name) ?? 0) + 1);
     let isOpen = true;
     const end = () => {
--- a/src/gateway/peers_test.ts
+++ b/src/gateway/peers_test.ts
@@ -78,7 +78,7 @@
     metrics: new Metrics(),
     board: new NoticeBoard({ metrics: new Metrics() }),
   });
-  const { lost } = peers.await(peer);
+  const { lost } = peers.awaitResponse(peer);
   peers.run(abort.signal);
   while (requests < 3) await sleep(10);
   assert.equal(lost.aborted, false);
--- a/src/gateway/stage_owners.ts
+++ b/src/gateway/stage_owners.ts
@@ -96,7 +96,7 @@
     const primary = owners[place];
     const owner = primary && isUsable(primary)
       ? primary
-      : spare[primary ? lost.indexOf(primary) : lost.length] ??
+      : spare[lost.findIndex((peer) => peer === primary)] ??
         this.#anyUsable(place);
     this.#record(`${group} ${shard.index}/${shard.count}`, owner.name);
     return owner.name === self.name ? undefined : owner;
