--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -17,7 +17,6 @@
   type Target,
 } from "../model/mod.ts";
 import type { ListsSync } from "../process/mod.ts";
-import type { Logger } from "../telemetry/mod.ts";
 import type {
   AgentApi,
   GossipRequest,
@@ -47,11 +46,9 @@
 
 /** Dependencies of an {@linkcode Agent}. */
 export interface AgentDeps extends RunnerDeps {
-  readonly name: string;
   readonly target: Target;
   readonly gate: GateService;
   readonly lists: ListsSync;
-  readonly log: Logger;
 }
 
 /** Serves stage calls for one target. */
--- a/src/agent/leave_test.ts
+++ b/src/agent/leave_test.ts
@@ -56,7 +56,6 @@
 function createAgent(signal: AbortSignal): Agent {
   const metrics = new Metrics();
   return new Agent({
-    name: "agent",
     target,
     gate: new GateService({
       coldLimit: 8,
@@ -75,7 +74,6 @@
     lists,
     metrics,
     tracing: new Tracing({ to: "none", log: SILENT_LOGGER, process: "agent" }),
-    log: SILENT_LOGGER,
   });
 }
 
--- a/src/agent/start.ts
+++ b/src/agent/start.ts
@@ -98,7 +98,6 @@
         signal: ctx.signal,
       });
       return new Agent({
-        name: cfg.name,
         target,
         gate,
         cache,
@@ -110,7 +109,6 @@
         lists: ctx.get(LISTS),
         metrics: ctx.get(METRICS),
         tracing: ctx.get(TRACING),
-        log: ctx.get(LOG),
       });
     },
     leave: (agent) => agent.leave(),
--- a/src/bench/simulation.ts
+++ b/src/bench/simulation.ts
@@ -158,7 +158,6 @@
     signal.addEventListener("abort", () => clearInterval(poll));
     return new Agent({
       ...this.#telemetry(target.id),
-      name: target.id,
       target,
       gate,
       claims: new ClaimService(this.#table),
--- a/src/soak/sim_fleet.ts
+++ b/src/soak/sim_fleet.ts
@@ -123,7 +123,6 @@
     const stop = this.#createStop();
     simProcess.exitSignal.addEventListener("abort", () => stop.abort());
     const agent = new Agent({
-      name: simProcess.name,
       target,
       gate: new GateService(GATE_OPTIONS, stop.signal),
       claims: new ClaimService(this.#tableFor(simProcess), {
@@ -138,7 +137,6 @@
       lists: CONFIRMED_LISTS,
       metrics: this.metrics,
       tracing: TRACING,
-      log: SILENT_LOGGER,
     });
     this.#agents.set(target.id, { simProcess, agent, stop });
   }
