Send the numbers of versions between entries, with their eras beside them

Change: messages between entries carry the store's numbers, and the eras in fields that builds without eras ignore; numbers without an era count as of the receiver's own.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -23,6 +23,12 @@
 import { PeerHealth } from "./peer_health.ts";
 import { StatePart } from "./ports.ts";
 import { StageOwners } from "./stage_owners.ts";
+import {
+  decodeChange,
+  decodeVersions,
+  encodeChange,
+  encodeVersions,
+} from "./sync_versions.ts";
 
 /** Pause between rounds of requests to peers, in milliseconds. */
 const SYNC_PAUSE_MS = 400;
@@ -208,8 +214,9 @@
   }
 
   /** Responds to a peer's state request with the changes that it lacks. */
-  handleSync({ from, versions, notices }: SyncRequest): SyncResponse {
+  handleSync({ from, notices, ...sent }: SyncRequest): SyncResponse {
     const known = this.#versions();
+    const versions = decodeVersions(sent, known);
     const isBehind = Object.values(StatePart)
       .some((part) => (versions[part] ?? 0) < (known[part] ?? 0));
     const changes = isBehind
@@ -219,8 +226,8 @@
     const unrecorded = this.#view.unrecordedBuilds
       .map((one) => ({ kind: "build", version: UNRECORDED, ...one }) as const);
     return {
-      changes: [...changes, ...unrecorded],
-      versions: known,
+      changes: [...changes, ...unrecorded].map(encodeChange),
+      ...encodeVersions(known),
       targetsAgeMs: Math.min(this.#view.targetsAgeMs, Number.MAX_SAFE_INTEGER),
       isLeaving: this.#isLeaving,
       upMs: monotonicMs() - this.#startedAt,
@@ -292,7 +299,7 @@
     const boardKey = peer.name ?? peer.url;
     const request = {
       from: this.#self.name,
-      versions: this.#versions(),
+      ...encodeVersions(this.#versions()),
       notices: this.#board.messageTo(boardKey),
     };
     const startedAt = monotonicMs();
@@ -302,9 +309,16 @@
       if (peer.name) {
         this.#recordResponse(peer.name, response, monotonicMs() - startedAt);
       }
-      const { changes, versions, notices, targetsAgeMs = Infinity } = response;
+      const { notices, targetsAgeMs = Infinity } = response;
       if (notices) this.#board.handleResponse(boardKey, notices);
-      this.#view.merge(changes, versions, startedAt - targetsAgeMs);
+      const own = this.#versions();
+      this.#view.merge(
+        response.changes.map((change) =>
+          decodeChange(change, own[partOf(change)] ?? 0)
+        ),
+        decodeVersions(response, own),
+        startedAt - targetsAgeMs,
+      );
     } catch (err) {
       this.#metrics.count("peer_failures_total");
       if (record?.failed()) this.#logLost(peer.name ?? "", String(err));
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -38,17 +38,28 @@
 
 const syncSchema = z.object({
   from: z.string(),
+  /** Numbers of the versions that the sender has, by part of the state. */
   versions: versionsSchema,
+  /** Eras of these versions; absent in builds that know none. */
+  eras: versionsSchema.optional(),
   notices: noticeMessageSchema.optional(),
 });
 
 /** Request to exchange state, with the versions known to the sender. */
 export type SyncRequest = z.infer<typeof syncSchema>;
 
+/** Numbers by part of the state. */
+export type PartNumbers = Readonly<Record<string, number>>;
+
+/** Change with the number of its version, and the era beside it. */
+export type SentChange = StateChange & { readonly era?: number };
+
 /** Response with the state that the sender of the request does not have. */
 export interface SyncResponse {
-  readonly changes: readonly StateChange[];
-  readonly versions: Readonly<Record<string, number>>;
+  readonly changes: readonly SentChange[];
+  readonly versions: PartNumbers;
+  /** Eras of these versions; absent in builds that know none. */
+  readonly eras?: PartNumbers;
   /** Time since the peer's list of targets was read, in milliseconds. */
   readonly targetsAgeMs?: number;
   readonly isLeaving: boolean;
