--- a/src/serving/stage_shards.ts
+++ b/src/serving/stage_shards.ts
@@ -24,7 +24,7 @@
 
 /**
  * Processor time of an owner for one call, with its part of the chains that the
- * call serves, in core milliseconds; docs/CAPACITY.md has its measurement.
+ * call serves, in core milliseconds.
  */
 const CALL_CORE_MS = 6.5;
 /** Processor time of an entry that owns nothing, in cores. */
