Keep every start of a target that leaves apart

Callers saw: nothing yet; found while looking for other ways to the reported DRAIN. Cause: the start that leaves was kept by target, one for each. A notice of an earlier start that an entry had missed and heard late took the place of the later one, here and in the notices passed on, so a leaving target that had been restarted under its identifier got requests again. Change: starts are kept, and told to other entries, by identifier and time of their start.

--- a/src/gateway/leaving_targets.ts
+++ b/src/gateway/leaving_targets.ts
@@ -7,7 +7,7 @@
 
 import { monotonicMs } from "../kernel/mod.ts";
 import type { NoticeBoard } from "../notices/mod.ts";
-import type { TargetStart } from "../serving/mod.ts";
+import { startKey, type TargetStart } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import type { FleetView } from "./fleet_view.ts";
 
@@ -47,7 +47,7 @@
     const ageMs = Math.round(monotonicMs() - at);
     log.info("target_leaving", { target: id, bornMs, ageMs, source });
     notices.post(
-      `leaving/${id}`,
+      `leaving/${startKey({ id, bornMs })}`,
       { kind: "target-leaving", target: id, bornMs },
       at,
     );
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -15,6 +15,7 @@
   type ListedTarget,
   type PoolBuild,
   type RecordedQuarantine,
+  startKey,
   type StateChange,
   type TargetStart,
   TargetState,
@@ -37,7 +38,7 @@
 /** Time in ms for which a lapsed target stays in use once the store is back. */
 export const LAPSE_GRACE_MS = 2_000;
 
-/** Maximum number of leaving targets; those known longest are discarded. */
+/** Maximum number of leaving starts; those known longest are discarded. */
 const MAX_LEAVING = 4_096;
 
 interface QuarantineRecord {
@@ -63,8 +64,8 @@
   readonly domainRestoredAt: ReadonlyMap<string, number>;
   readonly builds: BuildHistory;
   readonly quarantines: ReadonlyMap<string, QuarantineRecord>;
-  /** Starts of targets that leave, by target; the newest last. */
-  readonly leaving: ReadonlyMap<string, TargetStart>;
+  /** Keys of the starts of targets that leave, the latest known last. */
+  readonly leaving: ReadonlySet<string>;
 }
 
 const EMPTY: FleetRecords = {
@@ -75,7 +76,7 @@
   domainRestoredAt: new Map(),
   builds: new BuildHistory(),
   quarantines: new Map(),
-  leaving: new Map(),
+  leaving: new Set(),
 };
 
 /** View of the fleet. Immutable. */
@@ -160,18 +161,14 @@
   /** Returns the state in which one start of a target leaves. */
   withLeaving(start: TargetStart): FleetState {
     if (this.isLeaving(start)) return this;
-    const leaving = new Map(this.#records.leaving);
-    leaving.delete(start.id);
-    leaving.set(start.id, start);
-    [...leaving.keys()].slice(0, Math.max(0, leaving.size - MAX_LEAVING))
-      .forEach((id) => leaving.delete(id));
-    return new FleetState({ ...this.#records, leaving });
+    const leaving = [...this.#records.leaving, startKey(start)]
+      .slice(-MAX_LEAVING);
+    return new FleetState({ ...this.#records, leaving: new Set(leaving) });
   }
 
   /** True when this start of a target has said that it leaves. */
-  isLeaving({ id, bornMs }: TargetStart): boolean {
-    const start = this.#records.leaving.get(id);
-    return start !== undefined && start.bornMs === bornMs;
+  isLeaving(start: TargetStart): boolean {
+    return this.#records.leaving.has(startKey(start));
   }
 
   /**
@@ -443,15 +440,13 @@
  * time of its start can't be told from its next start, so it is forgotten.
  */
 function leavingAfter(
-  leaving: ReadonlyMap<string, TargetStart>,
+  leaving: ReadonlySet<string>,
   { id, target, hasLapsed }: Extract<StateChange, { kind: "target" }>,
-): ReadonlyMap<string, TargetStart> {
-  const start = leaving.get(id);
-  const isForgotten = start && start.bornMs === undefined && !target &&
-    !hasLapsed;
-  if (!isForgotten) return leaving;
-  const remaining = new Map(leaving);
-  remaining.delete(id);
+): ReadonlySet<string> {
+  const key = startKey({ id });
+  if (target || hasLapsed || !leaving.has(key)) return leaving;
+  const remaining = new Set(leaving);
+  remaining.delete(key);
   return remaining;
 }
 
--- a/src/serving/fleet_state_test.ts
+++ b/src/serving/fleet_state_test.ts
@@ -5,6 +5,7 @@
 import { RouteKind } from "./catalog.ts";
 import { FleetState, LAPSE_GRACE_MS } from "./fleet_state.ts";
 import { type StateChange, TargetState } from "./state_change.ts";
+import { versionInEra } from "./store_version.ts";
 import { catalogChange, pool, route, targetChange } from "./testing.ts";
 
 function ids(state: FleetState, now: number): string[] {
@@ -228,6 +229,48 @@
   assert.deepEqual(ids(leaving.apply([lapsed, back], 0), 0), []);
 });
 
+test("a start of a target that leaves gets no work, whatever is heard later", () => {
+  const startMs = fc.integer({ min: 1, max: 3 });
+  const leaves = fc.record({ kind: fc.constant("leaves" as const), startMs });
+  const row = fc.record({
+    kind: fc.constant("row" as const),
+    startMs: fc.option(startMs),
+    state: fc.constantFrom(...Object.values(TargetState)),
+    era: fc.integer({ min: 0, max: 2 }),
+    version: fc.integer({ min: 1, max: 20 }),
+    report: fc.integer({ min: 1, max: 9 }),
+    hasLapsed: fc.boolean(),
+  });
+  const event = fc.oneof(leaves, row);
+  const toChange = (
+    one: typeof row extends fc.Arbitrary<infer R> ? R : never,
+  ) =>
+    one.startMs === null
+      ? {
+        kind: "target" as const,
+        id: "a",
+        version: versionInEra(one.era, one.version),
+        hasLapsed: one.hasLapsed,
+      }
+      : targetChange("a", versionInEra(one.era, one.version), {
+        bornMs: one.startMs,
+        state: one.state,
+        report: one.report,
+      });
+  fc.assert(fc.property(fc.array(event, { maxLength: 20 }), (events) => {
+    const left = new Set<number | undefined>();
+    events.reduce((before, one) => {
+      const state = one.kind === "leaves"
+        ? before.withLeaving({ id: "a", bornMs: one.startMs })
+        : before.apply([toChange(one)], 0);
+      if (one.kind === "leaves") left.add(one.startMs);
+      const used = state.usable("plain", 0).map(({ bornMs }) => bornMs);
+      assert.deepEqual(used.filter((bornMs) => left.has(bornMs)), []);
+      return state;
+    }, new FleetState());
+  }));
+});
+
 test("FleetState keeps a bounded number of leaving targets", () => {
   const names = Array.from({ length: 10_000 }, (_, i) => `t${i}`);
   const state = names.reduce(
--- a/src/serving/state_change.ts
+++ b/src/serving/state_change.ts
@@ -18,6 +18,11 @@
   readonly bornMs?: number;
 }
 
+/** Identifies one start of a target. */
+export function startKey({ id, bornMs }: TargetStart): string {
+  return bornMs === undefined ? id : `${id}@${bornMs}`;
+}
+
 /** Target as listed in the store. */
 export interface ListedTarget {
   readonly id: string;
