Keep the pauses of two starts of a target apart

A pause was kept by target, so a late 503 with Retry-After of an earlier start took the place of the pause that the start after it had asked for, and that one got requests again. Change: pauses are kept by start. Crashes use the same key; theirs is gone. Result: the new test failed before (0 ms left of 1,000), passes, with all tests of rates, crashes and of servers that ask for pauses.

--- a/src/crashes/suspected_crashes.ts
+++ b/src/crashes/suspected_crashes.ts
@@ -10,6 +10,7 @@
   MAX_SUSPECTS,
   type PromptSegment,
 } from "../quarantine/mod.ts";
+import { startKey } from "../serving/mod.ts";
 import type { BrokenCall } from "./call_watch.ts";
 import type { WatchedTarget } from "./ports.ts";
 
@@ -72,17 +73,17 @@
   }
 
   isConfirmed(target: WatchedTarget): boolean {
-    return this.#crashes.get(startOf(target))?.phase === Phase.Confirmed;
+    return this.#crashes.get(startKey(target))?.phase === Phase.Confirmed;
   }
 
   confirm(target: WatchedTarget): void {
-    const crash = this.#crashes.get(startOf(target));
+    const crash = this.#crashes.get(startKey(target));
     if (crash) crash.phase = Phase.Confirmed;
   }
 
   /** Records that the check of a target has not shown a crash. */
   leaveUndecided(target: WatchedTarget): void {
-    const crash = this.#crashes.get(startOf(target));
+    const crash = this.#crashes.get(startKey(target));
     if (crash?.phase === Phase.Checking) crash.phase = Phase.Undecided;
   }
 
@@ -91,7 +92,7 @@
    * target stayed up.
    */
   takeComplete(target: WatchedTarget): readonly PromptSegment[] {
-    const crash = this.#crashes.get(startOf(target));
+    const crash = this.#crashes.get(startKey(target));
     if (!crash || crash.phase === Phase.Confirmed) return [];
     const complete = [...crash.ended.values()];
     complete.forEach(({ id }) => crash.suspects.delete(id));
@@ -107,7 +108,7 @@
     target: WatchedTarget,
     isServed: (segment: string) => boolean,
   ): CrashReport | undefined {
-    const crash = this.#crashes.get(startOf(target));
+    const crash = this.#crashes.get(startKey(target));
     if (!crash || crash.suspects.size === 0) return undefined;
     const suspects = [...crash.suspects.values()]
       .sort((a, b) => Number(isServed(a.id)) - Number(isServed(b.id)))
@@ -117,12 +118,12 @@
         depth,
         inProgressMs: Math.max(0, crash.at - sentAt),
       }));
-    return { target: startOf(target), at: crash.at, suspects };
+    return { target: startKey(target), at: crash.at, suspects };
   }
 
   /** Record to which a connection that was lost at `now` belongs. */
   #find(target: WatchedTarget, now: number): SuspectedCrash | undefined {
-    const found = this.#crashes.get(startOf(target));
+    const found = this.#crashes.get(startKey(target));
     if (!found || found.phase === Phase.Undecided) return undefined;
     return now < found.at + UNDECIDED_MS ? found : undefined;
   }
@@ -135,7 +136,7 @@
       ended: new Map(),
       phase: Phase.Checking,
     };
-    const start = startOf(target);
+    const start = startKey(target);
     this.#crashes.delete(start);
     this.#crashes.set(start, created);
     if (this.#crashes.size > MAX_TARGETS) {
@@ -145,8 +146,3 @@
     return created;
   }
 }
-
-/** Identifies one start of a target. */
-function startOf({ id, bornMs }: WatchedTarget): string {
-  return bornMs === undefined ? id : `${id}@${bornMs}`;
-}
--- a/src/rates/target_pauses.ts
+++ b/src/rates/target_pauses.ts
@@ -6,21 +6,16 @@
  */
 
 import { monotonicMs } from "../kernel/mod.ts";
-import type { TargetStart } from "../serving/mod.ts";
+import { startKey, type TargetStart } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 
 /** Maximum number of targets; those that asked first are discarded. */
 const MAX_TARGETS = 4_096;
 
-interface Pause {
-  readonly bornMs?: number;
-  /** Monotonic time at which the pause ends. */
-  readonly until: number;
-}
-
 /** Pauses by target. */
 export class TargetPauses {
-  readonly #pauses = new Map<string, Pause>();
+  /** Monotonic times at which pauses end, by start: a later one has not asked. */
+  readonly #pauses = new Map<string, number>();
   readonly #log: Logger;
   readonly #metrics: Metrics;
 
@@ -34,12 +29,12 @@
   pause(target: TargetStart, ms: number): void {
     const waitMs = this.waitMs(target);
     if (ms <= waitMs) return;
-    const until = monotonicMs() + ms;
-    this.#pauses.delete(target.id);
-    this.#pauses.set(target.id, { bornMs: target.bornMs, until });
+    const key = startKey(target);
+    this.#pauses.delete(key);
+    this.#pauses.set(key, monotonicMs() + ms);
     [...this.#pauses.keys()]
       .slice(0, Math.max(0, this.#pauses.size - MAX_TARGETS))
-      .forEach((id) => this.#pauses.delete(id));
+      .forEach((key) => this.#pauses.delete(key));
     // A pause that grows while it lasts is no news for a reader of the log.
     if (waitMs > 0) return;
     this.#metrics.count("target_pauses_total");
@@ -47,15 +42,13 @@
   }
 
   /** Time until a target's pause ends, in milliseconds; 0 without a pause. */
-  waitMs({ id, bornMs }: TargetStart): number {
-    const pause = this.#pauses.get(id);
-    // A target that was started again has not asked for anything.
-    if (!pause || pause.bornMs !== bornMs) return 0;
-    return Math.max(0, pause.until - monotonicMs());
+  waitMs(target: TargetStart): number {
+    const until = this.#pauses.get(startKey(target)) ?? 0;
+    return Math.max(0, until - monotonicMs());
   }
 
   #countOpen(): number {
     const now = monotonicMs();
-    return [...this.#pauses.values()].filter(({ until }) => until > now).length;
+    return [...this.#pauses.values()].filter((until) => until > now).length;
   }
 }
--- a/src/rates/target_pauses_test.ts
+++ b/src/rates/target_pauses_test.ts
@@ -35,6 +35,16 @@
   assert.equal(pauses.waitMs({ ...TARGET, bornMs: 2 }), 0);
 });
 
+pausesTest(
+  "a late refusal of an earlier start does not end a pause",
+  (pauses) => {
+    const later = { ...TARGET, bornMs: 2 };
+    pauses.pause(later, 1_000);
+    pauses.pause(TARGET, 500);
+    assert.equal(pauses.waitMs(later), 1_000);
+  },
+);
+
 pausesTest("the pauses of many targets take bounded memory", (pauses) => {
   const ids = Array.from({ length: 10_000 }, (_, i) => `t${i}`);
   ids.forEach((id) => pauses.pause({ id }, 1_000));
