Trust no copied report of a target that is known to be gone

Cause: a restored store may hold a report of a removed target that was written after the last one read here (reads that failed, or several reports between two reads). The rule allowed one such report; with more, the target got requests again although this entry had seen its removal. Change: the first report of a new era is only remembered; the target takes work again once it has reported once more, at most a heartbeat later.

--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -32,7 +32,14 @@
   /** Monotonic time until which a lapsed target stays in use. */
   readonly lapsesAt?: number;
   /** Newest report of its latest start, also once it is removed. */
-  readonly lastReport?: { readonly bornMs: number; readonly report: number };
+  readonly lastReport?: LastReport;
+}
+
+interface LastReport {
+  readonly bornMs: number;
+  readonly report: number;
+  /** Era of the store from which it was read. */
+  readonly era: number;
 }
 
 /** Time in ms for which a lapsed target stays in use once the store is back. */
@@ -340,7 +347,9 @@
       };
     case "target": {
       const before = records.targets.get(change.id);
-      if (before && isOldReport(before, change)) return records;
+      if (before && isOldReport(before, change)) {
+        return withReport(records, before, change);
+      }
       return {
         ...records,
         targets: new Map(records.targets)
@@ -399,22 +408,40 @@
 }
 
 /**
- * True when a restored store brings a report of a target that is no newer than
- * what is known of the same start, and would give it work that it no longer
- * takes.
+ * True when a restored store lists a target as ready that is known to take no
+ * more work, and the report may come from the copy: reports may have been
+ * written before the target left and never read here. The target takes work
+ * again once it has reported to the restored store.
  */
 function isOldReport(
   before: TargetRecord,
   { version, target }: Extract<StateChange, { kind: "target" }>,
 ): boolean {
-  if (eraOf(version) <= eraOf(before.version)) return false;
+  const era = eraOf(version);
+  if (era <= eraOf(before.version)) return false;
   if (target?.state !== TargetState.Ready || isTakingWork(before)) return false;
   const { lastReport } = before;
   const isSameStart = target.bornMs !== undefined &&
     target.bornMs === lastReport?.bornMs;
   if (!isSameStart || target.report === undefined) return false;
-  // A last report may have been removed before it was read.
-  return target.report <= lastReport.report + 1;
+  return lastReport.era < era || target.report <= lastReport.report;
+}
+
+/** Remembers the first report of an era, which is not applied. */
+function withReport(
+  records: FleetRecords,
+  before: TargetRecord,
+  { id, version, target }: Extract<StateChange, { kind: "target" }>,
+): FleetRecords {
+  const read = target && lastReportOf(target, eraOf(version));
+  const known = before.lastReport;
+  if (!read || !known || read.era === known.era) return records;
+  const report = Math.max(read.report, known.report);
+  const lastReport = { ...read, report };
+  return {
+    ...records,
+    targets: new Map(records.targets).set(id, { ...before, lastReport }),
+  };
 }
 
 function isTakingWork({ target, lapsesAt }: TargetRecord): boolean {
@@ -476,7 +503,7 @@
       coldUntil: isSameStart
         ? Math.max(before?.coldUntil ?? 0, coldUntil)
         : coldUntil,
-      lastReport: lastReportOf(target),
+      lastReport: lastReportOf(target, eraOf(version)),
     };
   }
   const wasReady = before?.target?.state === TargetState.Ready;
@@ -493,8 +520,9 @@
 
 function lastReportOf(
   { bornMs, report }: ListedTarget,
-): TargetRecord["lastReport"] {
+  era: number,
+): LastReport | undefined {
   return bornMs === undefined || report === undefined
     ? undefined
-    : { bornMs, report };
+    : { bornMs, report, era };
 }
--- a/src/serving/fleet_state_test.ts
+++ b/src/serving/fleet_state_test.ts
@@ -203,6 +203,17 @@
   assert.deepEqual(left.buildsOf("plain", 0), ["v1"]);
 });
 
+test("a restored store brings a removed target back only once it reports again", () => {
+  const row = (era: number, report: number) =>
+    targetChange("a", versionInEra(era, 10 + report), { bornMs: 7, report });
+  const removed: StateChange = { kind: "target", version: 30, id: "a" };
+  const gone = new FleetState().apply([row(0, 3), removed], 0);
+  const copied = gone.apply([row(1, 7)], 0);
+  assert.deepEqual(ids(copied, 0), []);
+  assert.deepEqual(ids(copied.apply([row(1, 6), row(1, 7)], 0), 0), []);
+  assert.deepEqual(ids(copied.apply([row(1, 8)], 0), 0), ["a"]);
+});
+
 test("FleetState.withLeaving() keeps one start of a target from new work", () => {
   const listed = (version: number, bornMs?: number) =>
     targetChange("a", version, { bornMs });
