End a probe with the first lost connection

Cause: a request that tests whether its content still crashes targets was sent to a second one, since its retry comes before the crash of the first is confirmed. Change: the permit of a probe also ends when a call with its content has lost its connection here.

--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -130,7 +130,7 @@
       crashes: found.crashes,
     });
     this.#recordProbe(found.segment, now);
-    return ok({ refusal: () => this.#probeRefusal(segments, found) });
+    return ok({ refusal: () => this.#probeRefusal(segments, found, now) });
   }
 
   /** Watches a call that sends a prompt to a target. */
@@ -174,15 +174,20 @@
     return found && refusalUntil(found, this.#probeAt(found));
   }
 
-  /** A probe ends with the first crash after its permit. */
+  /**
+   * A probe ends with the first crash after its permit at `since`, and here with
+   * the first lost connection: whether that was a crash is known a little later.
+   */
   #probeRefusal(
     segments: readonly PromptSegment[],
     probed: Quarantine,
+    since: number,
   ): PromptRefusal | undefined {
     const found = this.#find(segments);
     const isSame = found?.segment === probed.segment &&
       found.crashes <= probed.crashes;
-    return isSame ? undefined : this.#refusalOf(segments);
+    const hasBroken = this.#suspected.hasBroken(probed.segment, since);
+    return isSame && !hasBroken ? undefined : this.#refusalOf(segments);
   }
 
   /** Time from which this process may send a probe: processes take turns. */
--- a/src/crashes/suspected_crashes.ts
+++ b/src/crashes/suspected_crashes.ts
@@ -34,11 +34,17 @@
 } as const;
 type Phase = typeof Phase[keyof typeof Phase];
 
+/** Segment of a call whose connection was lost; monotonic times. */
+interface InterruptedSegment extends PromptSegment {
+  readonly sentAt: number;
+  readonly brokenAt: number;
+}
+
 interface SuspectedCrash {
   readonly target: WatchedTarget;
   /** Monotonic time of the first lost connection. */
   readonly at: number;
-  readonly suspects: Map<string, PromptSegment & { readonly sentAt: number }>;
+  readonly suspects: Map<string, InterruptedSegment>;
   /** Segments of answers that ended with their connection. */
   readonly ended: Map<string, PromptSegment>;
   phase: Phase;
@@ -57,7 +63,11 @@
     const crash = found ?? this.#create(target, at);
     segments.slice(0, MAX_SEGMENTS - crash.suspects.size).forEach((one) => {
       const known = crash.suspects.get(one.id)?.sentAt ?? sentAt;
-      crash.suspects.set(one.id, { ...one, sentAt: Math.max(known, sentAt) });
+      crash.suspects.set(one.id, {
+        ...one,
+        sentAt: Math.max(known, sentAt),
+        brokenAt: at,
+      });
     });
     if (isEnd) segments.forEach((one) => crash.ended.set(one.id, one));
     return found === undefined;
@@ -72,6 +82,14 @@
       .map(({ target }) => target);
   }
 
+  /** True when a call with a segment has lost its connection since a time. */
+  hasBroken(segment: string, since: number): boolean {
+    return [...this.#crashes.values()].some(({ suspects }) => {
+      const brokenAt = suspects.get(segment)?.brokenAt;
+      return brokenAt !== undefined && brokenAt >= since;
+    });
+  }
+
   isConfirmed(target: WatchedTarget): boolean {
     return this.#crashes.get(startKey(target))?.phase === Phase.Confirmed;
   }
