Share on which suspects answers are known

Callers saw: sound prompts refused for 30 s, when crashes hit a segment three times in a row at entries that had not yet had an answer on it. Cause: whether a segment was answered before its first crash was known only to the entry that had the answer, so the others took it for never answered, needed three crashes in place of five, and stored the quarantine for all. Change: an entry that learns of a crash tells the time of its last answer on each suspect for which none is known; the notice is the one for survivals.

--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -204,7 +204,7 @@
   #survived(segments: readonly PromptSegment[]): void {
     const now = monotonicMs();
     segments.forEach(({ id }) => {
-      this.#served.add(id);
+      this.#served.add(id, now);
       if (this.#evidence.isSuspect(id)) this.#recordSurvival(id, now);
     });
   }
@@ -263,10 +263,22 @@
       suspects: known.suspects
         .map(({ id, depth, inProgressMs }) => [id, depth, inProgressMs]),
     }, known.at);
+    // What is posted while notices of a peer are handled is not sent to it.
+    queueMicrotask(() => this.#shareServed(known));
     this.#judge();
     setTimeout(() => this.#judge(), SETTLE_MS + 1).unref();
   }
 
+  /** Tells the other entries on which suspects this one has had answers. */
+  #shareServed({ suspects }: CrashReport): void {
+    suspects.forEach(({ id }) => {
+      const servedAt = this.#served.at(id);
+      if (servedAt === undefined) return;
+      if (this.#evidence.survivedAt(id) !== undefined) return;
+      this.#recordSurvival(id, servedAt);
+    });
+  }
+
   #recordSurvival(segment: string, at: number): void {
     const next = this.#evidence.survived(segment, at);
     if (next === this.#evidence) return;
--- a/src/crashes/crash_watch_test.ts
+++ b/src/crashes/crash_watch_test.ts
@@ -344,3 +344,12 @@
     assert.equal(writes, 2);
     end.abort();
   }, { seed: 1 }));
+
+test("a segment on which another process has had answers needs more crashes", () =>
+  withFleet(2, async (fleet) => {
+    await fleet.serve(1, "a");
+    for (let i = 0; i < MIN_CRASHES; i++) await fleet.crash(0, "a");
+    await sleep(SPREAD_MS);
+    assert.equal(fleet.isRefused(0, "a"), false);
+    assert.equal(fleet.isRefused(1, "a"), false);
+  }));
