Keep requests that crash their targets away from further ones

Cause: the quarantine knew segments of prompts only. A plain request has none, so its broken connection counted for nothing; no entry remembered that it had ended a target, and none told the others. Change: a request as a whole, named by a fingerprint of caller, method, path and body, counts as one more segment of its content. Crashes, survivals, notices, rows, probes and their bounds are those of the prompts. Segments go before the request where both explain the same crashes. The product's entries do the same for each stage call, keyed ones included. attempt_failed names the fingerprint.

--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -14,8 +14,9 @@
   probeDueAt,
   type PromptSegment,
   type Quarantine,
+  type RequestContent,
   SETTLE_MS,
-  sharedSegments,
+  suspectSegments,
 } from "../quarantine/mod.ts";
 import { rendezvousOrder } from "../routing/mod.ts";
 import type { RecordedQuarantine } from "../serving/mod.ts";
@@ -49,10 +50,9 @@
   readonly retryAfterMs: number;
 }
 
-/** Request with a prompt. */
-export interface PromptRequest {
+/** Request that is to be sent to targets. */
+export interface ContentRequest extends RequestContent {
   readonly id: string;
-  readonly promptParts: readonly string[];
 }
 
 /** Permit of a request to be sent to targets, valid until withdrawn. */
@@ -114,8 +114,8 @@
    * Admits a request, unless its prompt is in quarantine and it is not the turn
    * of this process to test whether the prompt still crashes targets.
    */
-  admit(req: PromptRequest): Result<PromptPermit, PromptRefusal> {
-    const segments = sharedSegments(req.promptParts);
+  admit(req: ContentRequest): Result<PromptPermit, PromptRefusal> {
+    const segments = suspectSegments(req);
     const found = this.#find(segments);
     if (!found) return ok({ refusal: () => this.#refusalOf(segments) });
     const now = monotonicMs();
@@ -133,9 +133,9 @@
     return ok({ refusal: () => this.#probeRefusal(segments, found, now) });
   }
 
-  /** Watches a call that sends a prompt to a target. */
-  watch(target: WatchedTarget, promptParts: readonly string[]): CallWatch {
-    return new CallWatch(target, sharedSegments(promptParts), {
+  /** Watches a call that sends a request to a target. */
+  watch(target: WatchedTarget, content: RequestContent): CallWatch {
+    return new CallWatch(target, suspectSegments(content), {
       survived: (segments) => this.#survived(segments),
       broke: (call) => this.#broke(call),
     });
--- a/src/crashes/crash_watch_test.ts
+++ b/src/crashes/crash_watch_test.ts
@@ -87,7 +87,7 @@
 
   start(i: number, ...segments: string[]) {
     const target = this.target(`t${this.#calls++}`);
-    return this.watch(i).watch(target, [...segments, "own"]);
+    return this.watch(i).watch(target, { promptParts: [...segments, "own"] });
   }
 
   target(id: string): WatchedTarget {
--- a/src/crashes/served_segments.ts
+++ b/src/crashes/served_segments.ts
@@ -1,32 +1,42 @@
 /**
- * Segments of prompts on which this process has lately received answers.
+ * Segments of prompts, and whole requests, on which this process has lately
+ * received answers.
  *
  * @module
  */
 
-/** Maximum number of segments; the least recently served are discarded. */
-const MAX_SEGMENTS = 8_192;
+import { isWholeRequest } from "../quarantine/mod.ts";
 
-/** Bounded memory of segments. */
+/** Maximum number of each; the least recently served are discarded. */
+const MAX_SERVED = 8_192;
+
+/** Bounded memory of segments and requests. */
 export class ServedSegments {
   /** Monotonic times of the last answers. */
   readonly #segments = new Map<string, number>();
+  /** Kept apart: each request adds one, which would displace the segments. */
+  readonly #requests = new Map<string, number>();
 
   /** Records an answer at a monotonic time. */
-  add(segment: string, at: number): void {
-    this.#segments.delete(segment);
-    this.#segments.set(segment, at);
-    if (this.#segments.size <= MAX_SEGMENTS) return;
-    const [oldest] = this.#segments.keys();
-    if (oldest !== undefined) this.#segments.delete(oldest);
+  add(id: string, at: number): void {
+    const served = this.#mapOf(id);
+    served.delete(id);
+    served.set(id, at);
+    if (served.size <= MAX_SERVED) return;
+    const [oldest] = served.keys();
+    if (oldest !== undefined) served.delete(oldest);
   }
 
-  has(segment: string): boolean {
-    return this.#segments.has(segment);
+  has(id: string): boolean {
+    return this.#mapOf(id).has(id);
   }
 
   /** Monotonic time of the last answer; undefined without one. */
-  at(segment: string): number | undefined {
-    return this.#segments.get(segment);
+  at(id: string): number | undefined {
+    return this.#mapOf(id).get(id);
+  }
+
+  #mapOf(id: string): Map<string, number> {
+    return isWholeRequest(id) ? this.#requests : this.#segments;
   }
 }
--- a/src/entry/crashing_calls_test.ts
+++ b/src/entry/crashing_calls_test.ts
@@ -8,16 +8,18 @@
   outcomeUnknown,
   RefusalReason,
   type StageCall,
+  StageKind,
   type Target,
 } from "../model/mod.ts";
 import { NoticeBoard } from "../notices/mod.ts";
-import { SETTLE_MS } from "../quarantine/mod.ts";
+import { MIN_CRASHES, SETTLE_MS } from "../quarantine/mod.ts";
 import { MAX_ATTEMPTS } from "../retry/mod.ts";
 import { Metrics, SILENT_LOGGER, Tracing } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
 import type { AgentClient } from "../wire/mod.ts";
 import type { TargetDirectory } from "./attempt.ts";
 import { Dispatcher } from "./dispatcher.ts";
+import type { StageRequest } from "./stage_dispatch.ts";
 
 const DEADLINE_MS = 5_000;
 const LOAD = { running: 1, queued: 0, limit: 4, cold: false, leaving: false };
@@ -41,6 +43,7 @@
   async dispatch(
     entry: number,
     input: Record<string, unknown>,
+    overrides: Partial<StageRequest> = {},
   ): Promise<string> {
     const dispatcher = this.#dispatchers[entry];
     if (!dispatcher) throw new Error(`No entry ${entry}`);
@@ -51,11 +54,12 @@
       stage: "one",
       kind: "generate",
       idempotent: true,
-      fingerprint: "f",
+      fingerprint: digest(input),
       priority: "interactive",
       weight: 1,
       listsVersion: 1,
       input: { request: input, previous: null },
+      ...overrides,
     }, {
       pool: "x",
       deadlineAt: monotonicMs() + DEADLINE_MS,
@@ -164,3 +168,21 @@
     }
     assert.equal(setup.crashes, 6 * MAX_ATTEMPTS);
   }, { seed: 1 }));
+
+test("a keyed call that is repeated under new keys crashes few targets", () =>
+  withPausedClock(async () => {
+    const setup = new Setup({ entries: 2, isWatching: true });
+    const outcomes: string[] = [];
+    for (let i = 0; i < 6; i++) {
+      const call = {
+        kind: StageKind.File,
+        idempotent: false,
+        idempotencyKey: `key-${i}`,
+      };
+      outcomes.push(await setup.dispatch(i % 2, { sheet: CRASHING }, call));
+      assert.equal(await setup.dispatch(i % 2, { sheet: "b" }, call), "done");
+      setup.gossip();
+    }
+    assert.equal(setup.crashes, MIN_CRASHES);
+    assert.deepEqual(outcomes.slice(MIN_CRASHES), Array(3).fill("quarantined"));
+  }, { seed: 1 }));
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -39,6 +39,7 @@
   type TargetDirectory,
 } from "./attempt.ts";
 import { contentOf } from "./call_content.ts";
+import type { RequestContent } from "../quarantine/mod.ts";
 import type { CostTotals } from "./cost_totals.ts";
 import {
   closedBeforeRun,
@@ -117,11 +118,11 @@
   /** Refuses a call on whose content targets have crashed. */
   #admit(
     { requestId }: StageRequest,
-    promptParts: readonly string[],
+    content: RequestContent,
   ): Result<PromptPermit, Refusal> {
     const { crashes } = this.#deps;
     if (!crashes) return ok(ANY_PROMPT);
-    return crashes.admit({ id: requestId, promptParts }).mapErr(quarantined);
+    return crashes.admit({ id: requestId, ...content }).mapErr(quarantined);
   }
 
   async #runWithRetries(
@@ -309,7 +310,7 @@
     const { req, opts } = stage;
     if (stage.isOverdue) return err(deadlinePassed());
     if (signal.aborted) return err(callerCancelled());
-    const refused = stage.prompt.permit.refusal();
+    const refused = stage.permit.refusal();
     if (refused) return err(quarantined(refused));
     const { directory } = this.#deps;
     const target = directory.choose(opts.pool, {
@@ -364,7 +365,7 @@
     const watch = this.#deps.crashes
       ?.watch(
         { id: target.id, address: target.agentUrl },
-        stage.prompt.content,
+        stage.content,
       );
     const sink = stage.textSink(call.callId);
     const onText = (text: string) => {
--- a/src/entry/stage_dispatch.ts
+++ b/src/entry/stage_dispatch.ts
@@ -7,6 +7,7 @@
 import type { PromptPermit } from "../crashes/mod.ts";
 import { monotonicMs } from "../kernel/mod.ts";
 import type { Refusal, StageCall, Target, TargetId } from "../model/mod.ts";
+import type { RequestContent } from "../quarantine/mod.ts";
 
 /** A stage call without the fields that each attempt sets. */
 export type StageRequest = Omit<
@@ -32,11 +33,10 @@
 export class StageDispatch {
   readonly req: StageRequest;
   readonly opts: DispatchOptions;
-  /** Content of the prompt, and the permit to send it to targets. */
-  readonly prompt: {
-    readonly content: readonly string[];
-    readonly permit: PromptPermit;
-  };
+  /** What a target works on when it runs the call. */
+  readonly content: RequestContent;
+  /** Permit to send it to targets. */
+  readonly permit: PromptPermit;
   /** Targets of the attempts so far. */
   readonly tried = new Set<TargetId>();
   /** Refusals of the attempts, or the reason why none was sent. */
@@ -53,11 +53,12 @@
   constructor(
     req: StageRequest,
     opts: DispatchOptions,
-    prompt: { content: readonly string[]; permit: PromptPermit },
+    { content, permit }: { content: RequestContent; permit: PromptPermit },
   ) {
     this.req = req;
     this.opts = opts;
-    this.prompt = prompt;
+    this.content = content;
+    this.permit = permit;
     this.#claimVersion = req.claimVersion ?? 0;
   }
 
--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -131,7 +131,7 @@
   #refusedPrompt(): Unprepared | undefined {
     const refusal = this.#admitted.permit.refusal();
     return refusal && {
-      reason: `prompt segment ${refusal.segment} is in quarantine`,
+      reason: `content ${refusal.segment} is in quarantine`,
       retryAfterMs: refusal.retryAfterMs,
     };
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -180,7 +180,7 @@
     { inputs, reservation }: PreparedAttempt,
     onAccepted: () => void,
   ): RunningAttempt {
-    const { req, route, organisation } = this.#admitted;
+    const { req, route, organisation, content } = this.#admitted;
     const remainingMs = Math.floor(this.#deadlineAt - monotonicMs());
     const { target } = reservation;
     this.#log("sent", {
@@ -196,7 +196,7 @@
       admitted: this.#admitted,
       response: this.#response,
       reservation,
-      watch: this.#deps.crashes.watch(target, req.promptParts),
+      watch: this.#deps.crashes.watch(target, content),
       inputs,
       heldBytes: this.#deps.heldBytes,
       usualMs: this.#deps.firstByteTimes.of(route.name),
@@ -263,6 +263,7 @@
       outcome: end.kind,
       detail: "detail" in end ? end.detail : undefined,
       status: end.kind === "error-answer" ? end.head.status : undefined,
+      fingerprint: this.#admitted.content.fingerprint,
       segments: this.#admitted.req.promptParts.slice(0, LOGGED_SEGMENTS)
         .join(",") || undefined,
       writingMs: writingMs === undefined ? undefined : Math.round(writingMs),
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -81,6 +81,7 @@
         priority: 0,
         ageMs: 0,
         sizeRank: 0,
+        content: { promptParts: [] },
         permit: ANY_PROMPT,
       },
       this.#response(),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
   RefusalKind,
 } from "./ports.ts";
 import type { Admitted } from "./relay.ts";
+import { fingerprintOf } from "./request_fingerprint.ts";
 import { bindToOrigin } from "./stream_binding.ts";
 
 /**
@@ -108,7 +109,12 @@
     }
     const pool = catalog.pool(poolFor(route, req.id) ?? "");
     if (!pool) return err(notReady("the route's pool is not known"));
-    const permit = this.#crashes.admit(req).mapErr(quarantined);
+    const content = {
+      promptParts: req.promptParts,
+      fingerprint: fingerprintOf(req, organisation),
+    };
+    const permit = this.#crashes.admit({ id: req.id, ...content })
+      .mapErr(quarantined);
     if (permit.isErr()) return err(permit.error);
     const priority = priorityOf(route, organisation);
     const history = this.#recordHistory(req, route);
@@ -121,6 +127,7 @@
       priority,
       ageMs: history.ageMs(req),
       sizeRank: history.sizeRank(req),
+      content,
       permit: permit.value,
     });
   }
@@ -172,7 +179,7 @@
 }
 
 function quarantined({ segment, retryAfterMs }: PromptRefusal): Refusal {
-  const reason = `prompt segment ${segment} is in quarantine`;
+  const reason = `content ${segment} is in quarantine`;
   return { kind: RefusalKind.NotRun, reason, retryAfterMs };
 }
 
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -6,6 +6,7 @@
 
 import type { CallWatch, PromptPermit } from "../crashes/mod.ts";
 import { monotonicMs, Watchdog } from "../kernel/mod.ts";
+import type { RequestContent } from "../quarantine/mod.ts";
 import {
   type BuildHolder,
   type Catalog,
@@ -48,7 +49,9 @@
   readonly sizeRank: number;
   /** Build that began the stream which the request takes up. */
   readonly origin?: BuildHolder;
-  /** Permit to send the prompt to targets. */
+  /** What targets work on, by which their crashes are explained. */
+  readonly content: RequestContent;
+  /** Permit to send the request to targets. */
   readonly permit: PromptPermit;
 }
 
--- a/src/gateway/stream_binding_test.ts
+++ b/src/gateway/stream_binding_test.ts
@@ -44,6 +44,7 @@
     priority: 0,
     ageMs: 0,
     sizeRank: 0,
+    content: { promptParts: [] },
     permit: ANY_PROMPT,
   };
 }
--- a/src/quarantine/mod.ts
+++ b/src/quarantine/mod.ts
@@ -1,5 +1,6 @@
 /**
- * Decides which segments of prompts crash the targets that work on them. Pure.
+ * Decides which requests and segments of prompts crash the targets that work on
+ * them. Pure.
  *
  * @module
  */
@@ -7,3 +8,4 @@
 export * from "./crash_evidence.ts";
 export * from "./prompt_segments.ts";
 export * from "./quarantine.ts";
+export * from "./request_content.ts";
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,5 +1,6 @@
 /**
- * Which segments of prompts are kept away from targets.
+ * Which segments of prompts are kept away from targets. A request as a whole
+ * counts as a segment that only its repetitions share.
  *
  * A segment that was in progress at several crashes without a target ever
  * completing an answer on it in between is quarantined. Segments that a sound
