Find the origins of streams in the store once no entry knows them

Cause: the entry at which a stream began and three keepers were its only memory. Evidence: stream_takeover_test, three builds, three gateways killed: all 16 streams were refused (failed before); the second test, where the first build has left, passed before: 503, and no server of the other build was asked. Change: entries write new origins to the store in rows of their own, at most every 0.5 s or 10 ms for each entry, and read them when no entry knows a stream, at most once a second.

--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -53,6 +53,11 @@
     return Promise.resolve(ok());
   }
 
+  readonly origins = {
+    write: () => Promise.resolve(ok()),
+    read: () => Promise.resolve(ok([])),
+  };
+
   recordQuarantines(): Promise<Result<void, SourceError>> {
     return Promise.resolve(ok());
   }
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -10,6 +10,7 @@
   Reachability,
   type WatchedTarget,
 } from "../crashes/mod.ts";
+export type { OriginRow, OriginStore } from "../origins/mod.ts";
 export * from "./fleet_view.ts";
 export * from "./ports.ts";
 export * from "./response_limits.ts";
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -11,6 +11,7 @@
   Reachability,
   WatchedTarget,
 } from "../crashes/mod.ts";
+import type { OriginStore } from "../origins/mod.ts";
 import type {
   CallerLimits,
   ListedPeer,
@@ -71,6 +72,8 @@
     changed: QuarantineChanges,
     signal: AbortSignal,
   ): Promise<Result<void, SourceError>>;
+  /** Origins of streams, which are read on demand only. */
+  readonly origins: OriginStore;
   /**
    * Writes records of builds; they come back as changes of the part `Peers`.
    */
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -11,7 +11,7 @@
 import { RateLimits, TargetPauses } from "../rates/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
 import { type Logger, Metrics, monitorStalls } from "../telemetry/mod.ts";
-import { StreamOriginService } from "../origins/mod.ts";
+import { StoredOrigins, StreamOriginService } from "../origins/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
 import { HeldBytes } from "./answer_body.ts";
 import { BuildRecorder } from "./build_recorder.ts";
@@ -138,6 +138,13 @@
     self: cfg.self,
     fleet: originFleet(view, peers),
     clients,
+    stored: new StoredOrigins({
+      store: source.origins,
+      self: cfg.self.name,
+      entries: () => peers.processNames.length,
+      log,
+      metrics,
+    }),
     log,
     metrics,
   });
--- a/src/origins/mod.ts
+++ b/src/origins/mod.ts
@@ -6,4 +6,5 @@
  */
 
 export * from "./ports.ts";
+export * from "./stored_origins.ts";
 export * from "./stream_origin_service.ts";
--- a/src/origins/ports.ts
+++ b/src/origins/ports.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { Builds, ListedPeer } from "../serving/mod.ts";
+import type { Result } from "neverthrow";
+import type { Builds, ListedPeer, StreamOrigin } from "../serving/mod.ts";
 import type {
   OriginAnswer,
   OriginBatch,
@@ -39,3 +40,30 @@
     signal: AbortSignal,
   ): Promise<OriginAnswer>;
 }
+
+/** Origin of a stream in the store. */
+export interface StoredOrigin extends StreamOrigin {
+  readonly stream: string;
+}
+
+/** Row of the store with origins of streams. */
+export interface OriginRow {
+  readonly key: string;
+  /** Unix time of the write in milliseconds, by the clock of its writer. */
+  readonly writtenAtMs: number;
+  readonly origins: readonly StoredOrigin[];
+}
+
+/** Origins of streams in the store. */
+export interface OriginStore {
+  /** Writes a row and removes others in one transaction. */
+  write(
+    row: OriginRow,
+    removed: readonly string[],
+    signal: AbortSignal,
+  ): Promise<Result<void, { readonly kind: string }>>;
+  /** Reads the rows of all entries. */
+  read(
+    signal: AbortSignal,
+  ): Promise<Result<readonly OriginRow[], { readonly kind: string }>>;
+}
--- a/src/origins/stream_origin_service.ts
+++ b/src/origins/stream_origin_service.ts
@@ -29,6 +29,7 @@
   NOBODY_ASKED,
 } from "./origin_lookup.ts";
 import { OriginSharing } from "./origin_sharing.ts";
+import type { StoredOrigins } from "./stored_origins.ts";
 import type { OriginClients, OriginFleet } from "./ports.ts";
 
 /** Pause between flushes of records to keepers, in milliseconds. */
@@ -45,12 +46,13 @@
 }
 
 /** How an origin was found. */
-type OriginSource = "own" | "keeper" | "only-build";
+type OriginSource = "own" | "keeper" | "store" | "only-build";
 
 /** Origins of streams, as exchanges and peers use them. */
 export class StreamOriginService implements OriginApi {
   readonly #fleet: OriginFleet;
   readonly #clients: OriginClients;
+  readonly #stored: StoredOrigins | undefined;
   readonly #keepers: Keepers;
   readonly #sharing: OriginSharing;
   readonly #log: Logger;
@@ -58,6 +60,10 @@
   readonly #start = randomUUID();
   /** Origins kept for other entries. */
   #kept = new StreamOrigins();
+  /** Pools of which a stream has begun here. */
+  readonly #begunPools = new Set<string>();
+  /** Those of them whose origins are stored. */
+  readonly #storedPools = new Set<string>();
   #isLeaving = false;
 
   constructor(
@@ -65,11 +71,14 @@
       self: ListedPeer;
       fleet: OriginFleet;
       clients: OriginClients;
+      /** Without it, origins are lost when all entries end together. */
+      stored?: StoredOrigins;
       log: Logger;
       metrics: Metrics;
     },
   ) {
     this.#fleet = deps.fleet;
+    this.#stored = deps.stored;
     this.#clients = deps.clients;
     this.#log = deps.log;
     this.#metrics = deps.metrics;
@@ -79,8 +88,9 @@
     deps.metrics.gauge("origins_kept", () => this.#kept.size);
   }
 
-  /** Pushes records to their keepers until `signal` aborts. */
+  /** Pushes records to their keepers and the store until `signal` aborts. */
   run(signal: AbortSignal): void {
+    this.#stored?.run(signal);
     every(FLUSH_PAUSE_MS, () => {
       this.#sharing.flush(signal);
       return Promise.resolve();
@@ -95,12 +105,30 @@
   /** Checks who keeps the records: the fleet has changed. */
   recheck(): void {
     this.#sharing.recheck();
+    this.#begunPools.forEach((pool) => this.#storeOriginsOf(pool));
+  }
+
+  /**
+   * Stores the origins of a pool from its second build on: before, a stream can
+   * only go on at the build that began it.
+   */
+  #storeOriginsOf(pool: string): void {
+    const hasSeveral = this.#fleet.buildsOf(pool).size > 1;
+    if (!hasSeveral) this.#storedPools.delete(pool);
+    if (!hasSeveral || this.#storedPools.has(pool)) return;
+    this.#storedPools.add(pool);
+    this.#sharing.origins.live(monotonicMs())
+      .filter(({ origin }) => origin.pool === pool)
+      .forEach(({ stream, origin }) => this.#stored?.add(stream, origin));
   }
 
   /** Records the origin of a stream whose first event arrives. */
   begun(stream: string, { pool, build }: StreamOrigin): void {
     const expiresAt = monotonicMs() + ORIGIN_TTL_MS;
     this.#sharing.add({ stream, origin: { pool, build }, expiresAt });
+    this.#begunPools.add(pool);
+    if (this.#storedPools.has(pool)) this.#stored?.add(stream, { pool, build });
+    else this.#storeOriginsOf(pool);
   }
 
   /**
@@ -120,6 +148,10 @@
         startedAt,
       });
     }
+    const stored = await this.#findStored(takenUp);
+    if (stored) {
+      return this.#found(takenUp, stored, { source: "store", startedAt });
+    }
     const only = this.#onlyOrigin(takenUp, findings);
     if (only) {
       return this.#found(takenUp, only, { source: "only-build", startedAt });
@@ -170,6 +202,11 @@
     return this.#sharing.origins.of(stream, now) ?? this.#kept.of(stream, now);
   }
 
+  /** The origin in the store, once no entry knows it any more. */
+  async #findStored({ stream }: TakenUp): Promise<StreamOrigin | undefined> {
+    return stream === undefined ? undefined : await this.#stored?.find(stream);
+  }
+
   async #ask({ stream, pools }: TakenUp): Promise<KeeperFindings> {
     const [pool] = pools;
     if (stream === undefined || pool === undefined) return NOBODY_ASKED;
