--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -10,6 +10,13 @@
 import { BuildHistory, UNRECORDED } from "./builds.ts";
 import { Catalog } from "./catalog.ts";
 import { eraOf, numberOf } from "./store_version.ts";
+import {
+  isOldReport,
+  isUsable,
+  nextRecord,
+  type TargetRecord,
+  withReport,
+} from "./target_record.ts";
 import {
   type ListedPeer,
   type ListedTarget,
@@ -18,33 +25,8 @@
   startKey,
   type StateChange,
   type TargetStart,
-  TargetState,
 } from "./state_change.ts";
 
-/** Known state of one target. */
-export interface TargetRecord {
-  readonly version: number;
-  readonly target?: ListedTarget;
-  /** Monotonic time at which the newest change was received. */
-  readonly receivedAt: number;
-  /** Monotonic time until which the target is cold. */
-  readonly coldUntil: number;
-  /** Monotonic time until which a lapsed target stays in use. */
-  readonly lapsesAt?: number;
-  /** Newest report of its latest start, also once it is removed. */
-  readonly lastReport?: LastReport;
-}
-
-interface LastReport {
-  readonly bornMs: number;
-  readonly report: number;
-  /** Era of the store from which it was read. */
-  readonly era: number;
-}
-
-/** Time in ms for which a lapsed target stays in use once the store is back. */
-export const LAPSE_GRACE_MS = 2_000;
-
 /** Maximum number of leaving starts; those known longest are discarded. */
 const MAX_LEAVING = 4_096;
 
@@ -327,11 +309,6 @@
   return builds === records.builds ? records : { ...records, builds };
 }
 
-function isUsable(record: TargetRecord, now: number): boolean {
-  return record.target?.state === TargetState.Ready &&
-    (record.lapsesAt === undefined || now < record.lapsesAt);
-}
-
 function applyChange(
   records: FleetRecords,
   change: StateChange,
@@ -348,7 +325,10 @@
     case "target": {
       const before = records.targets.get(change.id);
       if (before && isOldReport(before, change)) {
-        return withReport(records, before, change);
+        const record = withReport(before, change);
+        if (record === before) return records;
+        const targets = new Map(records.targets).set(change.id, record);
+        return { ...records, targets };
       }
       return {
         ...records,
@@ -407,47 +387,6 @@
     change.catalog.version < value.spec.version;
 }
 
-/**
- * True when a restored store lists a target as ready that is known to take no
- * more work, and the report may come from the copy: reports may have been
- * written before the target left and never read here. The target takes work
- * again once it has reported to the restored store.
- */
-function isOldReport(
-  before: TargetRecord,
-  { version, target }: Extract<StateChange, { kind: "target" }>,
-): boolean {
-  const era = eraOf(version);
-  if (era <= eraOf(before.version)) return false;
-  if (target?.state !== TargetState.Ready || isTakingWork(before)) return false;
-  const { lastReport } = before;
-  const isSameStart = target.bornMs !== undefined &&
-    target.bornMs === lastReport?.bornMs;
-  if (!isSameStart || target.report === undefined) return false;
-  return lastReport.era < era || target.report <= lastReport.report;
-}
-
-/** Remembers the first report of an era, which is not applied. */
-function withReport(
-  records: FleetRecords,
-  before: TargetRecord,
-  { id, version, target }: Extract<StateChange, { kind: "target" }>,
-): FleetRecords {
-  const read = target && lastReportOf(target, eraOf(version));
-  const known = before.lastReport;
-  if (!read || !known || read.era === known.era) return records;
-  const report = Math.max(read.report, known.report);
-  const lastReport = { ...read, report };
-  return {
-    ...records,
-    targets: new Map(records.targets).set(id, { ...before, lastReport }),
-  };
-}
-
-function isTakingWork({ target, lapsesAt }: TargetRecord): boolean {
-  return target?.state === TargetState.Ready && lapsesAt === undefined;
-}
-
 /**
  * Returns the record of a quarantine. One that has ended does not begin again
  * because a restored store still holds its row.
@@ -486,43 +425,3 @@
   if (before?.build === undefined) return builds;
   return builds.seen({ pool: before.pool, build: before.build }, now);
 }
-
-function nextRecord(
-  before: TargetRecord | undefined,
-  change: Extract<StateChange, { kind: "target" }>,
-  now: number,
-): TargetRecord {
-  const { version, target } = change;
-  if (target) {
-    const isSameStart = before?.target?.bornMs === target.bornMs;
-    const coldUntil = now + target.coldMs;
-    return {
-      version,
-      target,
-      receivedAt: now,
-      coldUntil: isSameStart
-        ? Math.max(before?.coldUntil ?? 0, coldUntil)
-        : coldUntil,
-      lastReport: lastReportOf(target, eraOf(version)),
-    };
-  }
-  const wasReady = before?.target?.state === TargetState.Ready;
-  const lapseMs = Math.min(LAPSE_GRACE_MS, change.lapseMs ?? LAPSE_GRACE_MS);
-  return {
-    version,
-    target: change.hasLapsed && wasReady ? before?.target : undefined,
-    receivedAt: now,
-    coldUntil: 0,
-    lapsesAt: change.hasLapsed && wasReady ? now + lapseMs : undefined,
-    lastReport: before?.lastReport,
-  };
-}
-
-function lastReportOf(
-  { bornMs, report }: ListedTarget,
-  era: number,
-): LastReport | undefined {
-  return bornMs === undefined || report === undefined
-    ? undefined
-    : { bornMs, report, era };
-}
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -26,3 +26,4 @@
 export * from "./stage_targets.ts";
 export * from "./stream_origins.ts";
 export * from "./event_splitter.ts";
+export { LAPSE_GRACE_MS, type TargetRecord } from "./target_record.ts";
