Admit streams that are taken up like new ones

Cause, by its logs: each had found its origin in the store; a stream that is taken up has little of its usual deadline left, so it passed for a request that had been refused before, and the owners of the stages refused those first. Change: its age counts as 0.

--- a/src/gateway/stream_binding.ts
+++ b/src/gateway/stream_binding.ts
@@ -44,7 +44,9 @@
     ? catalog.pool(origin.pool)
     : undefined;
   if (!pool) return err(unbound("the route has left the pool of the stream"));
-  return ok({ ...admitted, pool, origin });
+  // The goal of a request is its first event, which this stream had in time or
+  // not; whether it goes on is as urgent as a new one.
+  return ok({ ...admitted, pool, origin, ageMs: 0 });
 }
 
 /** Identifier of the stream that a request begins or takes up. */
--- a/src/gateway/stream_binding_test.ts
+++ b/src/gateway/stream_binding_test.ts
@@ -81,6 +81,13 @@
   }
 });
 
+test("a stream that is taken up is due like a new one", async () => {
+  const admitted = { ...admittedOf(RESUMED), ageMs: 4_000 };
+  const origins = originsOf({ pool: "plain", build: "v1" });
+  const bound = await bindToOrigin(admitted, origins);
+  assert.equal(bound._unsafeUnwrap().ageMs, 0);
+});
+
 test("requests that take no stream up are not bound", async () => {
   const origins = originsOf(undefined);
   const others = [
