Write the origins of live streams again to a restored store

Cause: rows that a store lost with its restoration were not written again, as registrations, builds and quarantines are; after a kill of all entries the streams in them were refused. Change: each entry writes its live origins again when the era of the store has changed.

--- a/src/bench/stream_origins.ts
+++ b/src/bench/stream_origins.ts
@@ -239,6 +239,7 @@
       registrations: () => new Map(),
       isUsable: () => true,
       buildsOf: () => TWO_BUILDS,
+      storeEra: () => 1,
       knowsBuilds: () => true,
     },
     clients,
--- a/src/gateway/stream_binding.ts
+++ b/src/gateway/stream_binding.ts
@@ -73,6 +73,7 @@
     registrations: () => view.state.registrations,
     isUsable: (peer) => peers.isUsable(peer),
     buildsOf: (pool) => new Set(view.state.buildsOf(pool, monotonicMs())),
+    storeEra: () => view.ownRowsEra,
     knowsBuilds: () => view.knowsBuilds,
   };
 }
--- a/src/origins/ports.ts
+++ b/src/origins/ports.ts
@@ -23,6 +23,8 @@
   isUsable(peer: ListedPeer): boolean;
   /** Builds that a pool may have had within the life of a stream. */
   buildsOf(pool: string): Builds;
+  /** Number of times that the store has been restored, as far as known. */
+  storeEra(): number;
   /** True when the builds of all pools are known as of a short time ago. */
   knowsBuilds(): boolean;
 }
--- a/src/origins/stream_origin_service.ts
+++ b/src/origins/stream_origin_service.ts
@@ -64,6 +64,7 @@
   readonly #begunPools = new Set<string>();
   /** Those of them whose origins are stored. */
   readonly #storedPools = new Set<string>();
+  #storeEra = 0;
   #isLeaving = false;
 
   constructor(
@@ -105,6 +106,10 @@
   /** Checks who keeps the records: the fleet has changed. */
   recheck(): void {
     this.#sharing.recheck();
+    const era = this.#fleet.storeEra();
+    // A restored store may have lost the rows.
+    if (era !== this.#storeEra) this.#storedPools.clear();
+    this.#storeEra = era;
     this.#begunPools.forEach((pool) => this.#storeOriginsOf(pool));
   }
 
--- a/src/origins/testing.ts
+++ b/src/origins/testing.ts
@@ -105,6 +105,7 @@
         registrations: () => this.#registrations,
         isUsable: () => true,
         buildsOf: () => this.ownBuilds.get(peer.name) ?? this.builds,
+        storeEra: () => 1,
         knowsBuilds: () => !this.stale.includes(peer.name),
       },
       clients: this.#clients(),
