Notice a restored store also when nothing else changes

Cause: the era of the store was looked at when the view of the fleet changed, which is told before the era is recorded; without a further change, live origins were not written again. Change: the era is compared with each flush, every 0.1 s.

--- a/src/origins/stream_origin_service.ts
+++ b/src/origins/stream_origin_service.ts
@@ -93,6 +93,7 @@
   run(signal: AbortSignal): void {
     this.#stored?.run(signal);
     every(FLUSH_PAUSE_MS, () => {
+      this.#checkEra();
       this.#sharing.flush(signal);
       return Promise.resolve();
     }, signal);
@@ -106,10 +107,15 @@
   /** Checks who keeps the records: the fleet has changed. */
   recheck(): void {
     this.#sharing.recheck();
+    this.#begunPools.forEach((pool) => this.#storeOriginsOf(pool));
+  }
+
+  /** Stores all live origins again once the store was restored. */
+  #checkEra(): void {
     const era = this.#fleet.storeEra();
-    // A restored store may have lost the rows.
-    if (era !== this.#storeEra) this.#storedPools.clear();
+    if (era === this.#storeEra) return;
     this.#storeEra = era;
+    this.#storedPools.clear();
     this.#begunPools.forEach((pool) => this.#storeOriginsOf(pool));
   }
 
