Bound the origins that wait for the store

Cause: in a long outage of the store they would have grown without end, and long identifiers of callers could have made a row larger than the store takes. Result: a new test of 40,000 origins and a long identifier passes.

--- a/src/origins/stored_origins.ts
+++ b/src/origins/stored_origins.ts
@@ -8,7 +8,11 @@
 
 import { randomUUID } from "node:crypto";
 import { every, monotonicMs, timeoutSignal } from "../kernel/mod.ts";
-import { ORIGIN_TTL_MS, type StreamOrigin } from "../serving/mod.ts";
+import {
+  MAX_ORIGINS,
+  ORIGIN_TTL_MS,
+  type StreamOrigin,
+} from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import type { OriginStore, StoredOrigin } from "./ports.ts";
 
@@ -27,8 +31,9 @@
 const READ_TIMEOUT_MS = 500;
 /** Age up to which origins that were read are used again, in milliseconds. */
 const READ_TTL_MS = 1_000;
-/** Most origins of one row, which bounds its size. */
-const MAX_ROW_ORIGINS = 1_000;
+/** Most origins of one row, and longest identifier, which bound its size. */
+const MAX_ROW_ORIGINS = 500;
+const MAX_STREAM_CHARS = 100;
 /** Most rows that one write removes, a limit of transactions. */
 const MAX_REMOVED_ROWS = 90;
 /**
@@ -69,9 +74,17 @@
     this.#deps = deps;
   }
 
-  /** Adds the origin of a stream to what has to be written. */
+  /**
+   * Adds the origin of a stream to what has to be written. While the store is
+   * away, the oldest are discarded, as they expire.
+   */
   add(stream: string, origin: StreamOrigin): void {
+    if (stream.length > MAX_STREAM_CHARS) return;
+    this.#pending.delete(stream);
     this.#pending.set(stream, origin);
+    if (this.#pending.size <= MAX_ORIGINS) return;
+    const [oldest] = this.#pending.keys();
+    if (oldest !== undefined) this.#pending.delete(oldest);
   }
 
   /** Writes what is added until `signal` aborts. */
--- a/src/origins/stored_origins_test.ts
+++ b/src/origins/stored_origins_test.ts
@@ -2,7 +2,7 @@
 import { err, ok } from "neverthrow";
 import { test } from "node:test";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
-import { ORIGIN_TTL_MS } from "../serving/mod.ts";
+import { MAX_ORIGINS, ORIGIN_TTL_MS } from "../serving/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/paused_clock.ts";
 import type { OriginRow, OriginStore } from "./ports.ts";
@@ -124,3 +124,23 @@
   assert.ok(store.writes <= 4, `${store.writes} writes in 10 s`);
   assert.ok(store.reads <= 11, `${store.reads} reads in 10 s`);
 });
+
+storedTest(
+  "a long outage takes bounded memory, and rows stay bounded after it",
+  async ({ store, start }) => {
+    const stored = start();
+    store.isAway = true;
+    const streams = Array.from({ length: 40_000 }, (_, i) => `s${i}`);
+    streams.forEach((stream) => stored.add(stream, ORIGIN));
+    stored.add("x".repeat(10_000), ORIGIN);
+    store.isAway = false;
+    await sleep(60_000);
+    const rows = [...store.rows.values()];
+    const count = rows.reduce((sum, { origins }) => sum + origins.length, 0);
+    assert.ok(count <= MAX_ORIGINS, `${count} origins`);
+    rows.forEach((row) =>
+      assert.ok(JSON.stringify(row.origins).length < 65_536)
+    );
+    assert.deepEqual(await stored.find("s39999"), ORIGIN);
+  },
+);
