--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -188,6 +188,8 @@
   }
 
   head(head: ResponseHead): void {
+    // A target may send an earlier response once more, also a refusal.
+    if (!head.isMatching) return this.#breakOff("answer to another request");
     this.#watchdog?.recordProgress();
     this.#deps.reservation.head(head);
     const isSuccess = head.status >= 200 && head.status < 300;
@@ -195,7 +197,6 @@
       return this.#stop({ kind: "not-run", isAttempt: false });
     }
     if (head.isNotRun) return this.#stop({ kind: "not-run", isAttempt: true });
-    if (!head.isMatching) return this.#breakOff("answer to another request");
     if (isSuccess && !head.isSigned) {
       return this.#breakOff("answer without signature");
     }
