--- a/src/agent/engine_client.ts
+++ b/src/agent/engine_client.ts
@@ -9,6 +9,8 @@
 import {
   COLD_HEADER,
   connectionFailure,
+  isOfOtherCall,
+  OTHER_CALL,
   protocolFailure,
   statusFailure,
 } from "./target_failure.ts";
@@ -77,6 +79,10 @@
       ...opts,
       body: completionBody(call),
     });
+    if (isOfOtherCall(res.headers, call)) {
+      await res.body.dump();
+      return { failure: protocolFailure(OTHER_CALL) };
+    }
     if (res.statusCode !== HTTP_OK) {
       await res.body.dump();
       return { failure: statusFailure(res.statusCode, res.headers) };
--- a/src/agent/service_client.ts
+++ b/src/agent/service_client.ts
@@ -8,6 +8,8 @@
 import type { StageCall } from "../model/mod.ts";
 import {
   connectionFailure,
+  isOfOtherCall,
+  OTHER_CALL,
   protocolFailure,
   statusFailure,
 } from "./target_failure.ts";
@@ -35,13 +37,10 @@
   ): ResultAsync<TargetResponse, TargetFailure> {
     return ResultAsync.fromPromise(this.#send(call, opts), connectionFailure)
       .andThen(({ status, headers, json }) => {
-        if (status !== HTTP_OK) return errAsync(statusFailure(status, headers));
-        const echoedCallId = headers["x-call-id"];
-        if (echoedCallId !== undefined && echoedCallId !== call.callId) {
-          return errAsync(
-            protocolFailure("The answer belongs to another call"),
-          );
+        if (isOfOtherCall(headers, call)) {
+          return errAsync(protocolFailure(OTHER_CALL));
         }
+        if (status !== HTTP_OK) return errAsync(statusFailure(status, headers));
         return okAsync({ output: json, tokens: 0 });
       });
   }
--- a/src/agent/target_failure.ts
+++ b/src/agent/target_failure.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { RefusalReason } from "../model/mod.ts";
+import { RefusalReason, type StageCall } from "../model/mod.ts";
 import type { TargetFailure } from "./target_client.ts";
 
 /** Response header that states that the target did not run the call. */
@@ -13,6 +13,11 @@
 /** Response header that states that the target is in a cold start. */
 export const COLD_HEADER = "x-cold-start";
 
+/** Header with the identifier of a call; targets may echo it. */
+export const CALL_ID_HEADER = "x-call-id";
+/** Detail of a failure by a response that belongs to another call. */
+export const OTHER_CALL = "The answer belongs to another call";
+
 /** Codes of errors that occur before the request is sent. */
 const NOT_SENT_CODES = new Set([
   "ECONNREFUSED",
@@ -36,10 +41,22 @@
   return err instanceof Error && err.name === "TimeoutError";
 }
 
+/** Headers of a response. */
+type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
+/** True when a response names another call. */
+export function isOfOtherCall(
+  headers: Headers,
+  { callId }: Pick<StageCall, "callId">,
+): boolean {
+  const echoed = headers[CALL_ID_HEADER];
+  return echoed !== undefined && echoed !== callId;
+}
+
 /** Returns the failure of a call whose response has an error status. */
 export function statusFailure(
   status: number,
-  headers: Record<string, string | string[] | undefined>,
+  headers: Headers,
 ): TargetFailure {
   return {
     mayHaveRun: headers[NOT_RUN_HEADER] === undefined,
--- a/src/agent/target_http.ts
+++ b/src/agent/target_http.ts
@@ -9,6 +9,7 @@
 import { boundedAgent } from "../http/mod.ts";
 import type { StageCall } from "../model/mod.ts";
 import type { RunOptions } from "./target_client.ts";
+import { CALL_ID_HEADER } from "./target_failure.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Largest response body, in bytes. */
@@ -25,6 +26,10 @@
 /**
  * Connections to one target. Callers set deadlines through their signals, so
  * that the time-outs of headers and body are off.
+ *
+ * Each connection serves one call: on a kept one, a late copy of an earlier
+ * response would arrive where that of the next call is expected, and not all
+ * targets echo the identifier of the call.
  */
 export class TargetHttp {
   readonly #url: string;
@@ -52,6 +57,7 @@
       body: JSON.stringify(opts.body),
       dispatcher: this.#dispatcher,
       signal: opts.signal,
+      reset: true,
     });
   }
 
@@ -85,7 +91,7 @@
   const { callId, idempotencyKey } = call;
   return {
     "content-type": "application/json",
-    "x-call-id": callId,
+    [CALL_ID_HEADER]: callId,
     ...(traceparent ? { traceparent } : {}),
     ...(idempotencyKey ? { "idempotency-key": idempotencyKey } : {}),
   };
