The origin of a stream is shared where its route leaves the pool open

Cause: origins were shared only for pools with two builds, and with several pools nothing was deduced. After a route had moved, a stream of unknown origin went on at the next pool.

Change: origins are also shared for routes that have, or lately had, several pools. The pool of an unknown stream is computed from its identifier for every version of the route in its life; where they differ it is refused.

--- a/src/bench/notices.ts
+++ b/src/bench/notices.ts
@@ -76,7 +76,7 @@
     permit: () => Promise.resolve({ isGranted: false, waitMs: 412.5 }),
     runChain: () => Promise.resolve({ kind: "leaving" }),
     keepOrigins: () => ({ start: "", isLeaving: false }),
-    findOrigin: () => ({ builds: [], isRecent: true }),
+    findOrigin: () => Promise.reject(new Error("not used")),
   }));
   #url = "";
 
--- a/src/gateway/peers_test.ts
+++ b/src/gateway/peers_test.ts
@@ -45,7 +45,7 @@
     }),
     freeResults: () => {},
     keepOrigins: () => ({ start: "a", isLeaving: false }),
-    findOrigin: () => ({ builds: [], isRecent: true }),
+    findOrigin: () => Promise.reject(new Error("not used")),
     permit: () => Promise.resolve({ isGranted: true, waitMs: 0 }),
     runChain: () => Promise.resolve({ kind: "leaving" }),
   });
--- a/src/gateway/stream_binding.ts
+++ b/src/gateway/stream_binding.ts
@@ -33,14 +33,14 @@
 ): Promise<Result<Admitted, Refusal>> {
   const { req, route, catalog } = admitted;
   if (!isTakenUp(req) || route.kind !== RouteKind.Stream) return ok(admitted);
-  const pools = route.pools.map(({ pool }) => pool);
+  const { hostname, pathPrefix } = route;
   const origin = await origins.find({
     request: req.id,
     stream: req.originAttemptId,
-    pools,
+    route: { hostname, pathPrefix },
   });
   if (!origin) return err(unbound("the origin of the stream is not known"));
-  const pool = pools.includes(origin.pool)
+  const pool = route.pools.some(({ pool }) => pool === origin.pool)
     ? catalog.pool(origin.pool)
     : undefined;
   if (!pool) return err(unbound("the route has left the pool of the stream"));
@@ -74,6 +74,9 @@
     isUsable: (peer) => peers.isUsable(peer),
     buildsOf: (pool) => new Set(view.state.buildsOf(pool, monotonicMs())),
     storeEra: () => view.ownRowsEra,
-    knowsBuilds: () => view.knowsBuilds,
+    candidates: (stream, route) =>
+      view.state.routes.candidates(stream, route, monotonicMs()),
+    ambiguousPools: () => view.state.routes.ambiguousPools(monotonicMs()),
+    readChanges: () => Promise.resolve(view.knowsBuilds),
   };
 }
--- a/src/gateway/stream_binding_test.ts
+++ b/src/gateway/stream_binding_test.ts
@@ -68,7 +68,11 @@
   assert.equal(chosen.name, "other");
   assert.equal(origin?.build, "v1");
   assert.deepEqual(origins.asked, [
-    { request: "again", stream: "begun", pools: ["plain", "other"] },
+    {
+      request: "again",
+      stream: "begun",
+      route: { hostname: "api.example", pathPrefix: "/r/" },
+    },
   ]);
 });
 
--- a/src/origins/origin_lookup.ts
+++ b/src/origins/origin_lookup.ts
@@ -6,7 +6,6 @@
 
 import { timeoutSignal } from "../kernel/mod.ts";
 import {
-  type Builds,
   type ListedPeer,
   ORIGIN_KEEPERS,
   type StreamOrigin,
@@ -28,41 +27,49 @@
   readonly origin?: StreamOrigin;
   /** Name of the keeper that knew the origin. */
   readonly keeper?: string;
-  /** Builds of the pool by the keepers that answered without knowing it. */
-  readonly builds: readonly Builds[];
+  /** Answers of the keepers that do not know the origin. */
+  readonly answers: readonly OriginAnswer[];
+  /** Keepers that gave these answers. */
+  readonly answered: readonly ListedPeer[];
   /**
-   * True when the builds are those of a keeper with a recent view, or of most of
-   * the first keepers, which are not all on this side of a partition.
+   * True when most of the first keepers answered, which are not all on this
+   * side of a partition.
    */
-  readonly areBuildsSure: boolean;
+  readonly isMajority: boolean;
 }
 
 /** Findings of a lookup that asks nobody. */
 export const NOBODY_ASKED: KeeperFindings = {
-  builds: [],
-  areBuildsSure: false,
+  answers: [],
+  answered: [],
+  isMajority: false,
 };
 
 /**
  * Asks the first keepers of a stream, and further ones in place of those that
- * fail; the silent ones last. Resolves with the first answer that knows the
- * origin, or when all have answered or the time is over.
+ * fail; the silent ones last. With `among`, only these are asked. Resolves with
+ * the first answer that knows the origin, or when all have answered or the time
+ * is over.
  */
 export async function askKeepers(
   query: OriginQuery,
-  deps: { readonly keepers: Keepers; readonly clients: OriginClients },
+  deps: {
+    readonly keepers: Keepers;
+    readonly clients: OriginClients;
+    readonly among?: readonly ListedPeer[];
+  },
 ): Promise<KeeperFindings> {
   const { keepers, clients } = deps;
   const signal = timeoutSignal(FIND_TIMEOUT_MS);
   const order = keepers.order.of(query.stream);
+  const asked = deps.among ?? order;
   const queue = [
-    ...order.filter((peer) => keepers.isUsable(peer)),
-    ...order.filter((peer) => !keepers.isUsable(peer)),
+    ...asked.filter((peer) => keepers.isUsable(peer)),
+    ...asked.filter((peer) => !keepers.isUsable(peer)),
   ].values();
   const first = order.slice(0, ASKED_KEEPERS);
-  const builds: Builds[] = [];
-  let firstAnswers = 0;
-  let hasRecent = false;
+  const answers: OriginAnswer[] = [];
+  const answered: ListedPeer[] = [];
   let isFound = false;
   const ask = async (peer: ListedPeer): Promise<OriginAnswer | undefined> => {
     try {
@@ -82,9 +89,8 @@
         return { ...NOBODY_ASKED, origin: answer.origin, keeper: peer.name };
       }
       if (answer) {
-        builds.push(new Set(answer.builds.map(fromWire)));
-        hasRecent ||= answer.isRecent;
-        if (first.includes(peer)) firstAnswers += 1;
+        answers.push(answer);
+        answered.push(peer);
       }
       if (answer || isFound || signal.aborted) break;
     }
@@ -95,13 +101,11 @@
       Array.from({ length: ASKED_KEEPERS }, askUntilAnswered),
     );
   } catch {
+    const firstAnswers = first.filter((peer) => answered.includes(peer));
     return {
-      builds,
-      areBuildsSure: hasRecent || firstAnswers > first.length / 2,
+      answers,
+      answered,
+      isMajority: firstAnswers.length > first.length / 2,
     };
   }
 }
-
-function fromWire(build: string | null): string | undefined {
-  return build ?? undefined;
-}
--- a/src/origins/origin_sharing.ts
+++ b/src/origins/origin_sharing.ts
@@ -105,16 +105,22 @@
   }
 
   /**
-   * Live records of the pools that have had several builds: a stream of another
-   * pool can only go on at the build that began it.
+   * True while other entries can't deduce the origin of each stream of a pool:
+   * the pool has had several builds, or a route goes to several pools.
    */
+  isShared(pool: string): boolean {
+    return this.#fleet.buildsOf(pool).size > 1 ||
+      this.#fleet.ambiguousPools().has(pool);
+  }
+
+  /** Live records of the pools whose origins are shared. */
   #sharedRecords(): readonly OriginRecord[] {
     const now = monotonicMs();
     const live = this.#origins.live(now);
     this.#pruneAcknowledged(live, now);
     const pools = [...new Set(live.map(({ origin }) => origin.pool))];
     const shared = new Set(
-      pools.filter((pool) => this.#fleet.buildsOf(pool).size > 1),
+      pools.filter((pool) => this.isShared(pool)),
     );
     return live.filter(({ origin }) => shared.has(origin.pool));
   }
--- a/src/origins/ports.ts
+++ b/src/origins/ports.ts
@@ -5,7 +5,13 @@
  */
 
 import type { Result } from "neverthrow";
-import type { Builds, ListedPeer, StreamOrigin } from "../serving/mod.ts";
+import type {
+  Builds,
+  ListedPeer,
+  PoolCandidates,
+  RouteAddress,
+  StreamOrigin,
+} from "../serving/mod.ts";
 import type {
   OriginAnswer,
   OriginBatch,
@@ -23,10 +29,17 @@
   isUsable(peer: ListedPeer): boolean;
   /** Builds that a pool may have had within the life of a stream. */
   buildsOf(pool: string): Builds;
+  /** Pools that may have begun a stream of the route at an address. */
+  candidates(stream: string | undefined, route: RouteAddress): PoolCandidates;
+  /** Pools of which the identifier of a stream may not tell which began it. */
+  ambiguousPools(): ReadonlySet<string>;
   /** Number of times that the store has been restored, as far as known. */
   storeEra(): number;
-  /** True when the builds of all pools are known as of a short time ago. */
-  knowsBuilds(): boolean;
+  /**
+   * Reads from the store what has changed until the call; resolves with false
+   * when it does not answer.
+   */
+  readChanges(): Promise<boolean>;
 }
 
 /** Calls other entries; the calls reject when they fail. */
--- a/src/origins/stream_origin_service.ts
+++ b/src/origins/stream_origin_service.ts
@@ -11,6 +11,8 @@
   type ListedPeer,
   onlyOrigin,
   ORIGIN_TTL_MS,
+  type PoolCandidates,
+  type RouteAddress,
   type StreamOrigin,
   StreamOrigins,
 } from "../serving/mod.ts";
@@ -35,18 +37,20 @@
 /** Pause between flushes of records to keepers, in milliseconds. */
 const FLUSH_PAUSE_MS = 100;
 
+/** Pools of a route that a peer of an older build does not name. */
+const NO_CANDIDATES: PoolCandidates = { pools: [], isSure: false };
+
 /** Request that takes a stream up. */
 export interface TakenUp {
   /** Identifier of the request, for the log. */
   readonly request: string;
   /** Attempt that brought the first event; undefined when not named. */
   readonly stream?: string;
-  /** Pools to which the request may go. */
-  readonly pools: readonly string[];
+  readonly route: RouteAddress;
 }
 
 /** How an origin was found. */
-type OriginSource = "own" | "keeper" | "store" | "only-build";
+type OriginSource = "own" | "keeper" | "store" | "deduced";
 
 /** Origins of streams, as exchanges and peers use them. */
 export class StreamOriginService implements OriginApi {
@@ -60,7 +64,7 @@
   readonly #start = randomUUID();
   /** Origins kept for other entries. */
   #kept = new StreamOrigins();
-  /** Pools of which a stream has begun here. */
+  /** Pools at which streams have begun here. */
   readonly #begunPools = new Set<string>();
   /** Those of them whose origins are stored. */
   readonly #storedPools = new Set<string>();
@@ -119,14 +123,11 @@
     this.#begunPools.forEach((pool) => this.#storeOriginsOf(pool));
   }
 
-  /**
-   * Stores the origins of a pool from its second build on: before, a stream can
-   * only go on at the build that began it.
-   */
+  /** Stores the origins of a pool if they can't be deduced. */
   #storeOriginsOf(pool: string): void {
-    const hasSeveral = this.#fleet.buildsOf(pool).size > 1;
-    if (!hasSeveral) this.#storedPools.delete(pool);
-    if (!hasSeveral || this.#storedPools.has(pool)) return;
+    const isShared = this.#sharing.isShared(pool);
+    if (!isShared) this.#storedPools.delete(pool);
+    if (!isShared || this.#storedPools.has(pool)) return;
     this.#storedPools.add(pool);
     this.#sharing.origins.live(monotonicMs())
       .filter(({ origin }) => origin.pool === pool)
@@ -143,12 +144,12 @@
   }
 
   /**
-   * Finds the origin of a stream; undefined when it is not known and another
-   * build than the present one may have begun it.
+   * Finds the origin of a stream; undefined when it is not known and can't be
+   * deduced.
    */
   async find(takenUp: TakenUp): Promise<StreamOrigin | undefined> {
     const startedAt = monotonicMs();
-    const own = this.#known(takenUp.stream);
+    const own = this.known(takenUp.stream);
     if (own) return this.#found(takenUp, own, { source: "own", startedAt });
     const findings = await this.#ask(takenUp);
     if (findings.origin) {
@@ -163,21 +164,11 @@
     if (stored) {
       return this.#found(takenUp, stored, { source: "store", startedAt });
     }
-    const only = this.#onlyOrigin(takenUp, findings);
-    if (only) {
-      return this.#found(takenUp, only, { source: "only-build", startedAt });
+    const deduced = await this.#deduce(takenUp, findings);
+    if (deduced) {
+      return this.#found(takenUp, deduced, { source: "deduced", startedAt });
     }
-    this.#metrics.count("origin_lookups_total", { source: "unknown" });
-    this.#log.warn("stream_origin_unknown", {
-      request: takenUp.request,
-      stream: takenUp.stream,
-      pools: takenUp.pools.join(","),
-      builds: takenUp.pools
-        .flatMap((pool) => [...this.#fleet.buildsOf(pool)]).join(","),
-      answers: findings.builds.length,
-      recent: this.#fleet.knowsBuilds(),
-      tookMs: Math.round(monotonicMs() - startedAt),
-    });
+    this.#logUnknown(takenUp, findings, startedAt);
     return undefined;
   }
 
@@ -199,15 +190,25 @@
     return { start: this.#start, isLeaving: this.#isLeaving };
   }
 
-  findOrigin({ stream, pool }: OriginQuery): OriginAnswer {
+  async findOrigin(
+    { stream, pool, route, readsStore = false }: OriginQuery,
+  ): Promise<OriginAnswer> {
+    const origin = this.known(stream);
+    const hasReadStore = readsStore && await this.#fleet.readChanges();
+    const { pools, isSure } = route
+      ? this.#fleet.candidates(stream, route)
+      : NO_CANDIDATES;
     return {
-      origin: this.#known(stream),
+      origin,
       builds: [...this.#fleet.buildsOf(pool)].map((build) => build ?? null),
-      isRecent: this.#fleet.knowsBuilds(),
+      pools: [...pools],
+      arePoolsSure: isSure,
+      hasReadStore,
     };
   }
 
-  #known(stream: string | undefined): StreamOrigin | undefined {
+  /** The origin of a stream if this entry knows it without asking. */
+  known(stream: string | undefined): StreamOrigin | undefined {
     if (stream === undefined) return undefined;
     const now = monotonicMs();
     return this.#sharing.origins.of(stream, now) ?? this.#kept.of(stream, now);
@@ -218,32 +219,80 @@
     return stream === undefined ? undefined : await this.#stored?.find(stream);
   }
 
-  async #ask({ stream, pools }: TakenUp): Promise<KeeperFindings> {
-    const [pool] = pools;
+  async #ask(
+    { stream, route }: TakenUp,
+    opts: { readonly among?: readonly ListedPeer[] } = {},
+  ): Promise<KeeperFindings> {
+    const [pool] = this.#fleet.candidates(stream, route).pools;
     if (stream === undefined || pool === undefined) return NOBODY_ASKED;
-    return await askKeepers({ stream, pool }, {
-      keepers: this.#keepers,
-      clients: this.#clients,
-    });
+    const { hostname, pathPrefix } = route;
+    return await askKeepers({
+      stream,
+      pool,
+      route: { hostname, pathPrefix },
+      readsStore: opts.among !== undefined,
+    }, { keepers: this.#keepers, clients: this.#clients, ...opts });
   }
 
   /**
-   * The origin if only one build can have begun the stream. While the store is
-   * silent, this process may not know the newest builds; then the views of other
-   * entries decide, if there are any.
+   * The origin if only one pool, and only one build of it, can have begun the
+   * stream. A view from before the stream was taken up may lack the build that
+   * began it, so this entry or a keeper reads the store first, unless most
+   * keepers answered.
    */
+  async #deduce(
+    takenUp: TakenUp,
+    findings: KeeperFindings,
+  ): Promise<StreamOrigin | undefined> {
+    const isRecent = findings.isMajority ||
+      this.#keepers.order.peers.length === 0 ||
+      await this.#fleet.readChanges();
+    if (isRecent) return this.#onlyOrigin(takenUp, findings.answers);
+    if (findings.answered.length === 0) return undefined;
+    const { answered: among } = findings;
+    const { origin, answers } = await this.#ask(takenUp, { among });
+    if (origin) return origin;
+    const hasRead = answers.some(({ hasReadStore }) => hasReadStore);
+    return hasRead ? this.#onlyOrigin(takenUp, answers) : undefined;
+  }
+
   #onlyOrigin(
-    { pools }: TakenUp,
-    { builds, areBuildsSure }: KeeperFindings,
+    { stream, route }: TakenUp,
+    answers: readonly OriginAnswer[],
   ): StreamOrigin | undefined {
-    const [pool, ...others] = pools;
-    if (pool === undefined || others.length > 0) return undefined;
-    const isSure = this.#fleet.knowsBuilds() || areBuildsSure ||
-      this.#keepers.order.peers.length === 0;
-    if (!isSure) return undefined;
+    const own = this.#fleet.candidates(stream, route);
+    const pools = new Set([
+      ...own.pools,
+      ...answers.flatMap(({ pools }) => pools),
+    ]);
+    const isSure = own.isSure ||
+      answers.some(({ arePoolsSure }) => arePoolsSure);
+    const [pool] = own.pools;
+    if (pool === undefined || pools.size > 1 || !isSure) return undefined;
+    const builds = answers.map(({ builds }) => new Set(builds.map(fromWire)));
     return onlyOrigin(pool, [this.#fleet.buildsOf(pool), ...builds]);
   }
 
+  #logUnknown(
+    { request, stream, route }: TakenUp,
+    { answers, isMajority }: KeeperFindings,
+    startedAt: number,
+  ): void {
+    this.#metrics.count("origin_lookups_total", { source: "unknown" });
+    const { pools, isSure } = this.#fleet.candidates(stream, route);
+    this.#log.warn("stream_origin_unknown", {
+      request,
+      stream,
+      pools: pools.join(","),
+      poolsSure: isSure,
+      builds: pools.flatMap((pool) => [...this.#fleet.buildsOf(pool)])
+        .join(","),
+      answers: answers.length,
+      majority: isMajority,
+      tookMs: Math.round(monotonicMs() - startedAt),
+    });
+  }
+
   #found(
     { request, stream }: TakenUp,
     origin: StreamOrigin,
@@ -263,3 +312,7 @@
     return origin;
   }
 }
+
+function fromWire(build: string | null): string | undefined {
+  return build ?? undefined;
+}
--- a/src/origins/stream_origin_service_test.ts
+++ b/src/origins/stream_origin_service_test.ts
@@ -14,6 +14,7 @@
 /** Longest time that a lookup takes, in milliseconds. */
 const FIND_MS = 320;
 const TWO_BUILDS = new Set(["v1", "v2"]);
+const ROUTE = { hostname: "api.example", pathPrefix: "/r/" };
 
 function withFleet(
   entries: number,
@@ -46,7 +47,7 @@
   const origin = await fleet.entry(entry).service.find({
     request: "req-1",
     stream,
-    pools: ["plain"],
+    route: ROUTE,
   });
   assert.ok(monotonicMs() - startedAt <= FIND_MS);
   return origin;
@@ -234,9 +235,11 @@
 
 test("an unknown origin is not guessed for a route with several pools", () =>
   withFleet(1, async (fleet) => {
-    const { service } = fleet.entry(0);
-    const taken = { request: "req-1", pools: ["plain", "other"] };
-    assert.equal(await service.find(taken), undefined);
+    fleet.candidates = { pools: ["plain", "other"], isSure: true };
+    assert.equal(await find(fleet, 0), undefined);
+    assert.equal(await find(fleet, 0, "unknown"), undefined);
+    fleet.candidates = { pools: ["plain"], isSure: false };
+    assert.equal(await find(fleet, 0, "unknown"), undefined);
   }));
 
 test("origins expire with the deadlines of their callers", () =>
--- a/src/origins/testing.ts
+++ b/src/origins/testing.ts
@@ -6,7 +6,7 @@
  */
 
 import { sleep } from "../kernel/mod.ts";
-import type { ListedPeer } from "../serving/mod.ts";
+import type { ListedPeer, PoolCandidates } from "../serving/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import type { OriginAnswer, OriginReceipt } from "../wire/mod.ts";
 import type { OriginClients } from "./ports.ts";
@@ -34,8 +34,11 @@
   builds: ReadonlySet<string | undefined> = new Set(["v1"]);
   /** Names of entries whose view differs, and the builds that they know. */
   readonly ownBuilds = new Map<string, ReadonlySet<string | undefined>>();
-  /** Names of entries whose view is not recent. */
+  /** Names of entries that do not reach the store. */
   stale: readonly string[] = [];
+  /** Pools that may have begun any stream. */
+  candidates: PoolCandidates = { pools: ["plain"], isSure: true };
+  ambiguousPools: ReadonlySet<string> = new Set();
   #registrations: ReadonlyMap<string, number>;
 
   constructor(count: number, domains = 3) {
@@ -86,9 +89,7 @@
   /** Names of the entries that know a stream without asking. */
   holdersOf(stream: string): readonly string[] {
     return this.entries
-      .filter(({ service }) =>
-        service.findOrigin({ stream, pool: "plain" }).origin !== undefined
-      )
+      .filter(({ service }) => service.known(stream) !== undefined)
       .map(({ peer }) => peer.name);
   }
 
@@ -106,7 +107,9 @@
         isUsable: () => true,
         buildsOf: () => this.ownBuilds.get(peer.name) ?? this.builds,
         storeEra: () => 1,
-        knowsBuilds: () => !this.stale.includes(peer.name),
+        candidates: () => this.candidates,
+        ambiguousPools: () => this.ambiguousPools,
+        readChanges: () => Promise.resolve(!this.stale.includes(peer.name)),
       },
       clients: this.#clients(),
       log: SILENT_LOGGER,
@@ -124,7 +127,7 @@
           return entry.service.keepOrigins(batch);
         }),
       findOrigin: (url, query, signal) =>
-        this.#call(url, signal, (entry): OriginAnswer => {
+        this.#call(url, signal, (entry): Promise<OriginAnswer> => {
           entry.received.find += 1;
           return entry.service.findOrigin(query);
         }),
@@ -134,7 +137,7 @@
   async #call<T>(
     url: string,
     signal: AbortSignal,
-    respond: (entry: SimEntry) => T,
+    respond: (entry: SimEntry) => T | Promise<T>,
   ): Promise<T> {
     const entry = this.entries.find(({ peer }) => peer.url === url);
     await sleep(LATENCY_MS, signal);
@@ -146,7 +149,7 @@
         if (signal.aborted) reject(signal.reason);
       });
     }
-    const response = respond(entry);
+    const response = await respond(entry);
     await sleep(LATENCY_MS, signal);
     if (signal.aborted) throw signal.reason;
     return response;
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -9,6 +9,7 @@
 
 import { BuildHistory, UNRECORDED } from "./builds.ts";
 import { Catalog } from "./catalog.ts";
+import { RouteVersions } from "./route_versions.ts";
 import { eraOf, numberOf } from "./store_version.ts";
 import {
   isOldReport,
@@ -40,6 +41,7 @@
 
 interface FleetRecords {
   readonly catalog: { readonly version: number; readonly value?: Catalog };
+  readonly routes: RouteVersions;
   readonly targets: ReadonlyMap<string, TargetRecord>;
   readonly domains: ReadonlyMap<
     string,
@@ -59,6 +61,7 @@
 
 const EMPTY: FleetRecords = {
   catalog: { version: 0 },
+  routes: new RouteVersions(),
   targets: new Map(),
   domains: new Map(),
   peers: new Map(),
@@ -82,6 +85,11 @@
     return this.#records.catalog.value;
   }
 
+  /** Versions of the routes within the life of a stream. */
+  get routes(): RouteVersions {
+    return this.#records.routes;
+  }
+
   get targets(): ReadonlyMap<string, TargetRecord> {
     return this.#records.targets;
   }
@@ -316,12 +324,15 @@
 ): FleetRecords {
   const { version } = change;
   switch (change.kind) {
-    case "catalog":
+    case "catalog": {
       if (isOlderCatalog(records.catalog, change)) return records;
+      const value = new Catalog(change.catalog);
       return {
         ...records,
-        catalog: { version, value: new Catalog(change.catalog) },
+        catalog: { version, value },
+        routes: records.routes.next(value, now),
       };
+    }
     case "target": {
       const before = records.targets.get(change.id);
       if (before && isOldReport(before, change)) {
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -18,6 +18,7 @@
 export * from "./request_bucket.ts";
 export * from "./result_memory.ts";
 export * from "./route_history.ts";
+export * from "./route_versions.ts";
 export * from "./shares.ts";
 export * from "./state_change.ts";
 export * from "./store_version.ts";
--- a/src/wire/origins.ts
+++ b/src/wire/origins.ts
@@ -39,18 +39,29 @@
 /** Acknowledgement of a batch. */
 export type OriginReceipt = z.infer<typeof keepAnswerSchema>;
 
-export const findSchema = z.object({ stream: z.string(), pool: z.string() });
+export const findSchema = z.object({
+  stream: z.string(),
+  pool: z.string(),
+  /** Route of the stream; peers of older builds do not name it. */
+  route: z.object({ hostname: z.string(), pathPrefix: z.string() }).optional(),
+  /** True when the peer is to read the store before it answers. */
+  readsStore: z.boolean().default(false),
+});
 
 /** Question for the origin of a stream of a pool. */
-export type OriginQuery = z.infer<typeof findSchema>;
+export type OriginQuery = z.input<typeof findSchema>;
 
 export const findAnswerSchema = z.object({
   /** Absent when the peer does not know the stream. */
   origin: originSchema.optional(),
   /** Builds that the pool has had; null for targets that report none. */
   builds: z.array(z.string().nullable()),
-  /** True when the peer knows the builds as of a short time ago. */
-  isRecent: z.boolean().default(false),
+  /** Pools that may have begun the stream, if its route was named. */
+  pools: z.array(z.string()).default([]),
+  /** False when the peer may not know all versions of the route. */
+  arePoolsSure: z.boolean().default(false),
+  /** True when the peer has read the store after the question. */
+  hasReadStore: z.boolean().default(false),
 });
 
 /** What a peer knows of a stream and its pool. */
@@ -59,5 +70,5 @@
 /** Procedures by which entries share the origins of streams. */
 export interface OriginApi {
   keepOrigins(batch: OriginBatch): OriginReceipt;
-  findOrigin(query: OriginQuery): OriginAnswer;
+  findOrigin(query: OriginQuery): Promise<OriginAnswer>;
 }
--- a/src/wire/origins_test.ts
+++ b/src/wire/origins_test.ts
@@ -34,11 +34,14 @@
       kept.push(batch);
       return { start: "start-1", isLeaving: false };
     },
-    findOrigin: ({ stream }) => ({
-      origin: stream === "s1" ? { pool: "plain", build: "v1" } : undefined,
-      builds: ["v1", null],
-      isRecent: true,
-    }),
+    findOrigin: ({ stream, route }) =>
+      Promise.resolve({
+        origin: stream === "s1" ? { pool: "plain", build: "v1" } : undefined,
+        builds: ["v1", null],
+        pools: route ? ["plain"] : [],
+        arePoolsSure: route !== undefined,
+        hasReadStore: true,
+      }),
   }));
   await new Promise<void>((resolve) =>
     server.listen(0, "127.0.0.1", () => resolve())
@@ -59,11 +62,17 @@
     const receipt = await clients.keepOrigins(url, BATCH, signal());
     assert.deepEqual(receipt, { start: "start-1", isLeaving: false });
     assert.deepEqual(kept, [BATCH]);
-    const query = { stream: "s1", pool: "plain" };
+    const query = {
+      stream: "s1",
+      pool: "plain",
+      route: { hostname: "api.example", pathPrefix: "/r/" },
+    };
     assert.deepEqual(await clients.findOrigin(url, query, signal()), {
       origin: { pool: "plain", build: "v1" },
       builds: ["v1", null],
-      isRecent: true,
+      pools: ["plain"],
+      arePoolsSure: true,
+      hasReadStore: true,
     });
     const unknown = { stream: "s2", pool: "plain" };
     const answer = await clients.findOrigin(url, unknown, signal());
