Another build is ruled out only by a view from after the request

Report of other operators (ORDER): an entry that was cut off while servers of a new version joined took their streams up at the old version.

Cause: the list of targets counted as recent for 2.5 s, from the time at which its response was handled.

Change: an entry deduces an origin only if most keepers answer, or it or one of them has read the store after the request; such reads are shared. The age counts from the start of a call.

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { monotonicMs, sleep, timeoutSignal } from "../kernel/mod.ts";
+import { monotonicMs, SharedRun, sleep, timeoutSignal } from "../kernel/mod.ts";
 import {
   type BuildHolder,
   eraOf,
@@ -19,7 +19,12 @@
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import { logChanges } from "./change_log.ts";
 import { type FollowBounds, type FollowSpec, followSpecs } from "./follow.ts";
-import { type SourceError, StatePart, type StateSource } from "./ports.ts";
+import {
+  type SourceError,
+  StatePart,
+  type StateRead,
+  type StateSource,
+} from "./ports.ts";
 
 /**
  * Time that a response may take beyond the wait of its call, in milliseconds.
@@ -41,6 +46,10 @@
  * in milliseconds: a call that follows it, its pause and its slack.
  */
 const BUILD_VIEW_MS = 2_500;
+/** Longest wait for what has changed until now, in milliseconds. */
+const CHANGES_TIMEOUT_MS = 500;
+/** Pause between such reads, which all callers share, in milliseconds. */
+const CHANGES_PAUSE_MS = 200;
 
 /** View of the fleet and the tasks that keep it up to date. */
 export class FleetView {
@@ -64,6 +73,10 @@
   #targetsReadAt = Number.NEGATIVE_INFINITY;
   #failedAt = Number.NEGATIVE_INFINITY;
   #isStoreLost = false;
+  readonly #changes = new SharedRun(
+    () => this.#readChanges(),
+    { pauseMs: CHANGES_PAUSE_MS },
+  );
 
   constructor(
     deps: {
@@ -135,6 +148,38 @@
       : undefined;
   }
 
+  /**
+   * Reads configuration and targets as they are after the call; false when the
+   * store does not answer.
+   */
+  readChanges(): Promise<boolean> {
+    return this.#changes.run();
+  }
+
+  async #readChanges(): Promise<boolean> {
+    const parts = [StatePart.Configuration, StatePart.Targets];
+    const read = await Promise.all(
+      parts.map((part) => this.#readChangesOf(part)),
+    );
+    return read.every((isRead) => isRead);
+  }
+
+  async #readChangesOf(part: StatePart): Promise<boolean> {
+    if (this.#needSnapshot.has(part)) return false;
+    const startedAt = monotonicMs();
+    const read = await this.#source.follow(
+      part,
+      { after: this.versionOf(part), waitMs: 0 },
+      timeoutSignal(CHANGES_TIMEOUT_MS),
+    );
+    if (read.isErr()) {
+      this.#log.warn("changes_unread", { part, reason: read.error.kind });
+      return false;
+    }
+    this.#recordRead(part, startedAt, read.value);
+    return true;
+  }
+
   /** Calls `listener` after each change. */
   onChange(listener: (state: FleetState) => void): void {
     this.#listeners.add(listener);
@@ -199,21 +244,36 @@
       (isSnapshot ? 0 : waitMs) + RESPONSE_SLACK_MS,
       signal,
     );
+    const startedAt = monotonicMs();
     const read = isSnapshot
       ? await this.#source.snapshot(part, timeout)
       : await this.#source.follow(part, { after, waitMs }, timeout);
     if (signal.aborted) return false;
     if (read.isErr()) return this.#handleError(part, read.error);
-    this.#recordResponse();
-    if (part === StatePart.Targets) this.#targetsReadAt = monotonicMs();
     const { changes, version } = read.value;
     this.#needSnapshot.delete(part);
     const all = isSnapshot ? this.#withRemovals(part, read.value) : changes;
-    this.#apply(all.map((change) => this.#withLapse(change)), "store");
-    this.#versions.set(part, Math.max(version, this.versionOf(part)));
+    this.#recordRead(part, startedAt, { changes: all, version });
     return true;
   }
 
+  /**
+   * Applies what the store has returned. It is as of the start of the call at
+   * least; this process may have stood still since.
+   */
+  #recordRead(
+    part: StatePart,
+    startedAt: number,
+    { changes, version }: StateRead,
+  ): void {
+    this.#recordResponse();
+    if (part === StatePart.Targets) {
+      this.#targetsReadAt = Math.max(this.#targetsReadAt, startedAt);
+    }
+    this.#apply(changes.map((change) => this.#withLapse(change)), "store");
+    this.#versions.set(part, Math.max(version, this.versionOf(part)));
+  }
+
   #handleError(part: StatePart, error: SourceError): boolean {
     this.#metrics.count("store_failures_total", { kind: error.kind });
     if (error.kind === "restored") {
--- a/src/gateway/stream_binding.ts
+++ b/src/gateway/stream_binding.ts
@@ -77,6 +77,6 @@
     candidates: (stream, route) =>
       view.state.routes.candidates(stream, route, monotonicMs()),
     ambiguousPools: () => view.state.routes.ambiguousPools(monotonicMs()),
-    readChanges: () => Promise.resolve(view.knowsBuilds),
+    readChanges: () => view.readChanges(),
   };
 }
