The memory for a body is reserved before it arrives

Cause: the limit on bodies compared bytes that had arrived, nothing for chunked ones, and each body was kept twice.

--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -19,6 +19,7 @@
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { CallerLimits } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
+import { BodyBudget, IncomingBody } from "./body_budget.ts";
 import { closeIdleConnections, IdleCloser } from "./idle_connections.ts";
 import {
   type CallerCodec,
@@ -38,8 +39,6 @@
 
 /** Largest request head that the parser accepts, in bytes. */
 const MAX_PARSED_HEAD_BYTES = 128 * 1024;
-/** Maximum number of bytes of request bodies that are buffered at once. */
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 /** Time after which callers may retry when the buffers are full, in ms. */
 const BUFFER_FULL_RETRY_AFTER_MS = 500;
 /**
@@ -63,7 +62,7 @@
   readonly #log: Logger;
   readonly #metrics: Metrics;
   #limits: CallerLimits = INITIAL_LIMITS;
-  #bufferedBytes = 0;
+  readonly #bodies = new BodyBudget();
   #inHand = 0;
   #isLeaving = false;
 
@@ -152,25 +151,26 @@
       endsConnection: () =>
         this.#isLeaving && this.#idleCloser.isLast(req.socket, res),
     });
-    const refusal = this.#refusalOfHead(req);
+    const body = new IncomingBody(this.#bodies);
+    onClosed(res, req.socket, () => body.release());
+    const refusal = this.#refusalOfHead(req, body);
     if (refusal) return this.#refuseUnread(req, response, refusal);
-    const chunks: Buffer[] = [];
-    let size = 0;
     req.on("data", (chunk: Buffer) => {
-      chunks.push(chunk);
-      size += chunk.length;
-      this.#bufferedBytes += chunk.length;
-      if (size <= this.#limits.maxBodyBytes) return;
-      chunks.length = 0;
+      const isHeld = body.tryAdd(chunk);
+      if (isHeld && body.length <= this.#limits.maxBodyBytes) return;
+      body.release();
       req.removeAllListeners("data");
-      this.#refuseUnread(req, response, BODY_TOO_LARGE);
+      this.#refuseUnread(
+        req,
+        response,
+        isHeld ? BODY_TOO_LARGE : BODIES_FULL,
+      );
     });
-    onClosed(res, req.socket, () => this.#bufferedBytes -= size);
     req.on("end", () =>
       afterNextReads(() => {
         if (response.hasBegun || response.gone.aborted) return;
         if (!req.socket.writable) return this.#logGone(response);
-        this.#serve(req, response, Buffer.concat(chunks), receivedAt);
+        this.#serve(req, response, body.take(), receivedAt);
       }));
   }
 
@@ -199,7 +199,11 @@
     });
   }
 
-  #refusalOfHead(req: IncomingMessage): Refusal | undefined {
+  /** Checks a head, and reserves the memory for its body. */
+  #refusalOfHead(
+    req: IncomingMessage,
+    body: IncomingBody,
+  ): Refusal | undefined {
     const headBytes = req.rawHeaders
       .reduce((sum, text) => sum + text.length + 2, req.url?.length ?? 0);
     if (headBytes > this.#limits.maxHeaderBytes) {
@@ -207,12 +211,7 @@
     }
     const length = Number(req.headers["content-length"] ?? 0);
     if (length > this.#limits.maxBodyBytes) return BODY_TOO_LARGE;
-    if (this.#bufferedBytes + length <= MAX_BUFFERED_BYTES) return undefined;
-    return {
-      kind: RefusalKind.NotRun,
-      reason: "too many bodies are held",
-      retryAfterMs: BUFFER_FULL_RETRY_AFTER_MS,
-    };
+    return body.tryReserve(length) ? undefined : BODIES_FULL;
   }
 
   /** Logs that the caller left while its request waited to be read. */
@@ -279,6 +278,12 @@
   reason: "body is too large",
 };
 
+const BODIES_FULL: Refusal = {
+  kind: RefusalKind.NotRun,
+  reason: "too many bodies are held",
+  retryAfterMs: BUFFER_FULL_RETRY_AFTER_MS,
+};
+
 const CONNECTION_HEADER = "connection";
 
 /** Response of one HTTP exchange. */
