A planned stop ends the requests in hand with a response

Cause: the front closed all connections at the end of the grace period, and nothing told the requests in hand.

Change: they end with 503 if nothing was sent, else with 502; then connections are closed.

--- a/src/gateway/conclusion.ts
+++ b/src/gateway/conclusion.ts
@@ -14,6 +14,12 @@
  */
 const TARGET_FULL_RETRY_AFTER_MS = 200;
 
+/**
+ * Time after which callers may retry when this process ends, in milliseconds:
+ * they reach another one at once.
+ */
+const STOPPED_RETRY_AFTER_MS = 0;
+
 type LogFields = Record<string, string | number | undefined>;
 
 /** Attempts of a request so far. */
@@ -110,6 +116,23 @@
     });
   }
 
+  /**
+   * Ends the request because this process ends; `isSent` while a call is open.
+   */
+  stopped(isSent: boolean): void {
+    if (this.isOver) return;
+    const reason = "the process is stopping";
+    if (this.#response.hasBegun) return this.#breakOff(reason);
+    if (isSent || this.#history().mayHaveRun) {
+      return this.#refuse({ kind: RefusalKind.Unknown, reason });
+    }
+    this.#refuse({
+      kind: RefusalKind.NotRun,
+      reason,
+      retryAfterMs: STOPPED_RETRY_AFTER_MS,
+    });
+  }
+
   /** Records that the caller has left. */
   callerGone(): void {
     if (!this.isOver) this.#finish("caller-gone", {});
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -34,6 +34,8 @@
   readonly origins: StreamOriginMemory;
   readonly crashes: Pick<CrashWatch, "watch">;
   readonly heldBytes: HeldBytes;
+  /** Aborts when the process has no time left for requests. */
+  readonly stopped: AbortSignal;
 }
 
 /**
@@ -97,8 +99,12 @@
       () => this.#conclusion.timedOut(this.#open.size > 0),
       Math.max(0, this.#deadlineAt - monotonicMs()),
     );
+    const { stopped } = this.#deps;
+    const onStopped = () => this.#conclusion.stopped(this.#open.size > 0);
+    stopped.addEventListener("abort", onStopped);
     this.#conclusion.signal.addEventListener("abort", () => {
       clearTimeout(timer);
+      stopped.removeEventListener("abort", onStopped);
       this.#handover?.cancel();
       this.#open.forEach((relay) => relay.abort());
     });
@@ -107,6 +113,7 @@
       () => this.#conclusion.callerGone(),
       { once: true },
     );
+    if (stopped.aborted) return onStopped();
     this.#deps.tracker.request(this.#admitted.pool.name);
     this.#current = await this.#startNext();
     while (this.#current) {
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -116,6 +116,7 @@
         },
         firstByteTimes: new FirstByteTimes(),
         heldBytes: new HeldBytes(),
+        stopped: new AbortController().signal,
         rates: { acquire: () => Promise.resolve(true) },
         crashes: { watch: (target) => new CallWatch(target, [], NO_FINDINGS) },
         origins: {
--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -47,6 +47,11 @@
  */
 const UNREAD_LINGER_MS = 100;
 const DRAIN_POLL_MS = 50;
+/**
+ * Time for sending the responses to requests that a stop has ended, in
+ * milliseconds.
+ */
+const FINAL_RESPONSES_MS = 200;
 
 /** Serves decoded requests. */
 export interface RequestHandler {
@@ -120,22 +125,31 @@
   }
 
   /**
-   * Stops listening, waits up to `timeoutMs` until no request is in flight, and
-   * closes all connections.
+   * Stops listening, waits up to `timeoutMs` until no request is in flight, lets
+   * `endRequests` end the others, and closes all connections.
    */
-  async drain(timeoutMs: number): Promise<void> {
-    const endAt = monotonicMs() + timeoutMs;
+  async drain(timeoutMs: number, endRequests = () => {}): Promise<void> {
     // The HTTP server's own `close` takes a connection for idle, and destroys
     // it, as soon as its response has been written, though not yet sent.
     NetServer.prototype.close.call(this.#server);
     this.#idleCloser.closeFromNowOn();
-    while (this.#inHand > 0 && monotonicMs() < endAt) {
-      await sleep(DRAIN_POLL_MS);
+    await this.#waitUntilDone(timeoutMs);
+    if (this.#inHand > 0) {
+      this.#log.warn("requests_ended_by_stop", { inHand: this.#inHand });
+      endRequests();
+      await this.#waitUntilDone(FINAL_RESPONSES_MS);
     }
     this.#server.closeAllConnections();
     this.#server.close();
   }
 
+  async #waitUntilDone(timeoutMs: number): Promise<void> {
+    const endAt = monotonicMs() + timeoutMs;
+    while (this.#inHand > 0 && monotonicMs() < endAt) {
+      await sleep(DRAIN_POLL_MS);
+    }
+  }
+
   #read(req: IncomingMessage, res: ServerResponse): void {
     if (this.#idleCloser.isEnding(req.socket)) {
       req.resume();
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { setMaxListeners } from "node:events";
 import { createServer, type Server } from "node:http";
 import { Kernel, service, serviceKey, sleep } from "../kernel/mod.ts";
 import { CrashWatch, QuarantineRecorder } from "../crashes/mod.ts";
@@ -86,6 +87,9 @@
   });
   const state = () => view.state;
   let isLeaving = false;
+  const stopped = new AbortController();
+  // Each request in hand listens to it.
+  setMaxListeners(0, stopped.signal);
   const rates = new RateLimits({
     self: cfg.self,
     fleet: {
@@ -188,6 +192,7 @@
     chains,
     client: targets,
     heldBytes: new HeldBytes(),
+    stopped: stopped.signal,
     firstByteTimes: new FirstByteTimes(),
     log,
     metrics,
@@ -279,7 +284,10 @@
       },
       drain: async () => {
         await sleep(LINGER_MS);
-        await front.drain(cfg.graceMs - LINGER_MS - GRACE_RESERVE_MS);
+        await front.drain(
+          cfg.graceMs - LINGER_MS - GRACE_RESERVE_MS,
+          () => stopped.abort(),
+        );
       },
       end: async () => {
         await front.drain(0);
