Neighbours keep copies of the origins that are not shared

Cause: origins are shared once they can't be deduced, by the entry where the streams began, which was gone by then.

Change: they go to two neighbours with the exchange of state; these share them when the pool becomes shared.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -7,6 +7,7 @@
 
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { NoticeBoard } from "../notices/mod.ts";
+import type { StreamOriginService } from "../origins/mod.ts";
 import { rendezvousOrder } from "../routing/mod.ts";
 import {
   type ListedPeer,
@@ -43,6 +44,8 @@
  * as many others, so news reach hundreds of processes in a few rounds.
  */
 const NEIGHBOURS = 4;
+/** Neighbours that keep copies of the origins of an entry's streams. */
+const BACKUPS = 2;
 /**
  * Pause between requests to a neighbour while this process hears from the store
  * and there are no notices, in milliseconds.
@@ -67,6 +70,12 @@
   "messageTo" | "respond" | "handleResponse" | "news"
 >;
 
+/** Copies of the origins of streams, which neighbours keep for each other. */
+type BackupExchange = Pick<
+  StreamOriginService,
+  "backupFor" | "backupHeld" | "backupLost" | "keepBackup"
+>;
+
 /** Tracks the other entries and exchanges state with them. */
 export class Peers {
   readonly #self: ListedPeer;
@@ -76,6 +85,7 @@
   readonly #log: Logger;
   readonly #metrics: Metrics;
   readonly #board: NoticeExchange;
+  readonly #backups: () => BackupExchange;
   readonly #records = new Map<string, PeerHealth>();
   /** Number of calls that wait for a response, by peer. */
   readonly #awaited = new Map<string, number>();
@@ -101,6 +111,8 @@
       log: Logger;
       metrics: Metrics;
       board: NoticeExchange;
+      /** Called from the first exchange on. */
+      backups: () => BackupExchange;
     },
   ) {
     this.#self = deps.self;
@@ -110,6 +122,7 @@
     this.#log = deps.log;
     this.#metrics = deps.metrics;
     this.#board = deps.board;
+    this.#backups = deps.backups;
     this.owners = new StageOwners({
       self: deps.self,
       entries: () => this.entries,
@@ -214,7 +227,8 @@
   }
 
   /** Responds to a peer's state request with the changes that it lacks. */
-  handleSync({ from, notices, ...sent }: SyncRequest): SyncResponse {
+  handleSync({ from, notices, origins, ...sent }: SyncRequest): SyncResponse {
+    if (origins) this.#backups().keepBackup(origins);
     const known = this.#versions();
     const versions = decodeVersions(sent, known);
     const isBehind = Object.values(StatePart)
@@ -291,16 +305,26 @@
       this.#record(name).heardAgoMs > ASK_AWAITED_AFTER_MS;
   }
 
+  /** True for the neighbours that keep copies of this entry's origins. */
+  #isBackup(peer: { name?: string }): peer is { name: string } {
+    return peer.name !== undefined &&
+      this.#neighboursOf.names.slice(0, BACKUPS).includes(peer.name);
+  }
+
   async #syncWith(
     peer: { name?: string; url: string },
     record: PeerHealth | undefined,
   ): Promise<void> {
     record?.asked();
     const boardKey = peer.name ?? peer.url;
+    const origins = this.#isBackup(peer)
+      ? [...this.#backups().backupFor(peer.name)]
+      : [];
     const request = {
       from: this.#self.name,
       ...encodeVersions(this.#versions()),
       notices: this.#board.messageTo(boardKey),
+      origins: origins.length > 0 ? origins : undefined,
     };
     const startedAt = monotonicMs();
     const timeoutMs = record?.timeoutMs ?? SEED_TIMEOUT_MS;
@@ -308,6 +332,7 @@
       const response = await this.#clients.sync(peer.url, request, timeoutMs);
       if (peer.name) {
         this.#recordResponse(peer.name, response, monotonicMs() - startedAt);
+        this.#backups().backupHeld(peer.name, origins);
       }
       const { notices, targetsAgeMs = Infinity } = response;
       if (notices) this.#board.handleResponse(boardKey, notices);
@@ -343,7 +368,11 @@
     if (record.isLeaving !== response.isLeaving) {
       this.#log.info("peer_leaving", { peer: name, on: response.isLeaving });
     }
-    record.startedAt = monotonicMs() - response.upMs;
+    const peerStartedAt = monotonicMs() - response.upMs;
+    if (peerStartedAt > (record.startedAt ?? Infinity) + UPTIME_MARGIN_MS) {
+      this.#backups().backupLost(name);
+    }
+    record.startedAt = peerStartedAt;
     record.isLeaving = response.isLeaving;
   }
 
--- a/src/gateway/peers_test.ts
+++ b/src/gateway/peers_test.ts
@@ -3,6 +3,7 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
+import { NO_BACKUPS } from "../origins/testing.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import { NoticeBoard } from "../notices/mod.ts";
 import { FleetState, type ListedPeer } from "../serving/mod.ts";
@@ -77,6 +78,7 @@
     log: SILENT_LOGGER,
     metrics: new Metrics(),
     board: new NoticeBoard({ metrics: new Metrics() }),
+    backups: () => NO_BACKUPS,
   });
   const { lost } = peers.awaitResponse(peer);
   peers.run(abort.signal);
--- a/src/gateway/stage_owners_test.ts
+++ b/src/gateway/stage_owners_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { NO_BACKUPS } from "../origins/testing.ts";
 import {
   monotonicMs,
   type Random,
@@ -77,6 +78,7 @@
       log: SILENT_LOGGER,
       metrics: new Metrics(),
       board: new NoticeBoard({ metrics: new Metrics() }),
+      backups: () => NO_BACKUPS,
     });
     const runner = {
       run: async (): Promise<ChainResponse> => {
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -84,6 +84,7 @@
     log,
     metrics,
     board,
+    backups: () => origins,
   });
   const state = () => view.state;
   let isLeaving = false;
@@ -138,7 +139,7 @@
     processes: () => peers.processNames,
     log,
   });
-  const origins = new StreamOriginService({
+  const origins: StreamOriginService = new StreamOriginService({
     self: cfg.self,
     fleet: originFleet(view, peers),
     clients,
--- a/src/origins/stream_origin_service.ts
+++ b/src/origins/stream_origin_service.ts
@@ -23,6 +23,7 @@
   OriginBatch,
   OriginQuery,
   OriginReceipt,
+  SentOrigin,
 } from "../wire/mod.ts";
 import { Keepers } from "./keepers.ts";
 import {
@@ -30,6 +31,7 @@
   type KeeperFindings,
   NOBODY_ASKED,
 } from "./origin_lookup.ts";
+import { OriginBackups } from "./origin_backups.ts";
 import { OriginSharing } from "./origin_sharing.ts";
 import type { StoredOrigins } from "./stored_origins.ts";
 import type { OriginClients, OriginFleet } from "./ports.ts";
@@ -64,6 +66,9 @@
   readonly #start = randomUUID();
   /** Origins kept for other entries. */
   #kept = new StreamOrigins();
+  readonly #backups = new OriginBackups();
+  /** Pools of which the copies kept for others are shared. */
+  readonly #sharedBackups = new Set<string>();
   /** Pools at which streams have begun here. */
   readonly #begunPools = new Set<string>();
   /** Those of them whose origins are stored. */
@@ -110,6 +115,7 @@
 
   /** Checks who keeps the records: the fleet has changed. */
   recheck(): void {
+    this.#shareBackups();
     this.#sharing.recheck();
     this.#begunPools.forEach((pool) => this.#storeOriginsOf(pool));
   }
@@ -172,6 +178,48 @@
     return undefined;
   }
 
+  /** Origins of which a neighbour is to keep a copy. */
+  backupFor(neighbour: string): readonly SentOrigin[] {
+    const records = this.#sharing.origins.live(monotonicMs())
+      .filter(({ origin }) => !this.#sharing.isShared(origin.pool));
+    return this.#backups.missingAt(neighbour, records);
+  }
+
+  /** Records that a neighbour keeps a copy of what it was sent. */
+  backupHeld(neighbour: string, sent: readonly SentOrigin[]): void {
+    this.#backups.held(neighbour, sent);
+  }
+
+  /** Records that a neighbour has restarted and keeps no copies. */
+  backupLost(neighbour: string): void {
+    this.#backups.forget(neighbour);
+  }
+
+  /** Keeps copies of the origins of a neighbour. */
+  keepBackup(records: readonly SentOrigin[]): void {
+    this.#backups.keep(records);
+    const isShared = records.some(({ pool }) => this.#sharing.isShared(pool));
+    if (isShared) this.#sharedBackups.clear();
+    this.#shareBackups();
+  }
+
+  /**
+   * Shares the copies of a pool once it becomes shared: the entry of its streams
+   * may be lost.
+   */
+  #shareBackups(): void {
+    const live = this.#backups.kept.live(monotonicMs());
+    const pools = new Set(live.map(({ origin }) => origin.pool));
+    pools.forEach((pool) => {
+      const isShared = this.#sharing.isShared(pool);
+      if (!isShared) this.#sharedBackups.delete(pool);
+      if (!isShared || this.#sharedBackups.has(pool)) return;
+      this.#sharedBackups.add(pool);
+      live.filter(({ origin }) => origin.pool === pool)
+        .forEach((record) => this.#sharing.add(record));
+    });
+  }
+
   keepOrigins({ from, records }: OriginBatch): OriginReceipt {
     const now = monotonicMs();
     if (!this.#isLeaving) {
@@ -211,7 +259,8 @@
   known(stream: string | undefined): StreamOrigin | undefined {
     if (stream === undefined) return undefined;
     const now = monotonicMs();
-    return this.#sharing.origins.of(stream, now) ?? this.#kept.of(stream, now);
+    return this.#sharing.origins.of(stream, now) ??
+      this.#kept.of(stream, now) ?? this.#backups.kept.of(stream, now);
   }
 
   /** The origin in the store, once no entry knows it any more. */
--- a/src/origins/stream_origin_service_test.ts
+++ b/src/origins/stream_origin_service_test.ts
@@ -251,3 +251,36 @@
     await sleep(2_000);
     assertHolders(fleet, 0);
   }));
+
+test("a neighbour shares the copies of a lost entry once its pool has two builds", () =>
+  withFleet(ENTRIES, async (fleet) => {
+    const [owner, neighbour] = [fleet.entry(0), fleet.entry(5)];
+    streams.forEach((stream) =>
+      owner.service.begun(stream, { pool: "plain", build: "v1" })
+    );
+    const sent = owner.service.backupFor("entry-5");
+    assert.equal(sent.length, STREAMS);
+    neighbour.service.keepBackup(sent);
+    owner.service.backupHeld("entry-5", sent);
+    assert.deepEqual(owner.service.backupFor("entry-5"), []);
+    owner.mode = "refusing";
+    await sleep(SHARED_MS);
+    fleet.builds = TWO_BUILDS;
+    fleet.recheck();
+    await sleep(SHARED_MS);
+    for (const stream of streams) {
+      const expected = { pool: "plain", build: "v1" };
+      assert.deepEqual(await find(fleet, 2, stream), expected);
+    }
+  }));
+
+test("a neighbour that has restarted is sent all live copies again", () =>
+  withFleet(2, async (fleet) => {
+    const { service } = fleet.entry(0);
+    service.begun("stream-1", { pool: "plain", build: "v1" });
+    service.backupHeld("entry-1", service.backupFor("entry-1"));
+    service.backupLost("entry-1");
+    assert.equal(service.backupFor("entry-1").length, 1);
+    await sleep(ORIGIN_TTL_MS);
+    assert.deepEqual(service.backupFor("entry-1"), []);
+  }));
--- a/src/origins/testing.ts
+++ b/src/origins/testing.ts
@@ -12,6 +12,14 @@
 import type { OriginClients } from "./ports.ts";
 import { StreamOriginService } from "./stream_origin_service.ts";
 
+/** Exchange of copies for an entry that has no streams. */
+export const NO_BACKUPS = {
+  backupFor: () => [],
+  backupHeld: () => {},
+  backupLost: () => {},
+  keepBackup: () => {},
+};
+
 /** How an entry responds to its peers. */
 export type EntryMode = "up" | "silent" | "refusing" | "old";
 
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -32,6 +32,7 @@
   type OriginBatch,
   type OriginQuery,
   type OriginReceipt,
+  sentOriginsSchema,
 } from "./origins.ts";
 
 const versionsSchema = z.record(z.string(), z.number());
@@ -43,6 +44,8 @@
   /** Eras of these versions; absent in builds that know none. */
   eras: versionsSchema.optional(),
   notices: noticeMessageSchema.optional(),
+  /** Origins of the sender of which the receiver keeps a copy. */
+  origins: sentOriginsSchema.optional(),
 });
 
 /** Request to exchange state, with the versions known to the sender. */
--- a/src/wire/origins.ts
+++ b/src/wire/origins.ts
@@ -16,14 +16,22 @@
   build: z.string().optional(),
 });
 
+const sentOriginSchema = originSchema.extend({
+  /** Identifier of the stream. */
+  stream: z.string(),
+  /** Time until the record expires, in milliseconds. */
+  leftMs: z.number(),
+});
+
+/** Origin of a stream in a message. */
+export type SentOrigin = z.infer<typeof sentOriginSchema>;
+
+export const sentOriginsSchema = z.array(sentOriginSchema)
+  .max(MAX_BATCH_RECORDS);
+
 export const keepSchema = z.object({
   from: z.string(),
-  records: z.array(originSchema.extend({
-    /** Identifier of the stream. */
-    stream: z.string(),
-    /** Time until the record expires, in milliseconds. */
-    leftMs: z.number(),
-  })).max(MAX_BATCH_RECORDS),
+  records: sentOriginsSchema,
 });
 
 /** Origins that a peer is asked to keep. */
