Which pools are shared is worked out once for each exchange of copies

Cause: backupFor asked for each record whether its pool is shared, which looks at all targets each time; two exchanges a second with 500 records and 600 targets, by count, not measured. Change: once for each pool.

--- a/src/origins/origin_sharing.ts
+++ b/src/origins/origin_sharing.ts
@@ -113,15 +113,24 @@
       this.#fleet.ambiguousPools().has(pool);
   }
 
+  /** Those of some pools whose origins are shared. */
+  sharedOf(pools: Iterable<string>): ReadonlySet<string> {
+    return new Set([...new Set(pools)].filter((pool) => this.isShared(pool)));
+  }
+
+  /** Live records of the pools whose origins are not shared. */
+  unshared(): readonly OriginRecord[] {
+    const live = this.#origins.live(monotonicMs());
+    const shared = this.sharedOf(live.map(({ origin }) => origin.pool));
+    return live.filter(({ origin }) => !shared.has(origin.pool));
+  }
+
   /** Live records of the pools whose origins are shared. */
   #sharedRecords(): readonly OriginRecord[] {
     const now = monotonicMs();
     const live = this.#origins.live(now);
     this.#pruneAcknowledged(live, now);
-    const pools = [...new Set(live.map(({ origin }) => origin.pool))];
-    const shared = new Set(
-      pools.filter((pool) => this.isShared(pool)),
-    );
+    const shared = this.sharedOf(live.map(({ origin }) => origin.pool));
     return live.filter(({ origin }) => shared.has(origin.pool));
   }
 
--- a/src/origins/stream_origin_service.ts
+++ b/src/origins/stream_origin_service.ts
@@ -68,7 +68,7 @@
   #kept = new StreamOrigins();
   readonly #backups = new OriginBackups();
   /** Pools of which the copies kept for others are shared. */
-  readonly #sharedBackups = new Set<string>();
+  #sharedBackups: ReadonlySet<string> = new Set();
   /** Pools at which streams have begun here. */
   readonly #begunPools = new Set<string>();
   /** Those of them whose origins are stored. */
@@ -180,9 +180,7 @@
 
   /** Origins of which a neighbour is to keep a copy. */
   backupFor(neighbour: string): readonly SentOrigin[] {
-    const records = this.#sharing.origins.live(monotonicMs())
-      .filter(({ origin }) => !this.#sharing.isShared(origin.pool));
-    return this.#backups.missingAt(neighbour, records);
+    return this.#backups.missingAt(neighbour, this.#sharing.unshared());
   }
 
   /** Records that a neighbour keeps a copy of what it was sent. */
@@ -198,8 +196,10 @@
   /** Keeps copies of the origins of a neighbour. */
   keepBackup(records: readonly SentOrigin[]): void {
     this.#backups.keep(records);
-    const isShared = records.some(({ pool }) => this.#sharing.isShared(pool));
-    if (isShared) this.#sharedBackups.clear();
+    const pools = new Set(records.map(({ pool }) => pool));
+    this.#sharedBackups = new Set(
+      [...this.#sharedBackups].filter((pool) => !pools.has(pool)),
+    );
     this.#shareBackups();
   }
 
@@ -209,15 +209,13 @@
    */
   #shareBackups(): void {
     const live = this.#backups.kept.live(monotonicMs());
-    const pools = new Set(live.map(({ origin }) => origin.pool));
-    pools.forEach((pool) => {
-      const isShared = this.#sharing.isShared(pool);
-      if (!isShared) this.#sharedBackups.delete(pool);
-      if (!isShared || this.#sharedBackups.has(pool)) return;
-      this.#sharedBackups.add(pool);
-      live.filter(({ origin }) => origin.pool === pool)
-        .forEach((record) => this.#sharing.add(record));
-    });
+    const shared = this.#sharing.sharedOf(
+      live.map(({ origin }) => origin.pool),
+    );
+    live.filter(({ origin: { pool } }) =>
+      shared.has(pool) && !this.#sharedBackups.has(pool)
+    ).forEach((record) => this.#sharing.add(record));
+    this.#sharedBackups = shared;
   }
 
   keepOrigins({ from, records }: OriginBatch): OriginReceipt {
