A stream that may be resumed is sent without a stated length

Cause: the head of the first server was forwarded as it was.

Change: the length is left out of the head of streams that may be resumed.

--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -216,7 +216,7 @@
       this.#deps.onAccepted();
     }
     if (this.#isStream && !this.#deps.isResumed) {
-      this.#deps.response.begin(head);
+      this.#deps.response.begin(route.isResumable ? withoutLength(head) : head);
     }
   }
 
@@ -406,3 +406,13 @@
 function silenceMsOf({ maxPauseMs = 0 }: Route): number {
   return Math.max(MIN_SILENCE_MS, SILENCE_RATIO * maxPauseMs);
 }
+
+/**
+ * Returns the head without the length of the body: another target may go on with
+ * the stream, and the whole then has another length.
+ */
+function withoutLength(head: ResponseHead): ResponseHead {
+  const isLength = (i: number) =>
+    head.headers[i - i % 2]?.toLowerCase() === "content-length";
+  return { ...head, headers: head.headers.filter((_, i) => !isLength(i)) };
+}
