--- a/src/agent/late_refusal_test.ts
+++ b/src/agent/late_refusal_test.ts
@@ -1,11 +1,13 @@
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer } from "node:net";
-import { test } from "node:test";
+import { type AddressInfo, createServer, type Server } from "node:net";
+import { test, type TestContext } from "node:test";
 import type { StageCall } from "../model/mod.ts";
 import { EngineClient } from "./engine_client.ts";
 import { ServiceClient } from "./service_client.ts";
 import type { TargetClient } from "./target_client.ts";
 
+const CALL_TIMEOUT_MS = 2_000;
+
 function callOf(callId: string): StageCall {
   return {
     callId,
@@ -41,6 +43,29 @@
   return { server, runs };
 }
 
+/** Listens, and connects a client; both end with the test. */
+async function connectTo(
+  server: Server,
+  create: (url: string) => TargetClient,
+  t: TestContext,
+): Promise<TargetClient> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = create(`http://127.0.0.1:${port}`);
+  t.after(async () => {
+    await client.close();
+    server.close();
+  });
+  return client;
+}
+
+/** Runs a call; resolves with true if it may have run. */
+async function mayHaveRun(client: TargetClient, id: string): Promise<boolean> {
+  const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+  const outcome = await client.run(callOf(id), { signal, onText: () => {} });
+  return outcome._unsafeUnwrapErr().mayHaveRun;
+}
+
 const CLIENTS: Readonly<Record<string, (url: string) => TargetClient>> = {
   "a plain service": (url) => new ServiceClient(url),
   "an engine": (url) => new EngineClient(url),
@@ -50,23 +75,9 @@
   // Guards against "not run" for a call that the target is running.
   test(`a late copy of a refusal by ${name} does not decide about the next call`, async (t) => {
     const { server, runs } = targetWithCopies();
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
-    );
-    const { port } = server.address() as AddressInfo;
-    const client = create(`http://127.0.0.1:${port}`);
-    t.after(async () => {
-      await client.close();
-      server.close();
-    });
+    const client = await connectTo(server, create, t);
     for (const id of ["c1", "c2", "c3"]) {
-      const signal = AbortSignal.timeout(2_000);
-      const outcome = await client.run(callOf(id), {
-        signal,
-        onText: () => {},
-      });
-      const failure = outcome._unsafeUnwrapErr();
-      assert.equal(failure.mayHaveRun, runs.includes(id), id);
+      assert.equal(await mayHaveRun(client, id), runs.includes(id), id);
     }
   });
 
@@ -76,20 +87,7 @@
       socket.on("error", () => {});
       socket.on("data", () => socket.write(refusal("X-Call-Id: other\r\n")));
     });
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
-    );
-    const { port } = server.address() as AddressInfo;
-    const client = create(`http://127.0.0.1:${port}`);
-    t.after(async () => {
-      await client.close();
-      server.close();
-    });
-    const signal = AbortSignal.timeout(2_000);
-    const outcome = await client.run(callOf("c1"), {
-      signal,
-      onText: () => {},
-    });
-    assert.equal(outcome._unsafeUnwrapErr().mayHaveRun, true);
+    const client = await connectTo(server, create, t);
+    assert.equal(await mayHaveRun(client, "c1"), true);
   });
 });
