The response of another target at an address ends its connection

Cause: a request that gets 421 may go to the target that is at the address now, on the same connection. A late copy of the 421 then echoes the right identifier, and the request was told not run although that target ran it.

Change: the connection is closed after a 421.

--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -194,7 +194,11 @@
     this.#deps.reservation.head(head);
     const isSuccess = head.status >= 200 && head.status < 300;
     if (head.isOtherTarget) {
-      return this.#stop({ kind: "not-run", isAttempt: false });
+      this.#stop({ kind: "not-run", isAttempt: false });
+      // The request may go to that target next; a late copy of this response
+      // would then name it rightly.
+      this.#call?.abort("another target is at the address");
+      return;
     }
     if (head.isNotRun) return this.#stop({ kind: "not-run", isAttempt: true });
     if (isSuccess && !head.isSigned) {
