A freeze during a planned stop doesn't prolong it

What callers saw: a process that was frozen for 6 s from 50 ms after its SIGTERM was killed with all requests in hand, and their connections closed without an answer.

Cause: each step of the stop had a time of its own that began when the step before had ended, so the time of a freeze was added to the whole.

Change: the end of the requests in hand is fixed when the stop is announced (PlannedStop); each step takes what is left.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -20,6 +20,7 @@
 import { Conclusion, type ConclusionDeps } from "./conclusion.ts";
 import { Handover, type RunningAttempt } from "./handover.ts";
 import type { CallerResponse, TargetClient } from "./ports.ts";
+import type { PlannedStop } from "./planned_stop.ts";
 import { type Admitted, type AttemptEnd, Relay } from "./relay.ts";
 import { streamOf, type StreamOriginMemory } from "./stream_binding.ts";
 import type { TargetTracker } from "./target_tracker.ts";
@@ -34,8 +35,7 @@
   readonly origins: StreamOriginMemory;
   readonly crashes: Pick<CrashWatch, "watch">;
   readonly heldBytes: HeldBytes;
-  /** Aborts when the process has no time left for requests. */
-  readonly stopped: AbortSignal;
+  readonly stop: Pick<PlannedStop, "ended">;
 }
 
 /**
@@ -99,7 +99,7 @@
       () => this.#conclusion.timedOut(this.#open.size > 0),
       Math.max(0, this.#deadlineAt - monotonicMs()),
     );
-    const { stopped } = this.#deps;
+    const stopped = this.#deps.stop.ended;
     const onStopped = () => this.#conclusion.stopped(this.#open.size > 0);
     stopped.addEventListener("abort", onStopped);
     this.#conclusion.signal.addEventListener("abort", () => {
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -10,6 +10,7 @@
 import { HeldBytes } from "./answer_body.ts";
 import { Exchange } from "./exchange.ts";
 import { FirstByteTimes } from "./first_byte_times.ts";
+import { PlannedStop } from "./planned_stop.ts";
 import type {
   CallerRequest,
   CallerResponse,
@@ -116,7 +117,7 @@
         },
         firstByteTimes: new FirstByteTimes(),
         heldBytes: new HeldBytes(),
-        stopped: new AbortController().signal,
+        stop: new PlannedStop(),
         rates: { acquire: () => Promise.resolve(true) },
         crashes: { watch: (target) => new CallWatch(target, [], NO_FINDINGS) },
         origins: {
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import { setMaxListeners } from "node:events";
 import { createServer, type Server } from "node:http";
 import { Kernel, service, serviceKey, sleep } from "../kernel/mod.ts";
 import { CrashWatch, QuarantineRecorder } from "../crashes/mod.ts";
@@ -26,6 +25,7 @@
 import { LeavingTargets } from "./leaving_targets.ts";
 import { Peers } from "./peers.ts";
 import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
+import { PlannedStop } from "./planned_stop.ts";
 import { Registration } from "./registration.ts";
 import { ShardRunners } from "./shard_runners.ts";
 import { originFleet } from "./stream_binding.ts";
@@ -88,9 +88,7 @@
   });
   const state = () => view.state;
   let isLeaving = false;
-  const stopped = new AbortController();
-  // Each request in hand listens to it.
-  setMaxListeners(0, stopped.signal);
+  const stop = new PlannedStop();
   const rates = new RateLimits({
     self: cfg.self,
     fleet: {
@@ -193,7 +191,7 @@
     chains,
     client: targets,
     heldBytes: new HeldBytes(),
-    stopped: stopped.signal,
+    stop,
     firstByteTimes: new FirstByteTimes(),
     log,
     metrics,
@@ -280,15 +278,13 @@
       },
       leave: () => {
         isLeaving = true;
+        stop.announce(cfg.graceMs - GRACE_RESERVE_MS);
         front.leave();
         log.info("stopping", { inHand: front.inHand });
       },
       drain: async () => {
-        await sleep(LINGER_MS);
-        await front.drain(
-          cfg.graceMs - LINGER_MS - GRACE_RESERVE_MS,
-          () => stopped.abort(),
-        );
+        await sleep(Math.min(LINGER_MS, stop.remainingMs));
+        await front.drain(stop.remainingMs, () => stop.end());
       },
       end: async () => {
         await front.drain(0);
