A process that was frozen at its SIGTERM counts the freeze as part of its grace

What callers saw: a process that got its SIGTERM while frozen, and went on 5.5 s later, was killed with its requests in hand; their connections closed without an answer.

Cause: the grace period was counted from the moment at which the process noticed the signal.

Change: a stall that has just ended is taken off the grace period, down to 1 s, in which the answers that arrived meanwhile are forwarded. The log line `stopping` says how long the stall was and what is left.

The opposite error: if the SIGTERM came late in the freeze, the requests in hand end sooner than they had to. The process can't know when it was sent.

--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -10,7 +10,7 @@
 import { NoticeBoard } from "../notices/mod.ts";
 import { RateLimits, TargetPauses } from "../rates/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
-import { type Logger, Metrics, monitorStalls } from "../telemetry/mod.ts";
+import { type Logger, Metrics, StallMonitor } from "../telemetry/mod.ts";
 import { StoredOrigins, StreamOriginService } from "../origins/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
 import { HeldBytes } from "./answer_body.ts";
@@ -61,6 +61,11 @@
 const LINGER_MS = 2_600;
 /** Part of the grace period reserved for shutting the process down, in ms. */
 const GRACE_RESERVE_MS = 700;
+/**
+ * Shortest time for the requests in hand of a process that was stalled when its
+ * stop was announced, in milliseconds: their responses have arrived meanwhile.
+ */
+const MIN_STOP_MS = 1_000;
 
 export const FLEET = serviceKey<FleetView>("fleet");
 export const GATEWAY = serviceKey<Gateway>("gateway");
@@ -89,6 +94,7 @@
   const state = () => view.state;
   let isLeaving = false;
   const stop = new PlannedStop();
+  const stalls = new StallMonitor({ log, metrics });
   const rates = new RateLimits({
     self: cfg.self,
     fleet: {
@@ -250,7 +256,7 @@
     service({
       key: serviceKey<Server>("metrics"),
       start: async ({ signal }) => {
-        monitorStalls({ log, metrics }, signal);
+        stalls.run(signal);
         const server = createServer((_req, res) => res.end(metrics.text()));
         if (!cfg.metrics) return server;
         // The process serves requests even if it cannot open this address.
@@ -278,9 +284,16 @@
       },
       leave: () => {
         isLeaving = true;
-        stop.announce(cfg.graceMs - GRACE_RESERVE_MS);
+        // The stop may have been asked for at the beginning of a stall.
+        const stalledMs = Math.round(stalls.justEndedMs);
+        const graceMs = cfg.graceMs - GRACE_RESERVE_MS - stalledMs;
+        stop.announce(Math.max(MIN_STOP_MS, graceMs));
         front.leave();
-        log.info("stopping", { inHand: front.inHand });
+        log.info("stopping", {
+          inHand: front.inHand,
+          stalledMs,
+          remainingMs: Math.round(stop.remainingMs),
+        });
       },
       drain: async () => {
         await sleep(Math.min(LINGER_MS, stop.remainingMs));
--- a/src/telemetry/stall_monitor.ts
+++ b/src/telemetry/stall_monitor.ts
@@ -14,17 +14,41 @@
 /** Shortest delay of a check that is reported, in milliseconds. */
 const MIN_STALL_MS = 200;
 
-/** Logs `process_stalled` after each stall until `signal` aborts. */
-export async function monitorStalls(
-  deps: { log: Logger; metrics: Metrics },
-  signal: AbortSignal,
-): Promise<void> {
-  while (!signal.aborted) {
-    const dueAt = monotonicMs() + CHECK_PAUSE_MS;
-    await sleep(CHECK_PAUSE_MS, signal);
-    const stalledMs = Math.round(monotonicMs() - dueAt);
-    if (signal.aborted || stalledMs < MIN_STALL_MS) continue;
-    deps.metrics.count("process_stalls_total");
-    deps.log.warn("process_stalled", { stalledMs });
+/** Watches the event loop of this process. */
+export class StallMonitor {
+  readonly #deps: { readonly log: Logger; readonly metrics: Metrics };
+  /** Monotonic time of the next check. */
+  #dueAt = Infinity;
+  #lastStall = { ms: 0, endedAt: -Infinity };
+
+  constructor(deps: { log: Logger; metrics: Metrics }) {
+    this.#deps = deps;
+  }
+
+  /** Logs `process_stalled` after each stall until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { log, metrics } = this.#deps;
+    while (!signal.aborted) {
+      this.#dueAt = monotonicMs() + CHECK_PAUSE_MS;
+      await sleep(CHECK_PAUSE_MS, signal);
+      const endedAt = monotonicMs();
+      const ms = Math.round(endedAt - this.#dueAt);
+      if (signal.aborted || ms < MIN_STALL_MS) continue;
+      this.#lastStall = { ms, endedAt };
+      metrics.count("process_stalls_total");
+      log.warn("process_stalled", { stalledMs: ms });
+    }
+  }
+
+  /**
+   * Duration of a stall that has ended just now, in milliseconds; 0 if there was
+   * none. What this process notices now may have happened at its beginning.
+   */
+  get justEndedMs(): number {
+    const now = monotonicMs();
+    const { ms, endedAt } = this.#lastStall;
+    const unseenMs = now - this.#dueAt;
+    if (unseenMs >= MIN_STALL_MS) return unseenMs;
+    return now - endedAt < MIN_STALL_MS ? ms : 0;
   }
 }
--- a/src/telemetry/stall_monitor_test.ts
+++ b/src/telemetry/stall_monitor_test.ts
@@ -3,11 +3,11 @@
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import { SILENT_LOGGER } from "./log.ts";
 import { Metrics } from "./metrics.ts";
-import { monitorStalls } from "./stall_monitor.ts";
+import { StallMonitor } from "./stall_monitor.ts";
 
 const BLOCKED_MS = 600;
 
-test("monitorStalls() reports for how long the event loop was blocked", async () => {
+test("StallMonitor reports for how long the event loop was blocked", async () => {
   const stalls: number[] = [];
   const log = {
     ...SILENT_LOGGER,
@@ -17,12 +17,17 @@
   };
   const abort = new AbortController();
   const metrics = new Metrics();
-  const done = monitorStalls({ log, metrics }, abort.signal);
+  const monitor = new StallMonitor({ log, metrics });
+  const done = monitor.run(abort.signal);
+  assert.equal(monitor.justEndedMs, 0);
   const blockedUntil = monotonicMs() + BLOCKED_MS;
   while (monotonicMs() < blockedUntil);
+  const seenMs = monitor.justEndedMs;
   await sleep(BLOCKED_MS);
   abort.abort();
   await done;
   assert.ok((stalls[0] ?? 0) >= BLOCKED_MS / 2, `stalls: ${stalls}`);
+  assert.ok(seenMs >= BLOCKED_MS / 2, `seen: ${seenMs}`);
+  assert.equal(monitor.justEndedMs, 0);
   assert.ok(metrics.total("process_stalls_total") >= 1);
 });
