--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -4,14 +4,13 @@
  * @module
  */
 
-import { setMaxListeners } from "node:events";
 import { createServer, type Server } from "node:http";
 import { Kernel, service, serviceKey, sleep } from "../kernel/mod.ts";
 import { CrashWatch, QuarantineRecorder } from "../crashes/mod.ts";
 import { NoticeBoard } from "../notices/mod.ts";
 import { RateLimits, TargetPauses } from "../rates/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
-import { type Logger, Metrics, monitorStalls } from "../telemetry/mod.ts";
+import { type Logger, Metrics, StallMonitor } from "../telemetry/mod.ts";
 import { StoredOrigins, StreamOriginService } from "../origins/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
 import { HeldBytes } from "./answer_body.ts";
@@ -26,6 +25,7 @@
 import { LeavingTargets } from "./leaving_targets.ts";
 import { Peers } from "./peers.ts";
 import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
+import { PlannedStop } from "./planned_stop.ts";
 import { Registration } from "./registration.ts";
 import { ShardRunners } from "./shard_runners.ts";
 import { originFleet } from "./stream_binding.ts";
@@ -61,6 +61,11 @@
 const LINGER_MS = 2_600;
 /** Part of the grace period reserved for shutting the process down, in ms. */
 const GRACE_RESERVE_MS = 700;
+/**
+ * Shortest time for the requests in hand of a process that was stalled when its
+ * stop was announced, in milliseconds: their responses have arrived meanwhile.
+ */
+const MIN_STOP_MS = 1_000;
 
 export const FLEET = serviceKey<FleetView>("fleet");
 export const GATEWAY = serviceKey<Gateway>("gateway");
@@ -88,9 +93,8 @@
   });
   const state = () => view.state;
   let isLeaving = false;
-  const stopped = new AbortController();
-  // Each request in hand listens to it.
-  setMaxListeners(0, stopped.signal);
+  const stop = new PlannedStop();
+  const stalls = new StallMonitor({ log, metrics });
   const rates = new RateLimits({
     self: cfg.self,
     fleet: {
@@ -193,7 +197,7 @@
     chains,
     client: targets,
     heldBytes: new HeldBytes(),
-    stopped: stopped.signal,
+    stop,
     firstByteTimes: new FirstByteTimes(),
     log,
     metrics,
@@ -252,7 +256,7 @@
     service({
       key: serviceKey<Server>("metrics"),
       start: async ({ signal }) => {
-        monitorStalls({ log, metrics }, signal);
+        stalls.run(signal);
         const server = createServer((_req, res) => res.end(metrics.text()));
         if (!cfg.metrics) return server;
         // The process serves requests even if it cannot open this address.
@@ -280,15 +284,20 @@
       },
       leave: () => {
         isLeaving = true;
+        // The stop may have been asked for at the beginning of a stall.
+        const stalledMs = Math.round(stalls.justEndedMs);
+        const graceMs = cfg.graceMs - GRACE_RESERVE_MS - stalledMs;
+        stop.announce(Math.max(MIN_STOP_MS, graceMs));
         front.leave();
-        log.info("stopping", { inHand: front.inHand });
+        log.info("stopping", {
+          inHand: front.inHand,
+          stalledMs,
+          remainingMs: Math.round(stop.remainingMs),
+        });
       },
       drain: async () => {
-        await sleep(LINGER_MS);
-        await front.drain(
-          cfg.graceMs - LINGER_MS - GRACE_RESERVE_MS,
-          () => stopped.abort(),
-        );
+        await sleep(Math.min(LINGER_MS, stop.remainingMs));
+        await front.drain(stop.remainingMs, () => stop.end());
       },
       end: async () => {
         await front.drain(0);
