A status without the word of its server promises nothing

A server that ran a request may answer 408, 421, 429 or 503 without Not-Executed. The entry passed that status on, by which callers take their request for not run. Beside a 2xx, a 500 or a 504, Not-Executed was believed, so a request that had run was sent again or answered 503.

The adapter decodes what a response tells of the run once, as one of four values. The lines attempt_failed and request_ended name the status of refusals and of forwarded responses.

--- a/src/gateway/conclusion.ts
+++ b/src/gateway/conclusion.ts
@@ -67,8 +67,8 @@
   }
 
   /** Records that the response of a target was forwarded. */
-  answered(target: string): void {
-    this.#finish("answered", { target });
+  answered(target: string, status: number | undefined): void {
+    this.#finish("answered", { target, status });
   }
 
   /**
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -255,7 +255,9 @@
   ): void {
     if (end.kind === "over") {
       this.#attempts += 1;
-      if (!this.#conclusion.isOver) this.#conclusion.answered(target);
+      if (!this.#conclusion.isOver) {
+        this.#conclusion.answered(target, end.status);
+      }
       return;
     }
     const isAttempt = end.kind !== "unsent" &&
@@ -269,7 +271,7 @@
       target,
       outcome: end.kind,
       detail: "detail" in end ? end.detail : undefined,
-      status: end.kind === "error-answer" ? end.head.status : undefined,
+      status: statusOf(end),
       fingerprint: this.#admitted.content.fingerprint,
       segments: this.#admitted.req.promptParts.slice(0, LOGGED_SEGMENTS)
         .join(",") || undefined,
@@ -322,6 +324,12 @@
   }
 }
 
+/** Status of the response that ended an attempt, if one did. */
+function statusOf(end: AttemptEnd): number | undefined {
+  if (end.kind === "error-answer") return end.head.status;
+  return "status" in end ? end.status : undefined;
+}
+
 /** Returns a promise with the function that resolves it. */
 function withResolvers<T>(): {
   promise: Promise<T>;
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -10,11 +10,12 @@
 import { HeldBytes } from "./answer_body.ts";
 import { Exchange } from "./exchange.ts";
 import { FirstByteTimes } from "./first_byte_times.ts";
-import type {
-  CallerRequest,
-  CallerResponse,
-  CallListener,
-  ResponseHead,
+import {
+  type CallerRequest,
+  type CallerResponse,
+  type CallListener,
+  type ResponseHead,
+  RunReport,
 } from "./ports.ts";
 
 const STREAM = route({
@@ -29,10 +30,13 @@
   headers: [],
   isMatching: true,
   isSigned: true,
-  isNotRun: false,
-  isOtherTarget: false,
+  report: RunReport.Answered,
+};
+const REFUSAL: ResponseHead = {
+  ...HEAD,
+  status: 503,
+  report: RunReport.NotRun,
 };
-const REFUSAL: ResponseHead = { ...HEAD, status: 503, isNotRun: true };
 /** Silence after which a stream of the route is looked after, in ms. */
 const SILENCE_MS = 2_000;
 
--- a/src/gateway/http_front_test.ts
+++ b/src/gateway/http_front_test.ts
@@ -11,6 +11,7 @@
   type CallerResponse,
   INITIAL_LIMITS,
   type ResponseHead,
+  RunReport,
 } from "./ports.ts";
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -37,8 +38,7 @@
   headers: ["Content-Length", "0"],
   isMatching: true,
   isSigned: true,
-  isNotRun: false,
-  isOtherTarget: false,
+  report: RunReport.Answered,
 };
 
 function respondEmpty(response: CallerResponse): void {
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -165,6 +165,22 @@
   cut(): void;
 }
 
+/** What a response tells of whether its request was run. */
+export const RunReport = {
+  /** The response promises nothing; callers receive it as it is. */
+  Answered: "answered",
+  /** The target states that it has not run the request. */
+  NotRun: "not-run",
+  /** Another target serves the address and has not run the request. */
+  OtherTarget: "other-target",
+  /**
+   * The status tells callers that the request was not run, but the target does
+   * not state it. The request may have run.
+   */
+  Unconfirmed: "unconfirmed",
+} as const;
+export type RunReport = typeof RunReport[keyof typeof RunReport];
+
 /** Head of a target's response. */
 export interface ResponseHead {
   readonly status: number;
@@ -174,10 +190,7 @@
   readonly isMatching: boolean;
   /** True when the response carries the target's signature. */
   readonly isSigned: boolean;
-  /** True when the target reports that it has not run the request. */
-  readonly isNotRun: boolean;
-  /** True when another target now serves the address. */
-  readonly isOtherTarget: boolean;
+  readonly report: RunReport;
   /** Number of requests running and waiting at the target, if reported. */
   readonly load?: number;
   /** Length of the body in bytes, if the head states it. */
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -23,12 +23,13 @@
   HeldShare,
 } from "./answer_body.ts";
 import type { StagedInputs } from "./chain_client.ts";
-import type {
-  CallerRequest,
-  CallerResponse,
-  CallFailure,
-  ResponseHead,
-  RunningCall,
+import {
+  type CallerRequest,
+  type CallerResponse,
+  type CallFailure,
+  type ResponseHead,
+  type RunningCall,
+  RunReport,
 } from "./ports.ts";
 import type { Reservation } from "./target_tracker.ts";
 
@@ -58,14 +59,24 @@
 /** How one attempt at a target ended. */
 export type AttemptEnd =
   /** The response was forwarded completely, or the exchange has ended. */
-  | { readonly kind: "over" }
+  | { readonly kind: "over"; readonly status?: number }
   /** No byte reached the target. */
   | { readonly kind: "unsent"; readonly detail: string }
   /**
    * The target reports that it has not run the request; `isAttempt` is false
    * when another target now serves the address.
    */
-  | { readonly kind: "not-run"; readonly isAttempt: boolean }
+  | {
+    readonly kind: "not-run";
+    readonly isAttempt: boolean;
+    readonly status: number;
+  }
+  /** A refusal without the statement that the request was not run. */
+  | {
+    readonly kind: "unconfirmed";
+    readonly status: number;
+    readonly detail: string;
+  }
   /** A complete response that reports a failure. */
   | {
     readonly kind: "error-answer";
@@ -193,14 +204,7 @@
     this.#watchdog?.recordProgress();
     this.#deps.reservation.head(head);
     const isSuccess = head.status >= 200 && head.status < 300;
-    if (head.isOtherTarget) {
-      this.#stop({ kind: "not-run", isAttempt: false });
-      // The request may go to that target next; a late copy of this response
-      // would then name it rightly.
-      this.#call?.abort("another target is at the address");
-      return;
-    }
-    if (head.isNotRun) return this.#stop({ kind: "not-run", isAttempt: true });
+    if (head.report !== RunReport.Answered) return this.#refused(head);
     if (isSuccess && !head.isSigned) {
       return this.#breakOff("answer without signature");
     }
@@ -224,6 +228,18 @@
     }
   }
 
+  #refused({ status, report }: ResponseHead): void {
+    if (report === RunReport.Unconfirmed) {
+      const detail = `status ${status} without a statement of not having run`;
+      return this.#stop({ kind: "unconfirmed", status, detail });
+    }
+    const isAttempt = report === RunReport.NotRun;
+    this.#stop({ kind: "not-run", isAttempt, status });
+    // The request may go to the other target next; a late copy of this response
+    // would then name it rightly.
+    if (!isAttempt) this.#call?.abort("another target is at the address");
+  }
+
   data(bytes: Buffer): boolean {
     if (this.#outcome) return this.#skip(bytes, this.#outcome);
     this.#recordFirstBytes();
@@ -326,10 +342,10 @@
     this.#end({ kind: "broken", detail });
   }
 
-  #complete({ endsWithConnection = false }: ResponseHead): void {
+  #complete({ status, endsWithConnection = false }: ResponseHead): void {
     this.#deps.watch.completed({ endsWithConnection });
     this.#deps.response.end();
-    this.#end({ kind: "over" });
+    this.#end({ kind: "over", status });
   }
 
   #recordFirstBytes(): void {
@@ -374,7 +390,9 @@
     if (this.#outcome || this.#isEnded) return;
     this.#outcome = outcome;
     // The connection stays usable if the rest of a refusal is read.
-    if (outcome.kind !== "not-run") this.#abort(outcome);
+    const isRefusal = outcome.kind === "not-run" ||
+      outcome.kind === "unconfirmed";
+    if (!isRefusal) this.#abort(outcome);
   }
 
   #abort(outcome: AttemptEnd): void {
