--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -11,11 +11,12 @@
 import { Exchange } from "./exchange.ts";
 import { FirstByteTimes } from "./first_byte_times.ts";
 import { PlannedStop } from "./planned_stop.ts";
-import type {
-  CallerRequest,
-  CallerResponse,
-  CallListener,
-  ResponseHead,
+import {
+  type CallerRequest,
+  type CallerResponse,
+  type CallListener,
+  type ResponseHead,
+  RunReport,
 } from "./ports.ts";
 
 const STREAM = route({
@@ -30,10 +31,13 @@
   headers: [],
   isMatching: true,
   isSigned: true,
-  isNotRun: false,
-  isOtherTarget: false,
+  report: RunReport.Answered,
+};
+const REFUSAL: ResponseHead = {
+  ...HEAD,
+  status: 503,
+  report: RunReport.NotRun,
 };
-const REFUSAL: ResponseHead = { ...HEAD, status: 503, isNotRun: true };
 /** Silence after which a stream of the route is looked after, in ms. */
 const SILENCE_MS = 2_000;
 
