A stream is not joined with what is no continuation of it

Cause: the relay took the body of any signed 2xx for the continuation of a broken stream. The event splitter looked for blank lines only.

Change: - EventOrder checks each event before it is forwarded: its lines are fields, its identifier is greater than the last one, and where a stream goes on the first event has one. The stream breaks off before what fails, so it goes on at another server where it may. - A continuation has status 200, and a media type of events if it names one. - A continuation without events is the end of the stream if its head frames it: a break may come after the last event. It is none if the connection alone ends it, or if part of a further event had arrived.

Gaps in identifiers stay allowed: the protocol says that they increase, not that they are consecutive, and an event may hold several tokens.

The test of isOverlong now counts its identifiers up; it had sent one twice.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -64,6 +64,8 @@
   #current: RunningAttempt | undefined;
   #handover: Handover | undefined;
   #lastEventId: string | undefined;
+  /** True while the stream has broken off inside the event after that one. */
+  #expectsEvent = false;
   /** Target that began the stream; only its build may go on with it. */
   #origin: BuildHolder | undefined;
   /** True once an event was forwarded. */
@@ -208,11 +210,14 @@
       heldBytes: this.#deps.heldBytes,
       usualMs: this.#deps.firstByteTimes.of(route.name),
       isResumed: this.#response.hasBegun,
+      lastEventId: this.#lastEventId,
+      expectsEvent: () => this.#expectsEvent,
       isOver: () => this.#conclusion.isOver,
       onAccepted,
       onEvent: (id) => {
         this.#recordOrigin(target);
         this.#lastEventId = id ?? this.#lastEventId;
+        this.#expectsEvent = false;
       },
       onSilent: (ms) => this.#replaceSilent(relay, target.id, ms),
       onProgress: () => this.#cancelHandover(relay),
@@ -220,6 +225,7 @@
       onEnd: (end) => {
         inputs.release();
         this.#open.delete(relay);
+        this.#expectsEvent ||= relay.isInsideEvent;
         this.#recordAttempt(target.id, end, relay.writingMs);
         resolve(end);
       },
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -184,6 +184,8 @@
   readonly bodyBytes?: number;
   /** True when the end of the connection ends the body. */
   readonly endsWithConnection?: boolean;
+  /** True when the head says that the body is something else than events. */
+  readonly isOtherMedia?: boolean;
 }
 
 /** Failure of a call to a target. */
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -15,6 +15,7 @@
   type Pool,
   type Route,
   RouteKind,
+  type WholeEvents,
 } from "../serving/mod.ts";
 import {
   AnswerBody,
@@ -91,6 +92,7 @@
 /** Shortest time after which a response is overdue, in milliseconds. */
 const MIN_OVERDUE_MS = 800;
 
+const HTTP_OK = 200;
 /** Bytes read of a refusal's body before its call is aborted. */
 const MAX_REFUSAL_BYTES = 64 * 1024;
 
@@ -104,8 +106,12 @@
   readonly heldBytes: HeldBytes;
   /** Usual time until the first bytes of a response, in milliseconds. */
   readonly usualMs: number;
-  /** True when the response continues after events of another target. */
+  /** True when the response continues that of another target. */
   readonly isResumed: boolean;
+  /** Last event of the stream that the caller has; undefined without any. */
+  readonly lastEventId?: string;
+  /** True while a further event of the stream is known to exist. */
+  expectsEvent(): boolean;
   /** True once the exchange has ended for another reason. */
   isOver(): boolean;
   /** Called before a usable response is forwarded or collected. */
@@ -124,7 +130,7 @@
 export class Relay {
   readonly #deps: RelayDeps;
   readonly #startedAt = monotonicMs();
-  readonly #splitter = new EventSplitter();
+  readonly #splitter: EventSplitter;
   readonly #held: HeldShare;
   readonly #body: AnswerBody;
   #refusalBytes = 0;
@@ -142,6 +148,7 @@
 
   constructor(deps: RelayDeps) {
     this.#deps = deps;
+    this.#splitter = new EventSplitter(deps.lastEventId);
     this.#held = new HeldShare(deps.heldBytes);
     this.#body = new AnswerBody(this.#held);
   }
@@ -178,6 +185,11 @@
       : monotonicMs() - this.#firstEventAt;
   }
 
+  /** True when the response has ended inside an event. */
+  get isInsideEvent(): boolean {
+    return this.#isStream && this.#splitter.rest.length > 0;
+  }
+
   /** Time after which the head of the response is overdue, in milliseconds. */
   get #overdueMs(): number {
     const { route } = this.#deps.admitted;
@@ -207,7 +219,7 @@
     this.#head = head;
     const { route } = this.#deps.admitted;
     this.#isStream = isSuccess && route.kind === RouteKind.Stream;
-    if (this.#deps.isResumed && !this.#isStream) {
+    if (this.#deps.isResumed && !(this.#isStream && isContinuation(head))) {
       return this.#breakOff(`status ${head.status} for a resumed stream`);
     }
     if (route.kind !== RouteKind.Idempotent) {
@@ -234,12 +246,19 @@
       this.#breakOff("event is too large");
     }
     if (this.#outcome || !complete) return true;
+    const mayContinue = complete.bytes.length === 0 ||
+      this.#forwardEvents(complete);
+    if (complete.fault !== undefined) this.#breakOff(complete.fault);
+    return mayContinue;
+  }
+
+  #forwardEvents({ bytes, lastId }: WholeEvents): boolean {
     // Bytes that complete no event are no progress for the caller.
     this.#recordProgress();
     this.#firstEventAt ??= monotonicMs();
     this.#deps.watch.wrote();
-    this.#deps.onEvent(complete.lastId);
-    return this.#forward(complete.bytes);
+    this.#deps.onEvent(lastId);
+    return this.#forward(bytes);
   }
 
   /** Skips the body of a refusal; the target fails if it has no end. */
@@ -314,8 +333,8 @@
     if (this.#splitter.rest.length > 0) {
       return this.#endBroken("ends inside an event");
     }
-    const isEmpty = this.#firstEventAt === undefined && !this.#deps.isResumed;
-    if (isEmpty && head.endsWithConnection) {
+    const isEmpty = this.#firstEventAt === undefined;
+    if (isEmpty && (head.endsWithConnection || this.#deps.expectsEvent())) {
       return this.#endBroken("ends before its first event");
     }
     this.#complete(head);
@@ -411,6 +430,11 @@
   return Math.max(MIN_SILENCE_MS, SILENCE_RATIO * maxPauseMs);
 }
 
+/** True when a response may go on with a stream that has begun. */
+function isContinuation({ status, isOtherMedia }: ResponseHead): boolean {
+  return status === HTTP_OK && !isOtherMedia;
+}
+
 /**
  * Returns the head without the length of the body: another target may go on with
  * the stream, and the whole then has another length.
--- a/src/serving/event_splitter.ts
+++ b/src/serving/event_splitter.ts
@@ -6,11 +6,14 @@
  */
 
 import { ByteBuffer } from "../kernel/mod.ts";
+import { EventOrder } from "./event_order.ts";
 
-/** Bytes of one or more whole events and the last event identifier. */
+/** Bytes of whole events and the last event identifier. */
 export interface WholeEvents {
   readonly bytes: Buffer;
   readonly lastId?: string;
+  /** Why what follows these bytes is no event of the stream. */
+  readonly fault?: string;
 }
 
 /**
@@ -25,8 +28,14 @@
 /** Buffers an incomplete event until the rest of it has arrived. */
 export class EventSplitter {
   readonly #rest = new ByteBuffer();
+  readonly #order: EventOrder;
   #unidentifiedBytes = 0;
 
+  /** `after` identifies the last event of the stream that the caller has. */
+  constructor(after?: string) {
+    this.#order = new EventOrder(after);
+  }
+
   /** Returns the events that `chunk` completes; undefined when none. */
   push(chunk: Buffer): WholeEvents | undefined {
     const searched = this.#rest.length;
@@ -36,10 +45,11 @@
     const end = endOfLastEvent(all, searched);
     if (end === 0) return undefined;
     this.#rest.replace(all.subarray(end));
-    const bytes = all.subarray(0, end);
-    const lastId = lastIdOf(bytes);
+    const { length, lastId, fault } = this.#order.check(
+      all.toString("latin1", 0, end),
+    );
     if (lastId !== undefined) this.#unidentifiedBytes = this.#rest.length;
-    return { bytes, lastId };
+    return { bytes: all.subarray(0, length), lastId, fault };
   }
 
   /** True when the bytes since the last identified event are no event. */
@@ -67,13 +77,3 @@
   }
   return 0;
 }
-
-function lastIdOf(bytes: Buffer): string | undefined {
-  const text = bytes.toString("latin1");
-  const at = text.startsWith("id:") && !text.includes("\nid:")
-    ? 0
-    : text.lastIndexOf("\nid:") + 1;
-  if (!text.startsWith("id:", at)) return undefined;
-  const end = text.indexOf("\n", at);
-  return text.slice(at + "id:".length, end).trim();
-}
--- a/src/serving/event_splitter_test.ts
+++ b/src/serving/event_splitter_test.ts
@@ -50,12 +50,15 @@
   const push = (text: string, times: number) => {
     for (let i = 0; i < times; i++) splitter.push(Buffer.from(text));
   };
-  push(`id: 1\ndata: ${"x".repeat(1_000_000)}\n\n`, 5);
+  for (let id = 1; id <= 5; id++) {
+    push(`id: ${id}\ndata: ${"x".repeat(1_000_000)}\n\n`, 1);
+  }
   assert.equal(splitter.isOverlong, false);
+  let id = 6;
   for (const text of ["\n".repeat(1_000), "data: x\n".repeat(1_000)]) {
     push(text, 3_000);
     assert.equal(splitter.isOverlong, true);
-    push("\n\nid: 2\ndata: x\n\n", 1);
+    push(`\n\nid: ${id++}\ndata: x\n\n`, 1);
     assert.equal(splitter.isOverlong, false);
   }
 });
