Open attempts count as possibly run in one place

Whether a request may have run was put together by each caller of a conclusion: some passed on whether calls were open, others relied on there being none. The history of attempts now says it for all of them, so that no refusal can promise "not run" beside an open attempt. No way to such a refusal is known.

request_ended names the attempts that did not reach their target and those that were open, which tells why a request ended as not run, unknown or timed out.

--- a/src/gateway/conclusion.ts
+++ b/src/gateway/conclusion.ts
@@ -25,7 +25,11 @@
 /** Attempts of a request so far. */
 export interface AttemptHistory {
   readonly attempts: number;
-  /** True once a target may have begun to run the request. */
+  /** Attempts that failed without reaching their target. */
+  readonly unsentAttempts: number;
+  /** Attempts that have not ended. */
+  readonly openAttempts: number;
+  /** True once a target may have begun to run the request, or may do so yet. */
   readonly mayHaveRun: boolean;
   /** Build to which a stream keeps. */
   readonly build?: string;
@@ -104,26 +108,25 @@
     this.#refuse({ kind: RefusalKind.NotRun, reason, retryAfterMs });
   }
 
-  /** Ends the request at its deadline; `isSent` while a call is open. */
-  timedOut(isSent: boolean): void {
+  /** Ends the request at its deadline. */
+  timedOut(): void {
     if (this.isOver) return;
     const reason = "its time has passed";
     if (this.#response.hasBegun) return this.#breakOff(reason);
-    const mayHaveRun = isSent || this.#history().mayHaveRun;
     this.#refuse({
-      kind: mayHaveRun ? RefusalKind.TimedOut : RefusalKind.NotRun,
+      kind: this.#history().mayHaveRun
+        ? RefusalKind.TimedOut
+        : RefusalKind.NotRun,
       reason,
     });
   }
 
-  /**
-   * Ends the request because this process ends; `isSent` while a call is open.
-   */
-  stopped(isSent: boolean): void {
+  /** Ends the request because this process ends. */
+  stopped(): void {
     if (this.isOver) return;
     const reason = "the process is stopping";
     if (this.#response.hasBegun) return this.#breakOff(reason);
-    if (isSent || this.#history().mayHaveRun) {
+    if (this.#history().mayHaveRun) {
       return this.#refuse({ kind: RefusalKind.Unknown, reason });
     }
     this.#refuse({
@@ -152,9 +155,11 @@
   }
 
   #finish(outcome: string, fields: LogFields): void {
+    // Aborting ends the open attempts.
+    const { openAttempts } = this.#history();
     this.#over.abort(outcome);
     const { req, route } = this.#admitted;
-    const { attempts, build } = this.#history();
+    const { attempts, unsentAttempts, build } = this.#history();
     const tookMs = monotonicMs() - req.receivedAt;
     this.#deps.metrics.count("requests_total", { route: route.name, outcome });
     this.#deps.metrics.durations("request", { outcome }).record(tookMs);
@@ -163,6 +168,8 @@
       outcome,
       tookMs: Math.round(tookMs),
       attempts,
+      unsentAttempts,
+      openAttempts,
       build,
       ...fields,
     });
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -85,7 +85,9 @@
     this.#preparer = new AttemptPreparer(admitted, this.#deadlineAt, deps);
     const history = () => ({
       attempts: this.#attempts,
-      mayHaveRun: this.#mayHaveRun,
+      unsentAttempts: this.#unsentAttempts,
+      openAttempts: this.#open.size,
+      mayHaveRun: this.#mayHaveRun || this.#open.size > 0,
       build: this.#origin?.build,
     });
     this.#conclusion = new Conclusion(admitted, response, history, deps);
@@ -96,11 +98,11 @@
    */
   async run(): Promise<void> {
     const timer = setTimeout(
-      () => this.#conclusion.timedOut(this.#open.size > 0),
+      () => this.#conclusion.timedOut(),
       Math.max(0, this.#deadlineAt - monotonicMs()),
     );
     const { stopped } = this.#deps;
-    const onStopped = () => this.#conclusion.stopped(this.#open.size > 0);
+    const onStopped = () => this.#conclusion.stopped();
     stopped.addEventListener("abort", onStopped);
     this.#conclusion.signal.addEventListener("abort", () => {
       clearTimeout(timer);
