No attempt begins after its request has ended

A request whose silent target refuses goes on with the handover that is under way. If its deadline passed, or the process stopped, while that handover waited for the permit of a target with a limit, the caller got 503, "not run", and the request was sent all the same: the handover looked only at its own signal, and nobody ended the call, since the request was over.

The preparation looks at the signal once more after the permit, and returns the target and the results of the stages.

--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -50,6 +50,11 @@
   readonly retryAfterMs: number;
 }
 
+const NO_LONGER_NEEDED: Unprepared = {
+  reason: "no longer needed",
+  retryAfterMs: 0,
+};
+
 /** Services that prepare attempts. */
 export interface PreparerDeps {
   readonly tracker: Pick<
@@ -88,14 +93,17 @@
     if (inputs.isErr()) return err(inputs.error);
     if (signal.aborted) {
       inputs.value.release();
-      return err({ reason: "no longer needed", retryAfterMs: 0 });
+      return err(NO_LONGER_NEEDED);
     }
     const reservation = await this.#reservePermitted(choice);
-    if (reservation.isOk()) {
-      return ok({ inputs: inputs.value, reservation: reservation.value });
+    if (reservation.isErr()) {
+      inputs.value.release();
+      return err(reservation.error);
     }
-    inputs.value.release();
-    return err(reservation.error);
+    const attempt = { inputs: inputs.value, reservation: reservation.value };
+    if (!signal.aborted) return ok(attempt);
+    discardAttempt(attempt);
+    return err(NO_LONGER_NEEDED);
   }
 
   async #runStages(
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -14,6 +14,7 @@
   type CallerRequest,
   type CallerResponse,
   type CallListener,
+  RefusalKind,
   type ResponseHead,
   RunReport,
 } from "./ports.ts";
@@ -61,6 +62,8 @@
   retriesLeft = 5;
   stageRuns = 0;
   stageMs = 100;
+  /** Time until a target permits a request under its limit. */
+  permitMs = 0;
   releasedCount = 0;
   areStagesRefused = false;
   /** Reservations that have not ended. */
@@ -121,7 +124,12 @@
         firstByteTimes: new FirstByteTimes(),
         heldBytes: new HeldBytes(),
         stopped: new AbortController().signal,
-        rates: { acquire: () => Promise.resolve(true) },
+        rates: {
+          acquire: async () => {
+            await sleep(this.permitMs);
+            return true;
+          },
+        },
         crashes: { watch: (target) => new CallWatch(target, [], NO_FINDINGS) },
         origins: {
           begun: () => {},
@@ -391,3 +399,18 @@
     assert.equal(setup.isCut, true);
   }),
 );
+
+// Guards against a request that is refused as not run and sent afterwards.
+test(
+  "no request is sent once its deadline has passed while a permit is awaited",
+  whileUnanswered(async (setup) => {
+    setup.permitMs = STREAM.timeoutMs;
+    await sleep(OVERDUE_MS + setup.stageMs + 50);
+    setup.call(0).listener.head(REFUSAL);
+    setup.call(0).listener.ended();
+    await sleep(STREAM.timeoutMs);
+    assert.equal(setup.text, RefusalKind.NotRun);
+    await sleep(setup.permitMs);
+    assert.equal(setup.calls.length, 1);
+  }),
+);
