A client can skip responses to other requests in front of its parser

Cause: undici ties one response to one request. An earlier response that a faulty server writes once more is taken for that of the current request, whose own response on the same connection is lost.

Change: an exchange may name its own response (`ownResponse`). Until the head of a response that passes, whole responses that name another request are dropped. Everything in doubt passes untouched: no or several identifiers, the own identifier anywhere in the head, no framing, several lengths, other codings than chunked, blanks behind a value, HTTP/1.0, Connection: close, interim heads, more than 4 in a row, more than 512 KiB. Chunks with extensions, trailers or odd sizes end the connection. It serves no further request after such an exchange. Skipped bytes have this bound instead of that of the framing.

--- a/src/http/bounded_client.ts
+++ b/src/http/bounded_client.ts
@@ -20,6 +20,7 @@
   type Dispatcher,
   Pool,
 } from "undici";
+import { type OwnResponse, ResponseFilter } from "./response_filter.ts";
 
 /** Largest head of a response, in bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
@@ -104,6 +105,11 @@
     this.#bodyBytes += bytes;
   }
 
+  /** Leaves out bytes that have a bound of their own. */
+  skipped(bytes: number): void {
+    this.#startBytes += bytes;
+  }
+
   /** Called before `undici` adds its own listeners, so this one runs first. */
   #watch(socket: Socket): void {
     // The records of TLS would count as bytes outside of bodies.
@@ -126,26 +132,39 @@
 
 type Handler = Required<Dispatcher.DispatchHandler>;
 
+/** What is observed on the connection of one client. */
+interface Observers {
+  readonly meter: FramingMeter;
+  readonly paused: PausedResponse;
+  readonly filter: ResponseFilter;
+}
+
 /**
  * Passes the events of an exchange on and counts its body. A `Pool` passes
  * handlers of any form to its clients in the callback form.
  */
 class MeteredHandler implements Dispatcher.DispatchHandler {
   readonly #handler: Dispatcher.DispatchHandler;
+  readonly #own: OwnResponse | undefined;
   readonly #meter: FramingMeter;
   readonly #paused: PausedResponse;
+  readonly #filter: ResponseFilter;
 
   constructor(
     handler: Dispatcher.DispatchHandler,
-    { meter, paused }: { meter: FramingMeter; paused: PausedResponse },
+    own: OwnResponse | undefined,
+    { meter, paused, filter }: Observers,
   ) {
     this.#handler = handler;
+    this.#own = own;
     this.#meter = meter;
     this.#paused = paused;
+    this.#filter = filter;
   }
 
   onConnect(...args: Parameters<Handler["onConnect"]>): void {
     this.#meter.restart();
+    this.#filter.begin(this.#own);
     this.#handler.onConnect?.(...args);
   }
 
@@ -171,6 +190,7 @@
     this.#meter.restart();
     this.#paused.end();
     this.#handler.onComplete?.(...args);
+    this.#filter.end();
   }
 
   onError(...args: Parameters<Handler["onError"]>): void {
@@ -179,46 +199,52 @@
   }
 }
 
-/** Returns a connector whose connections end what is paused. */
+/** Returns a connector whose connections are filtered and end what is paused. */
 function watched(
   connect: buildConnector.connector,
-  paused: PausedResponse,
+  { paused, filter }: Pick<Observers, "paused" | "filter">,
 ): buildConnector.connector {
   return (opts, done) =>
     connect(opts, (...args) => {
       const [, socket] = args;
-      if (socket) paused.watch(socket);
+      if (socket) {
+        paused.watch(socket);
+        filter.watch(socket);
+      }
       done(...args);
     });
 }
 
+/** Options of an exchange with a `boundedClient`. */
+export interface BoundedDispatchOptions extends Dispatcher.DispatchOptions {
+  /** Without it, a response to another request is passed on. */
+  readonly ownResponse?: OwnResponse;
+}
+
 class BoundedClient extends Client {
-  readonly #meter: FramingMeter;
-  readonly #paused: PausedResponse;
+  readonly #observers: Observers;
 
   constructor(origin: URL, opts: BoundedClientOptions) {
     const meter = new FramingMeter();
     const paused = new PausedResponse();
+    const filter = new ResponseFilter((bytes) => meter.skipped(bytes));
     super(origin, {
       ...opts,
       maxHeaderSize: MAX_HEAD_BYTES,
       pipelining: 1,
-      connect: meter.connector(watched(opts.connect, paused)),
+      connect: meter.connector(watched(opts.connect, { paused, filter })),
     });
-    this.#meter = meter;
-    this.#paused = paused;
+    this.#observers = { meter, paused, filter };
   }
 
   override dispatch(
-    opts: Dispatcher.DispatchOptions,
+    opts: BoundedDispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
+    const { ownResponse: own } = opts;
     return super.dispatch(
       opts,
-      new MeteredHandler(handler, {
-        meter: this.#meter,
-        paused: this.#paused,
-      }),
+      new MeteredHandler(handler, own, this.#observers),
     );
   }
 }
--- a/src/http/mod.ts
+++ b/src/http/mod.ts
@@ -5,4 +5,5 @@
  */
 
 export * from "./bounded_client.ts";
+export type { OwnResponse, SkippedResponse } from "./response_filter.ts";
 export * from "./text_request.ts";
