--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -51,6 +51,8 @@
   readonly source: StateSource;
   readonly targets: TargetClient;
   readonly codec: CallerCodec;
+  /** Metrics to which the adapters add theirs. */
+  readonly metrics?: Metrics;
 }
 
 /**
@@ -71,8 +73,7 @@
   adapters: GatewayAdapters,
   log: Logger,
 ): Promise<Kernel> {
-  const { source, targets, codec } = adapters;
-  const metrics = new Metrics();
+  const { source, targets, codec, metrics = new Metrics() } = adapters;
   const clients = new EntryPeerClients();
   const view = new FleetView({ source, bounds: cfg.bounds, log, metrics });
   const board = new NoticeBoard({ metrics });
