No request is sent whose time has passed while a permit was awaited

The time left was looked at before the wait for the permit of a target with a limit, not after it. After that wait, or a stall of the process in it, a request could go out with no time left, even with a deadline below zero.

--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -153,15 +153,21 @@
       if (reservation.isErr()) return reservation;
       const { target } = reservation.value;
       // A target whose permit is denied is closed for a moment.
-      if (await this.#deps.rates.acquire(target.id)) return reservation;
+      const isPermitted = await this.#deps.rates.acquire(target.id);
+      if (isPermitted && !this.#isTooLate) return reservation;
       reservation.value.discarded();
     }
   }
 
+  /** True when the request has too little time left to be sent. */
+  get #isTooLate(): boolean {
+    return this.#deadlineAt - monotonicMs() < MIN_SEND_MS;
+  }
+
   #reserve(choice: TargetChoice): Result<Reservation, Unprepared> {
     const refused = this.#refusedPrompt();
     if (refused) return err(refused);
-    if (this.#deadlineAt - monotonicMs() < MIN_SEND_MS) {
+    if (this.#isTooLate) {
       return err({ reason: "its time has passed", retryAfterMs: 0 });
     }
     const { req, pool } = this.#admitted;
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -414,3 +414,14 @@
     assert.equal(setup.calls.length, 1);
   }),
 );
+
+// Guards against a deadline of zero or less at a target, after a stall.
+test(
+  "no request is sent whose time has passed while a permit was awaited",
+  withSetup(async (setup) => {
+    setup.permitMs = STREAM.timeoutMs - setup.stageMs - 10;
+    await sleep(STREAM.timeoutMs);
+    assert.equal(setup.calls.length, 0);
+    assert.equal(setup.text, RefusalKind.NotRun);
+  }),
+);
