A cut response resets the connection of an HTTP/1.0 caller

Cause: cut() closes the connection. A response to HTTP/1.0 has no chunks, so that its connection ends the body: the close looked like that end.

Change: without chunks, cut() resets the connection.

--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -373,7 +373,10 @@
   }
 
   cut(): void {
-    this.#res.destroy();
+    // Without chunks (HTTP/1.0), a close would look like the end of the body.
+    const { socket, useChunkedEncodingByDefault } = this.#res;
+    if (socket && !useChunkedEncodingByDefault) socket.resetAndDestroy();
+    else this.#res.destroy();
   }
 
   /**
