An error inside the stream of an engine ends its call

Cause: the client of engines cast each event to a chunk. An error beside an empty list of choices was skipped, and the end mark after it completed the call.

Change: a schema tells chunks from anything else, which fails the call as "target failed, outcome unknown".

--- a/src/agent/engine_client.ts
+++ b/src/agent/engine_client.ts
@@ -5,6 +5,7 @@
  */
 
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { z } from "zod";
 import { Priority, promptOf, type StageCall } from "../model/mod.ts";
 import {
   COLD_HEADER,
@@ -32,18 +33,16 @@
   [Priority.Batch]: 1,
 } as const;
 
-/** One streamed chunk of a completion. */
-interface CompletionChunk {
-  readonly choices: readonly {
-    readonly text: string;
-    readonly finish_reason: string | null;
-  }[];
+/** One streamed chunk of a completion; an engine may send an error instead. */
+const chunkSchema = z.object({
+  choices: z.array(z.object({ text: z.string() })),
   /**
    * Tokens of the whole completion, in the last chunk. Some engines do not
    * report it.
    */
-  readonly usage?: { readonly completion_tokens: number };
-}
+  usage: z.object({ completion_tokens: z.number() }).nullish(),
+  error: z.null().optional(),
+});
 
 /** Runs calls at a model engine by `POST /v1/completions`. */
 export class EngineClient implements TargetClient {
@@ -115,7 +114,9 @@
       ended = true;
       break;
     }
-    const { choices, usage } = JSON.parse(data) as CompletionChunk;
+    const chunk = decodeChunk(data);
+    if (!chunk) return { failure: protocolFailure("The stream has an error") };
+    const { choices, usage } = chunk;
     completionTokens = usage?.completion_tokens ?? completionTokens;
     const text = choices[0]?.text ?? "";
     if (text === "") continue;
@@ -129,3 +130,12 @@
   const output = { text: texts.join("") };
   return { output, tokens: completionTokens ?? texts.length };
 }
+
+/** Decodes the data of an event; undefined if it is no chunk. */
+function decodeChunk(data: string): z.infer<typeof chunkSchema> | undefined {
+  try {
+    return chunkSchema.safeParse(JSON.parse(data)).data;
+  } catch {
+    return undefined;
+  }
+}
