Each client fails a response without length whose connection is reset

Cause: undici ends a body that ends with its connection also at a reset. Only the platform's client of servers looked for that; the agents' clients did not.

--- a/src/agent/broken_answer_test.ts
+++ b/src/agent/broken_answer_test.ts
@@ -128,10 +128,11 @@
 async function assertUnknown(
   create: Create,
   answers: Readonly<Record<string, string>>,
+  endings: readonly Ending[] = Object.values(Ending),
 ): Promise<void> {
   const seen = await Promise.all(
     Object.entries(answers).flatMap(([name, text]) =>
-      Object.values(Ending).map(async (ending) => {
+      endings.map(async (ending) => {
         const outcome = await run(create, text, ending);
         return outcome.startsWith("unknown")
           ? []
@@ -148,6 +149,13 @@
 test("a short stream of an engine never passes for its output", () =>
   assertUnknown(engine, SHORT_STREAMS));
 
+// Guards against half a value that is JSON too.
+test("an answer of a plain service that is reset is not complete", () =>
+  assertUnknown(service, {
+    "no length": `${UNFRAMED}12`,
+    "another transfer coding": `${HEAD}Transfer-Encoding: identity\r\n\r\n12`,
+  }, [Ending.Reset]));
+
 test("an error inside a stream counts as a failure of the engine", async () => {
   const names = Object.keys(SHORT_STREAMS).filter((name) =>
     name.startsWith("an error") || name.startsWith("text") ||
--- a/src/http/bounded_client.ts
+++ b/src/http/bounded_client.ts
@@ -5,6 +5,8 @@
  * interim heads, the reason phrase and the extensions of chunks. A peer could
  * send those without end, also on an idle connection.
  *
+ * It fails responses without a length whose connections are reset.
+ *
  * It also ends responses that are paused when their connection ends, which
  * `undici` asserts never to happen if the end may be that of the body.
  *
@@ -20,6 +22,7 @@
   type Dispatcher,
   Pool,
 } from "undici";
+import { ConnectionEnd, endsWithConnection } from "./truncation.ts";
 
 /** Largest head of a response, in bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
@@ -126,22 +129,35 @@
 
 type Handler = Required<Dispatcher.DispatchHandler>;
 
+/** Observers of one connection. */
+interface Observers {
+  readonly meter: FramingMeter;
+  readonly paused: PausedResponse;
+  readonly end: ConnectionEnd;
+}
+
 /**
  * Passes the events of an exchange on and counts its body. A `Pool` passes
  * handlers of any form to its clients in the callback form.
  */
 class MeteredHandler implements Dispatcher.DispatchHandler {
   readonly #handler: Dispatcher.DispatchHandler;
+  readonly #method: string;
   readonly #meter: FramingMeter;
   readonly #paused: PausedResponse;
+  readonly #end: ConnectionEnd;
+  #endsWithConnection = false;
 
   constructor(
     handler: Dispatcher.DispatchHandler,
-    { meter, paused }: { meter: FramingMeter; paused: PausedResponse },
+    method: string,
+    { meter, paused, end }: Observers,
   ) {
     this.#handler = handler;
+    this.#method = method;
     this.#meter = meter;
     this.#paused = paused;
+    this.#end = end;
   }
 
   onConnect(...args: Parameters<Handler["onConnect"]>): void {
@@ -154,7 +170,9 @@
   }
 
   onHeaders(...args: Parameters<Handler["onHeaders"]>): boolean {
-    const [, , resume] = args;
+    const [status, headers, resume] = args;
+    const method = this.#method;
+    this.#endsWithConnection = endsWithConnection({ method, status, headers });
     this.#paused.begin(resume);
     return this.#handler.onHeaders?.(...args) ?? true;
   }
@@ -169,6 +187,9 @@
 
   onComplete(...args: Parameters<Handler["onComplete"]>): void {
     this.#meter.restart();
+    if (this.#endsWithConnection && !this.#end.isOrderly) {
+      return this.onError(new Error("connection reset"));
+    }
     this.#paused.end();
     this.#handler.onComplete?.(...args);
   }
@@ -182,31 +203,33 @@
 /** Returns a connector whose connections end what is paused. */
 function watched(
   connect: buildConnector.connector,
-  paused: PausedResponse,
+  { paused, end }: Pick<Observers, "paused" | "end">,
 ): buildConnector.connector {
   return (opts, done) =>
     connect(opts, (...args) => {
       const [, socket] = args;
-      if (socket) paused.watch(socket);
+      if (socket) {
+        end.watch(socket);
+        paused.watch(socket);
+      }
       done(...args);
     });
 }
 
 class BoundedClient extends Client {
-  readonly #meter: FramingMeter;
-  readonly #paused: PausedResponse;
+  readonly #observers: Observers;
 
   constructor(origin: URL, opts: BoundedClientOptions) {
     const meter = new FramingMeter();
     const paused = new PausedResponse();
+    const end = new ConnectionEnd();
     super(origin, {
       ...opts,
       maxHeaderSize: MAX_HEAD_BYTES,
       pipelining: 1,
-      connect: meter.connector(watched(opts.connect, paused)),
+      connect: meter.connector(watched(opts.connect, { paused, end })),
     });
-    this.#meter = meter;
-    this.#paused = paused;
+    this.#observers = { meter, paused, end };
   }
 
   override dispatch(
@@ -215,10 +238,7 @@
   ): boolean {
     return super.dispatch(
       opts,
-      new MeteredHandler(handler, {
-        meter: this.#meter,
-        paused: this.#paused,
-      }),
+      new MeteredHandler(handler, opts.method, this.#observers),
     );
   }
 }
--- a/src/http/mod.ts
+++ b/src/http/mod.ts
@@ -6,3 +6,4 @@
 
 export * from "./bounded_client.ts";
 export * from "./text_request.ts";
+export { endsWithConnection } from "./truncation.ts";
