--- a/src/http/bounded_client.ts
+++ b/src/http/bounded_client.ts
@@ -5,6 +5,8 @@
  * interim heads, the reason phrase and the extensions of chunks. A peer could
  * send those without end, also on an idle connection.
  *
+ * It fails responses without a length whose connections are reset.
+ *
  * It also ends responses that are paused when their connection ends, which
  * `undici` asserts never to happen if the end may be that of the body.
  *
@@ -21,6 +23,7 @@
   Pool,
 } from "undici";
 import { type OwnResponse, ResponseFilter } from "./response_filter.ts";
+import { ConnectionEnd, endsWithConnection } from "./truncation.ts";
 
 /** Largest head of a response, in bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
@@ -136,6 +139,7 @@
 interface Observers {
   readonly meter: FramingMeter;
   readonly paused: PausedResponse;
+  readonly end: ConnectionEnd;
   readonly filter: ResponseFilter;
 }
 
@@ -145,20 +149,25 @@
  */
 class MeteredHandler implements Dispatcher.DispatchHandler {
   readonly #handler: Dispatcher.DispatchHandler;
+  readonly #method: string;
   readonly #own: OwnResponse | undefined;
   readonly #meter: FramingMeter;
   readonly #paused: PausedResponse;
+  readonly #end: ConnectionEnd;
   readonly #filter: ResponseFilter;
+  #endsWithConnection = false;
 
   constructor(
     handler: Dispatcher.DispatchHandler,
-    own: OwnResponse | undefined,
-    { meter, paused, filter }: Observers,
+    { method, ownResponse }: BoundedDispatchOptions,
+    { meter, paused, end, filter }: Observers,
   ) {
     this.#handler = handler;
-    this.#own = own;
+    this.#method = method;
+    this.#own = ownResponse;
     this.#meter = meter;
     this.#paused = paused;
+    this.#end = end;
     this.#filter = filter;
   }
 
@@ -173,7 +182,9 @@
   }
 
   onHeaders(...args: Parameters<Handler["onHeaders"]>): boolean {
-    const [, , resume] = args;
+    const [status, headers, resume] = args;
+    const method = this.#method;
+    this.#endsWithConnection = endsWithConnection({ method, status, headers });
     this.#paused.begin(resume);
     return this.#handler.onHeaders?.(...args) ?? true;
   }
@@ -188,6 +199,9 @@
 
   onComplete(...args: Parameters<Handler["onComplete"]>): void {
     this.#meter.restart();
+    if (this.#endsWithConnection && !this.#end.isOrderly) {
+      return this.onError(new Error("connection reset"));
+    }
     this.#paused.end();
     this.#handler.onComplete?.(...args);
     this.#filter.end();
@@ -202,12 +216,13 @@
 /** Returns a connector whose connections are filtered and end what is paused. */
 function watched(
   connect: buildConnector.connector,
-  { paused, filter }: Pick<Observers, "paused" | "filter">,
+  { paused, end, filter }: Pick<Observers, "paused" | "end" | "filter">,
 ): buildConnector.connector {
   return (opts, done) =>
     connect(opts, (...args) => {
       const [, socket] = args;
       if (socket) {
+        end.watch(socket);
         paused.watch(socket);
         filter.watch(socket);
       }
@@ -227,24 +242,26 @@
   constructor(origin: URL, opts: BoundedClientOptions) {
     const meter = new FramingMeter();
     const paused = new PausedResponse();
+    const end = new ConnectionEnd();
     const filter = new ResponseFilter((bytes) => meter.skipped(bytes));
     super(origin, {
       ...opts,
       maxHeaderSize: MAX_HEAD_BYTES,
       pipelining: 1,
-      connect: meter.connector(watched(opts.connect, { paused, filter })),
+      connect: meter.connector(
+        watched(opts.connect, { paused, end, filter }),
+      ),
     });
-    this.#observers = { meter, paused, filter };
+    this.#observers = { meter, paused, end, filter };
   }
 
   override dispatch(
     opts: BoundedDispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    const { ownResponse: own } = opts;
     return super.dispatch(
       opts,
-      new MeteredHandler(handler, own, this.#observers),
+      new MeteredHandler(handler, opts, this.#observers),
     );
   }
 }
--- a/src/http/mod.ts
+++ b/src/http/mod.ts
@@ -7,3 +7,4 @@
 export * from "./bounded_client.ts";
 export type { OwnResponse, SkippedResponse } from "./response_filter.ts";
 export * from "./text_request.ts";
+export { endsWithConnection } from "./truncation.ts";
