The front answers nothing in the place of a request at work

Cause: without a 'clientError' listener, Node answers 400, 408, 413 or 431 by itself as soon as the next bytes of a connection can't be read, in the place of the response to a request that is still at work there and runs on. CONNECT destroys the connection, a request without a Host is answered 400 and those behind it still run, Upgrade makes the parser drop a request in the same packet (the response to a later one then stands in its place), and an unknown Expect is answered 417. None of these left a line in the log.

Change: src/http/client_errors.ts ends such a connection. The requests in hand get their own responses, the last of which announces the end; later bytes are discarded, not parsed, and a disconnect is still noticed. A body that can't be read is refused in its own place. Without a request in hand the caller is answered 400, 408 or 431. A head is late only if it is unfinished once the sockets have been read; heads are checked every 0.5 s, not every 30 s. A request that offers an upgrade ends its connection, an unknown expectation is ignored, a request without a Host is refused by the front.

--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -16,6 +16,11 @@
   type ServerResponse,
 } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
+import {
+  ClientErrors,
+  HEAD_CHECK_INTERVAL_MS,
+  ReadProblem,
+} from "../http/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { CallerLimits } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
@@ -68,6 +73,8 @@
   readonly #metrics: Metrics;
   #limits: CallerLimits = INITIAL_LIMITS;
   readonly #bodies = new BodyBudget();
+  /** Responses to requests that are being read or served. */
+  readonly #responses = new WeakMap<ServerResponse, HttpResponse>();
   #inHand = 0;
   #isLeaving = false;
 
@@ -84,10 +91,26 @@
     this.#log = deps.log;
     this.#metrics = deps.metrics;
     this.#server = createServer(
-      { maxHeaderSize: MAX_PARSED_HEAD_BYTES, keepAlive: true },
+      {
+        maxHeaderSize: MAX_PARSED_HEAD_BYTES,
+        keepAlive: true,
+        connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
+        // The front itself refuses such a request, and goes on reading.
+        requireHostHeader: false,
+      },
       (req, res) => this.#read(req, res),
     );
+    // An expectation that is not known may be ignored (RFC 9110, 10.1.1).
+    this.#server.on(
+      "checkExpectation",
+      (req, res) => this.#server.emit("request", req, res),
+    );
     closeIdleConnections(this.#server);
+    new ClientErrors(this.#server, {
+      log: deps.log,
+      metrics: deps.metrics,
+      refuse: (res, problem) => this.#refuseBroken(res, problem),
+    });
     // Each pipelined request listens to its connection.
     this.#server.on("connection", (socket) => socket.setMaxListeners(0));
     this.setLimits(INITIAL_LIMITS);
@@ -165,6 +188,8 @@
       endsConnection: () =>
         this.#isLeaving && this.#idleCloser.isLast(req.socket, res),
     });
+    this.#responses.set(res, response);
+    if (offersUpgrade(req)) response.endConnection();
     const body = new IncomingBody(this.#bodies);
     onClosed(res, req.socket, () => body.release());
     const refusal = this.#refusalOfHead(req, body);
@@ -194,6 +219,9 @@
     body: Buffer,
     receivedAt: number,
   ): void {
+    if (req.httpVersion === "1.1" && req.headers.host === undefined) {
+      return this.#refuse(response, NO_HOST);
+    }
     const decoded = this.#codec.decode({
       method: req.method ?? "GET",
       path: req.url ?? "/",
@@ -245,6 +273,14 @@
     response.refuse(refusal);
   }
 
+  /** Refuses a request whose body can't be read to its end. */
+  #refuseBroken(res: ServerResponse, problem: ReadProblem): void {
+    const response = this.#responses.get(res);
+    if (!response || response.hasBegun) return;
+    response.endConnection();
+    this.#refuse(response, BROKEN_REQUESTS[problem]);
+  }
+
   /** Refuses a request without reading its body, and closes its connection. */
   #refuseUnread(
     req: IncomingMessage,
@@ -287,6 +323,17 @@
   socket.once("close", notify);
 }
 
+/**
+ * Tells whether a request offers to switch protocols. The parser then discards
+ * what follows the request in its packet.
+ */
+function offersUpgrade({ headers }: IncomingMessage): boolean {
+  return headers.upgrade !== undefined &&
+    /\bupgrade\b/i.test(headers.connection ?? "");
+}
+
+const NO_HOST: Refusal = { kind: RefusalKind.Malformed, reason: "no host" };
+
 const BODY_TOO_LARGE: Refusal = {
   kind: RefusalKind.TooLarge,
   reason: "body is too large",
@@ -298,6 +345,22 @@
   retryAfterMs: BUFFER_FULL_RETRY_AFTER_MS,
 };
 
+const MALFORMED_BODY: Refusal = {
+  kind: RefusalKind.Malformed,
+  reason: "body is malformed",
+};
+
+const BROKEN_REQUESTS: Readonly<Record<ReadProblem, Refusal>> = {
+  [ReadProblem.Malformed]: MALFORMED_BODY,
+  [ReadProblem.Ended]: MALFORMED_BODY,
+  [ReadProblem.TimedOut]: MALFORMED_BODY,
+  [ReadProblem.BodyTooLarge]: BODY_TOO_LARGE,
+  [ReadProblem.HeadTooLarge]: {
+    kind: RefusalKind.HeadTooLarge,
+    reason: "trailer is too large",
+  },
+};
+
 const CONNECTION_HEADER = "connection";
 
 /** Response of one HTTP exchange. */
--- a/src/gateway/http_front_test.ts
+++ b/src/gateway/http_front_test.ts
@@ -329,3 +329,112 @@
   assert.equal(responses.length, 0);
   assert.equal(front.inHand, 0);
 });
+
+const UNFINISHED = "GET / HTTP/1.1\r\nHost: a";
+const GARBAGE = "\x00garbage\r\n\r\n";
+const CONNECT = "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n";
+
+// Guards against REFUSED by a timer that runs before the sockets are read.
+test("a head that is finished during a stall past its time is read", async (t) => {
+  const { front, port } = await startFront();
+  const caller = new Caller(port);
+  t.after(async () => {
+    await front.drain(0);
+    caller.socket.destroy();
+  });
+  front.setLimits({ ...INITIAL_LIMITS, headerTimeoutMs: STALL_MS / 2 });
+  caller.socket.write(UNFINISHED);
+  await sleep(SETTLE_MS);
+  caller.socket.write("\r\n\r\n");
+  stall(STALL_MS);
+  await sleep(2 * STALL_MS);
+  assert.equal(caller.answers, 1, caller.text);
+  assert.doesNotMatch(caller.text, /408/);
+});
+
+test("a head that goes on during a stall, and then stops, is refused", async (t) => {
+  const { front, port } = await startFront();
+  const caller = new Caller(port);
+  t.after(async () => {
+    await front.drain(0);
+    caller.socket.destroy();
+  });
+  front.setLimits({ ...INITIAL_LIMITS, headerTimeoutMs: STALL_MS / 2 });
+  caller.socket.write(UNFINISHED);
+  await sleep(SETTLE_MS);
+  caller.socket.write("\r\n");
+  stall(STALL_MS);
+  await sleep(SETTLE_MS);
+  assert.equal(caller.text, "");
+  await sleep(2 * STALL_MS);
+  assert.match(caller.text, /^HTTP\/1.1 408/);
+});
+
+[GARBAGE, CONNECT].forEach((next) =>
+  test(`a slow caller gets the whole response that ${JSON.stringify(next)} follows`, async (t) => {
+    const body = Buffer.alloc(SLOW_BODY_BYTES, "x");
+    let hasResumed = false;
+    const { front, port } = await startFront((response) => {
+      response.begin(STREAM);
+      const finish = () => {
+        hasResumed = true;
+        response.end();
+      };
+      if (response.write(body, finish)) finish();
+    });
+    const { socket } = new Caller(port);
+    t.after(async () => {
+      await front.drain(0);
+      socket.destroy();
+    });
+    let size = 0;
+    socket.on("data", (bytes) => size += bytes.length);
+    socket.write(REQUEST);
+    await once(socket, "data");
+    socket.pause();
+    socket.write(next);
+    await sleep(SETTLE_MS);
+    socket.resume();
+    await once(socket, "end");
+    assert.ok(size > SLOW_BODY_BYTES, `got ${size} bytes`);
+    assert.equal(hasResumed, true);
+    await sleep(SETTLE_MS);
+    assert.equal(front.inHand, 0);
+  })
+);
+
+// Guards against GONE: bytes without end that hide the end of a connection.
+test("a caller that leaves behind a flood of garbage is gone", async (t) => {
+  const responses: CallerResponse[] = [];
+  const { front, port } = await startFront((res) => responses.push(res));
+  const { socket } = new Caller(port);
+  t.after(() => front.drain(0));
+  socket.write(REQUEST);
+  await sleep(SETTLE_MS);
+  const flood = setInterval(() => socket.write(GARBAGE.repeat(10_000)), 10);
+  await sleep(SETTLE_MS);
+  assert.equal(responses[0]?.gone.aborted, false);
+  clearInterval(flood);
+  socket.resetAndDestroy();
+  await sleep(SETTLE_MS);
+  assert.equal(responses[0]?.gone.aborted, true);
+  assert.equal(front.inHand, 0);
+});
+
+test("a stop closes a connection on which nothing more can be read", async (t) => {
+  const responses: CallerResponse[] = [];
+  const { front, port } = await startFront((res) => responses.push(res));
+  const caller = new Caller(port);
+  t.after(() => caller.socket.destroy());
+  caller.socket.write(REQUEST + GARBAGE);
+  await sleep(SETTLE_MS);
+  front.leave();
+  const drained = front.drain(DRAIN_MS);
+  await sleep(SETTLE_MS);
+  assert.equal(front.inHand, 1);
+  responses.forEach(respondEmpty);
+  await once(caller.socket, "end");
+  assert.equal(caller.answers, 1);
+  await drained;
+  assert.equal(front.inHand, 0);
+});
--- a/src/gateway/idle_connections.ts
+++ b/src/gateway/idle_connections.ts
@@ -88,8 +88,7 @@
   /** Tells whether no response to a later request can be sent on `socket`. */
   isEnding(socket: Socket): boolean {
     const last = this.#usages.get(socket)?.last;
-    const isAnnounced = last?.headersSent && !last.shouldKeepAlive;
-    return isAnnounced || !socket.writable;
+    return last?.shouldKeepAlive === false || !socket.writable;
   }
 
   /** Closes each connection that is idle, now or later. */
--- a/src/http/mod.ts
+++ b/src/http/mod.ts
@@ -1,8 +1,10 @@
 /**
- * HTTP clients that take a limited number of bytes from their peers.
+ * HTTP clients that take a limited number of bytes from their peers, and the
+ * end of connections on which a server can read no further request.
  *
  * @module
  */
 
 export * from "./bounded_client.ts";
+export * from "./client_errors.ts";
 export * from "./text_request.ts";
