Entries and agents answer nothing in the place of a request at work

Cause: the server of the product's processes (front and control) had no 'clientError' listener either: bytes that can't be read, behind a request that is at work, were answered 400 or 431 in its place, and CONNECT closed its connection, while the application ran it to its end.

Change: the server uses ClientErrors, with the log and metrics of its process. A request whose own body can't be read loses its connection, which promises nothing: the application may be at work on it already.

--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -159,6 +159,8 @@
       const server = await listen(ctx.get(FRONT).app(), {
         ...cfg.listen,
         keys: cfg.listenTls ? ctx.get(KEYS) : undefined,
+        log: ctx.get(LOG),
+        metrics: ctx.get(METRICS),
       });
       ctx.get(LOG).info("entry_started", { port: server.port });
       return server;
--- a/src/http/client_errors.ts
+++ b/src/http/client_errors.ts
@@ -247,7 +247,8 @@
 function announceEnd(last: ServerResponse): void {
   if (last.headersSent) return;
   last.shouldKeepAlive = false;
-  last.removeHeader("connection");
+  if (!last.hasHeader("connection")) return;
+  last.setHeader("connection", "close");
   last.removeHeader("keep-alive");
 }
 
--- a/src/process/server.ts
+++ b/src/process/server.ts
@@ -17,7 +17,9 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Server as TlsServer } from "node:tls";
+import { ClientErrors, HEAD_CHECK_INTERVAL_MS } from "../http/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
+import { type Logger, Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import type { KeyStore, TlsMaterial } from "../tls/mod.ts";
 import { Traffic } from "./traffic.ts";
 
@@ -60,6 +62,8 @@
   readonly port: number;
   /** Certificate and key; plain HTTP without them. */
   readonly keys?: KeyStore;
+  readonly log?: Logger;
+  readonly metrics?: Metrics;
 }
 
 /** Starts a server for an application. */
@@ -73,10 +77,16 @@
         fetch: app.fetch,
         hostname: opts.address,
         port: opts.port,
-        ...(opts.keys ? tlsOptions(opts.keys) : {}),
+        ...serverOptions(opts.keys),
       },
       ({ port }) => resolve(new HttpListening(server, port)),
     ) as Server;
+    new ClientErrors(server, {
+      log: opts.log ?? SILENT_LOGGER,
+      metrics: opts.metrics ?? new Metrics(),
+      // The application may be at work on the part of the body that has come.
+      refuse: ({ req }) => req.socket.destroy(),
+    });
     opts.keys?.onRotate((material) =>
       (server as Server & TlsServer).setSecureContext(secureContextOf(material))
     );
@@ -87,13 +97,16 @@
 }
 
 /**
- * Returns options that request a client certificate; whether a request needs a
- * valid one is decided by the application.
+ * Returns options of the server. With TLS it requests a client certificate;
+ * whether a request needs a valid one is decided by the application.
  */
-function tlsOptions(keys: KeyStore) {
+function serverOptions(keys: KeyStore | undefined) {
+  const options = { connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS };
+  if (!keys) return { serverOptions: options };
   return {
     createServer,
     serverOptions: {
+      ...options,
       ...secureContextOf(keys.current),
       requestCert: true,
       rejectUnauthorized: false,
--- a/src/process/server_test.ts
+++ b/src/process/server_test.ts
@@ -2,7 +2,9 @@
 import assert from "node:assert/strict";
 import { Hono } from "hono";
 import { Agent, get, type IncomingMessage } from "node:http";
+import { connect } from "node:net";
 import { test } from "node:test";
+import { sleep } from "../kernel/mod.ts";
 import { LINGER_MS, listen, type ListeningServer } from "./server.ts";
 
 const LISTEN_OPTIONS = { address: "127.0.0.1", port: 0 };
@@ -84,3 +86,52 @@
   assert.equal((await response).statusCode, 200);
   await closed;
 });
+
+/** Server whose only response waits for `finish`. */
+async function listenSlowly() {
+  let finish = () => {};
+  const slow = new Promise<void>((resolve) => finish = resolve);
+  let runs = 0;
+  const server = await listen(
+    new Hono().post("/", async (c) => {
+      runs += 1;
+      await slow;
+      return c.text("done");
+    }),
+    LISTEN_OPTIONS,
+  );
+  return { server, finish: () => finish(), runs: () => runs };
+}
+
+const POST = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+const SETTLE_MS = 200;
+
+// Guards against 400, 408 or 431 in the place of a request at work.
+[
+  { kind: "garbage", next: "\x00garbage\r\n\r\n" },
+  { kind: "a bad length", next: POST.replace("0", "-1") },
+  {
+    kind: "an overlong head",
+    next: `GET / HTTP/1.1\r\nHost: ${"a".repeat(100_000)}\r\n\r\n`,
+  },
+  { kind: "CONNECT", next: "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n" },
+].forEach(({ kind, next }) =>
+  test(`${kind} after a request at work doesn't take the place of its response`, async () => {
+    const { server, finish, runs } = await listenSlowly();
+    const socket = connect({ port: server.port, host: "127.0.0.1" });
+    let text = "";
+    socket.on("data", (bytes) => text += bytes);
+    socket.on("error", () => {});
+    socket.write(POST);
+    await sleep(SETTLE_MS);
+    socket.write(next);
+    await sleep(SETTLE_MS);
+    assert.equal(text, "");
+    finish();
+    await sleep(2 * SETTLE_MS);
+    assert.match(text, /^HTTP\/1.1 200[^]*connection: close[^]*done$/i);
+    assert.equal(runs(), 1);
+    assert.equal(socket.readyState, "closed");
+    await server.close();
+  })
+);
--- a/src/process/shared_services.ts
+++ b/src/process/shared_services.ts
@@ -33,7 +33,12 @@
         ...optionsOf(ctx),
         metrics: ctx.get(METRICS),
       });
-      return listen(app, { ...cfg.control, keys: ctx.get(KEYS) });
+      return listen(app, {
+        ...cfg.control,
+        keys: ctx.get(KEYS),
+        log: ctx.get(LOG),
+        metrics: ctx.get(METRICS),
+      });
     },
     leave: (server) => server.leave(),
     drain: (server) => server.close(),
