A stopping process takes no request that it can't answer

What callers saw: requests on connections that had been open but unused at the SIGTERM, and requests whose bodies arrived slowly, were taken to the end of the grace period and passed on. What was not done 7.3 s after the SIGTERM was answered 502, streams were cut; both may not be repeated.

Cause: connections without a request were not known to the closer of idle connections, and nothing compared the time that a request takes with what was left of the grace period.

Change: when the process stops listening, unused connections are closed as idle ones are. Once a stop is announced, a request is refused at once as not run (Retry-After 0, Connection: close) if the usual time of its route (mean plus deviation of complete responses; the latency goal while none was seen), its timeout and its deadline all lie beyond the end; the same holds before each sending, after stages and refusals. A body that is still arriving at the end is answered 503, too.

The opposite error: refusing all requests from the SIGTERM on would send those away that take 50 ms, while the load balancer still offers new connections for 2 s. A request that fits is served to the end of the grace period.

--- a/src/gateway/conclusion.ts
+++ b/src/gateway/conclusion.ts
@@ -18,7 +18,7 @@
  * Time after which callers may retry when this process ends, in milliseconds:
  * they reach another one at once.
  */
-const STOPPED_RETRY_AFTER_MS = 0;
+export const STOPPED_RETRY_AFTER_MS = 0;
 
 type LogFields = Record<string, string | number | undefined>;
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -22,6 +22,7 @@
 import type { CallerResponse, TargetClient } from "./ports.ts";
 import type { PlannedStop } from "./planned_stop.ts";
 import { type Admitted, type AttemptEnd, Relay } from "./relay.ts";
+import type { ResponseTimes } from "./response_times.ts";
 import { streamOf, type StreamOriginMemory } from "./stream_binding.ts";
 import type { TargetTracker } from "./target_tracker.ts";
 
@@ -35,7 +36,8 @@
   readonly origins: StreamOriginMemory;
   readonly crashes: Pick<CrashWatch, "watch">;
   readonly heldBytes: HeldBytes;
-  readonly stop: Pick<PlannedStop, "ended">;
+  readonly stop: Pick<PlannedStop, "ended" | "remainingMs">;
+  readonly responseTimes: ResponseTimes;
 }
 
 /**
@@ -51,6 +53,7 @@
   readonly #admitted: Admitted;
   readonly #response: CallerResponse;
   readonly #deps: ExchangeDeps;
+  readonly #startedAt = monotonicMs();
   readonly #deadlineAt: number;
   readonly #preparer: AttemptPreparer;
   readonly #conclusion: Conclusion;
@@ -140,11 +143,28 @@
       this.#conclusion.abandon(reason, retryAfterMs);
       return undefined;
     }
-    if (!this.#conclusion.isOver) return this.#start(prepared.value, () => {});
+    const isTooLate = this.#isTooLateToSend;
+    if (!this.#conclusion.isOver && !isTooLate) {
+      return this.#start(prepared.value, () => {});
+    }
     discardAttempt(prepared.value);
+    if (isTooLate) this.#conclusion.stopped(false);
     return undefined;
   }
 
+  /**
+   * True when this process is likely to stop before a target has responded. A
+   * stream that has begun goes on as long as it can.
+   */
+  get #isTooLateToSend(): boolean {
+    const { responseTimes, stop } = this.#deps;
+    const neededMs = Math.min(
+      responseTimes.attemptMs(this.#admitted.route),
+      this.#deadlineAt - monotonicMs(),
+    );
+    return !this.#response.hasBegun && neededMs > stop.remainingMs;
+  }
+
   #prepare(
     signal: AbortSignal,
   ): Promise<Result<PreparedAttempt, Unprepared>> {
@@ -190,6 +210,7 @@
     const { req, route, organisation, content } = this.#admitted;
     const remainingMs = Math.floor(this.#deadlineAt - monotonicMs());
     const { target } = reservation;
+    const sentAt = monotonicMs();
     this.#log("sent", {
       target: target.id,
       build: target.build,
@@ -220,6 +241,13 @@
       onEnd: (end) => {
         inputs.release();
         this.#open.delete(relay);
+        if (end.kind === "over" && !this.#conclusion.isOver) {
+          const now = monotonicMs();
+          this.#deps.responseTimes.observe(route, {
+            totalMs: now - this.#startedAt,
+            attemptMs: now - sentAt,
+          });
+        }
         this.#recordAttempt(target.id, end, relay.writingMs);
         resolve(end);
       },
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -17,6 +17,7 @@
   CallListener,
   ResponseHead,
 } from "./ports.ts";
+import { ResponseTimes } from "./response_times.ts";
 
 const STREAM = route({
   kind: RouteKind.Stream,
@@ -118,6 +119,7 @@
         firstByteTimes: new FirstByteTimes(),
         heldBytes: new HeldBytes(),
         stop: new PlannedStop(),
+        responseTimes: new ResponseTimes(),
         rates: { acquire: () => Promise.resolve(true) },
         crashes: { watch: (target) => new CallWatch(target, [], NO_FINDINGS) },
         origins: {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
   type Route,
   RouteHistory,
 } from "../serving/mod.ts";
+import { STOPPED_RETRY_AFTER_MS } from "./conclusion.ts";
 import { Exchange, type ExchangeDeps } from "./exchange.ts";
 import type { FleetView } from "./fleet_view.ts";
 import type { Peers } from "./peers.ts";
@@ -36,6 +37,13 @@
  */
 const CUT_OFF_MS = 5_000;
 
+/** Refusal of a request that this process is too late to serve. */
+const STOPPING: Refusal = {
+  kind: RefusalKind.NotRun,
+  reason: "the process stops before the request can end",
+  retryAfterMs: STOPPED_RETRY_AFTER_MS,
+};
+
 /** Priorities of routes within one priority of an organisation. */
 const ROUTE_PRIORITIES = 10;
 
@@ -109,6 +117,7 @@
     }
     const pool = catalog.pool(poolFor(route, req.id) ?? "");
     if (!pool) return err(notReady("the route's pool is not known"));
+    if (this.#isTooLate(req, route)) return err(STOPPING);
     const content = {
       promptParts: req.promptParts,
       fingerprint: fingerprintOf(req, organisation),
@@ -132,6 +141,17 @@
     });
   }
 
+  /** True when this process is likely to stop before it has responded. */
+  #isTooLate({ deadlineMs = Infinity }: CallerRequest, route: Route): boolean {
+    const { responseTimes, stop } = this.#deps;
+    const neededMs = Math.min(
+      responseTimes.totalMs(route),
+      route.timeoutMs,
+      deadlineMs,
+    );
+    return neededMs > stop.remainingMs;
+  }
+
   #recordHistory(req: CallerRequest, { name }: Route): RouteHistory {
     const history = (this.#histories.get(name) ?? new RouteHistory())
       .record({ deadlineMs: req.deadlineMs, tokens: req.tokens });
--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -20,6 +20,7 @@
 import type { CallerLimits } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import { BodyBudget, IncomingBody } from "./body_budget.ts";
+import { STOPPED_RETRY_AFTER_MS } from "./conclusion.ts";
 import { closeIdleConnections, IdleCloser } from "./idle_connections.ts";
 import {
   type CallerCodec,
@@ -68,6 +69,8 @@
   readonly #metrics: Metrics;
   #limits: CallerLimits = INITIAL_LIMITS;
   readonly #bodies = new BodyBudget();
+  /** Refuses the requests whose bodies are being read. */
+  readonly #unread = new Set<(refusal: Refusal) => void>();
   #inHand = 0;
   #isLeaving = false;
 
@@ -88,8 +91,11 @@
       (req, res) => this.#read(req, res),
     );
     closeIdleConnections(this.#server);
-    // Each pipelined request listens to its connection.
-    this.#server.on("connection", (socket) => socket.setMaxListeners(0));
+    this.#server.on("connection", (socket: Socket) => {
+      this.#idleCloser.accept(socket);
+      // Each pipelined request listens to its connection.
+      socket.setMaxListeners(0);
+    });
     this.setLimits(INITIAL_LIMITS);
   }
 
@@ -137,6 +143,7 @@
     if (this.#inHand > 0) {
       this.#log.warn("requests_ended_by_stop", { inHand: this.#inHand });
       endRequests();
+      this.#unread.forEach((refuse) => refuse(STOPPING));
       await this.#waitUntilDone(FINAL_RESPONSES_MS);
     }
     this.#server.closeAllConnections();
@@ -169,23 +176,27 @@
     onClosed(res, req.socket, () => body.release());
     const refusal = this.#refusalOfHead(req, body);
     if (refusal) return this.#refuseUnread(req, response, refusal);
+    const refuse = (refusal: Refusal) => {
+      this.#unread.delete(refuse);
+      body.release();
+      req.removeAllListeners("data");
+      this.#refuseUnread(req, response, refusal);
+    };
+    this.#unread.add(refuse);
+    onClosed(res, req.socket, () => this.#unread.delete(refuse));
     req.on("data", (chunk: Buffer) => {
       const isHeld = body.tryAdd(chunk);
       if (isHeld && body.length <= this.#limits.maxBodyBytes) return;
-      body.release();
-      req.removeAllListeners("data");
-      this.#refuseUnread(
-        req,
-        response,
-        isHeld ? BODY_TOO_LARGE : BODIES_FULL,
-      );
+      refuse(isHeld ? BODY_TOO_LARGE : BODIES_FULL);
     });
-    req.on("end", () =>
+    req.on("end", () => {
+      this.#unread.delete(refuse);
       afterNextReads(() => {
         if (response.hasBegun || response.gone.aborted) return;
         if (!req.socket.writable) return this.#logGone(response);
         this.#serve(req, response, body.take(), receivedAt);
-      }));
+      });
+    });
   }
 
   #serve(
@@ -298,6 +309,12 @@
   retryAfterMs: BUFFER_FULL_RETRY_AFTER_MS,
 };
 
+const STOPPING: Refusal = {
+  kind: RefusalKind.NotRun,
+  reason: "the process has stopped",
+  retryAfterMs: STOPPED_RETRY_AFTER_MS,
+};
+
 const CONNECTION_HEADER = "connection";
 
 /** Response of one HTTP exchange. */
--- a/src/gateway/idle_connections.ts
+++ b/src/gateway/idle_connections.ts
@@ -46,8 +46,8 @@
   readonly openResponses: number;
   /** Bytes that had been read from the connection when its request ended. */
   readonly bytesRead: number;
-  /** Response to the last request that was read. */
-  readonly last: ServerResponse;
+  /** Response to the last request that was read; undefined before it. */
+  readonly last?: ServerResponse;
 }
 
 /** Closes connections once no response is open on them. */
@@ -55,16 +55,20 @@
   readonly #usages = new Map<Socket, Usage>();
   #isClosing = false;
 
+  /** Follows a connection that has been accepted. */
+  accept(socket: Socket): void {
+    this.#usages.set(socket, { openResponses: 0, bytesRead: 0 });
+    socket.once("close", () => this.#usages.delete(socket));
+  }
+
   /** Follows a request whose head has been read. */
   follow(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
-    const usage = this.#usages.get(socket);
-    if (!usage) socket.once("close", () => this.#usages.delete(socket));
-    this.#usages.set(socket, {
-      openResponses: (usage?.openResponses ?? 0) + 1,
-      bytesRead: usage?.bytesRead ?? 0,
+    this.#update(socket, (usage) => ({
+      ...usage,
+      openResponses: usage.openResponses + 1,
       last: res,
-    });
+    }));
     req.once("end", () => {
       this.#update(socket, (usage) => ({
         ...usage,
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -27,6 +27,7 @@
 import type { CallerCodec, StateSource, TargetClient } from "./ports.ts";
 import { PlannedStop } from "./planned_stop.ts";
 import { Registration } from "./registration.ts";
+import { ResponseTimes } from "./response_times.ts";
 import { ShardRunners } from "./shard_runners.ts";
 import { originFleet } from "./stream_binding.ts";
 import { type RetryBudget, TargetTracker } from "./target_tracker.ts";
@@ -198,6 +199,7 @@
     client: targets,
     heldBytes: new HeldBytes(),
     stop,
+    responseTimes: new ResponseTimes(),
     firstByteTimes: new FirstByteTimes(),
     log,
     metrics,
