A stopping entry or agent sends its responses whole and closes unused connections

What callers saw: at a planned stop of an entry, a response of which its caller had read only a part was cut (3.9 of 33.6 MB arrived). A connection without a request held the stop up for 4 s more.

Cause: the HTTP server's own `close` destroys a connection once its response has been written, though not yet sent, and doesn't count a connection without a request as idle. The gateway had been freed of this; the entries and agents of the product had not.

Change: IdleCloser moves from src/gateway to src/http, and the server of entries and agents closes its connections with it.

Result: server_test: both cases failed before (3,919,702 of 33,554,432 bytes; not closed after the linger time) and pass now.

--- a/src/gateway/http_front.ts
+++ b/src/gateway/http_front.ts
@@ -16,12 +16,12 @@
   type ServerResponse,
 } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
+import { closeIdleConnections, IdleCloser } from "../http/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { CallerLimits } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
 import { BodyBudget, IncomingBody } from "./body_budget.ts";
 import { STOPPED_RETRY_AFTER_MS } from "./conclusion.ts";
-import { closeIdleConnections, IdleCloser } from "./idle_connections.ts";
 import {
   type CallerCodec,
   type CallerRequest,
--- a/src/gateway/idle_connections.ts
+++ b/src/http/idle_connections.ts
@@ -57,7 +57,8 @@
 
   /** Follows a connection that has been accepted. */
   accept(socket: Socket): void {
-    this.#usages.set(socket, { openResponses: 0, bytesRead: 0 });
+    const { bytesRead } = socket;
+    this.#usages.set(socket, { openResponses: 0, bytesRead });
     socket.once("close", () => this.#usages.delete(socket));
   }
 
--- a/src/process/server.ts
+++ b/src/process/server.ts
@@ -13,10 +13,11 @@
 
 import { serve } from "@hono/node-server";
 import type { Hono } from "hono";
-import { createServer } from "node:https";
+import { createServer, Server as TlsHttpServer } from "node:https";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import type { Server as TlsServer } from "node:tls";
+import { IdleCloser } from "../http/mod.ts";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { KeyStore, TlsMaterial } from "../tls/mod.ts";
 import { Traffic } from "./traffic.ts";
@@ -109,6 +110,7 @@
   readonly port: number;
   readonly traffic = new Traffic();
   readonly #server: Server;
+  readonly #idleCloser = new IdleCloser();
   #inFlight = 0;
   #leavingSince: number | undefined;
 
@@ -116,9 +118,14 @@
     this.port = port;
     this.#server = server;
     server.on("connection", (socket: Socket) => this.traffic.add(socket));
+    // With TLS, requests arrive on the socket inside the connection.
+    server.on(
+      server instanceof TlsHttpServer ? "secureConnection" : "connection",
+      (socket: Socket) => this.#idleCloser.accept(socket),
+    );
     server.prependListener(
       "request",
-      (_req, res) => this.#onRequest(_req, res),
+      (req, res) => this.#onRequest(req, res),
     );
   }
 
@@ -134,16 +141,21 @@
     if (this.#leavingSince !== undefined) {
       await sleep(this.#leavingSince + LINGER_MS - monotonicMs());
     }
+    // The HTTP server's own `close` takes a connection for idle, and destroys
+    // it, as soon as its response has been written, though not yet sent.
     const closed = new Promise<void>((resolve) =>
-      this.#server.close(() => resolve())
+      NetServer.prototype.close.call(this.#server, () => resolve())
     );
+    this.#idleCloser.closeFromNowOn();
     await Promise.race([closed, this.#untilIdle()]);
     this.#server.closeAllConnections();
+    this.#server.close();
     await closed;
   }
 
-  #onRequest(_req: IncomingMessage, res: ServerResponse): void {
+  #onRequest(req: IncomingMessage, res: ServerResponse): void {
     this.#inFlight += 1;
+    this.#idleCloser.follow(req, res);
     res.once("close", () => this.#inFlight -= 1);
     if (this.#leavingSince !== undefined) {
       res.shouldKeepAlive = false;
--- a/src/process/server_test.ts
+++ b/src/process/server_test.ts
@@ -1,10 +1,15 @@
 import { install } from "@sinonjs/fake-timers";
 import assert from "node:assert/strict";
 import { Hono } from "hono";
+import { once } from "node:events";
 import { Agent, get, type IncomingMessage } from "node:http";
+import { connect } from "node:net";
 import { test } from "node:test";
+import { sleep } from "../kernel/mod.ts";
 import { LINGER_MS, listen, type ListeningServer } from "./server.ts";
 
+const BODY_BYTES = 32 * 1024 * 1024;
+const PAUSE_MS = 200;
 const LISTEN_OPTIONS = { address: "127.0.0.1", port: 0 };
 
 function sendRequest(
@@ -84,3 +89,48 @@
   assert.equal((await response).statusCode, 200);
   await closed;
 });
+
+// Guards against a response that is cut off since its caller reads slowly.
+test("ListeningServer.close() sends a response whole to a slow caller", async () => {
+  const body = "x".repeat(BODY_BYTES);
+  const server = await listen(
+    new Hono().get("/", (c) => c.text(body)),
+    LISTEN_OPTIONS,
+  );
+  const agent = new Agent({ keepAlive: true });
+  const res = await new Promise<IncomingMessage>((resolve, reject) => {
+    get(`http://127.0.0.1:${server.port}/`, { agent }, resolve)
+      .once("error", reject);
+  });
+  res.pause();
+  res.on("error", () => {});
+  const ended = new Promise((resolve) => res.once("close", resolve));
+  await sleep(PAUSE_MS);
+  const closed = server.close();
+  await sleep(PAUSE_MS);
+  let length = 0;
+  res.on("data", (chunk: Buffer) => length += chunk.length);
+  res.resume();
+  await ended;
+  await closed;
+  agent.destroy();
+  assert.equal(length, BODY_BYTES);
+});
+
+// Guards against a stop that waits for connections without a request.
+test("ListeningServer.close() does not wait for an unused connection", async () => {
+  const server = await listen(app(), LISTEN_OPTIONS);
+  const socket = connect(server.port, "127.0.0.1");
+  await once(socket, "connect");
+  await sleep(PAUSE_MS);
+  const clock = pausedClock();
+  server.leave();
+  let isClosed = false;
+  const closed = server.close().then(() => isClosed = true);
+  await clock.tickAsync(LINGER_MS + PAUSE_MS);
+  clock.uninstall();
+  await sleep(PAUSE_MS);
+  assert.equal(isClosed, true);
+  socket.destroy();
+  await closed;
+});
