--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -19,6 +19,7 @@
   type ResponseHead,
   RunReport,
 } from "./ports.ts";
+import { ResponseTimes } from "./response_times.ts";
 
 const STREAM = route({
   kind: RouteKind.Stream,
@@ -125,6 +126,7 @@
         firstByteTimes: new FirstByteTimes(),
         heldBytes: new HeldBytes(),
         stop: new PlannedStop(),
+        responseTimes: new ResponseTimes(),
         rates: {
           acquire: async () => {
             await sleep(this.permitMs);
