A refusal of unknown outcome has no status that says "not run"

Cause: the status of a refusal followed from its reason alone, 503 by default. A filing whose target crashed, reset its connection or whose record could not be reached, and a retry refused after a lost attempt (finalRefusal keeps the last reason), were answered 503 or 429 with Retry-After and `outcome-unknown` in the body: callers and proxies that read the status alone repeat them.

Change: problemOf gives 502 in place of 408, 421, 429 and 503 where the proof is `outcome-unknown`. Bodies and Retry-After stay.

--- a/src/entry/front_test.ts
+++ b/src/entry/front_test.ts
@@ -6,6 +6,7 @@
   EMPTY_LISTS,
   type Lists,
   notRun,
+  outcomeUnknown,
   RefusalReason,
   sha256,
   type StageResult,
@@ -171,6 +172,23 @@
   assert.equal((await bodyOf(res)).detail, "Full");
 });
 
+// Guards against REFUSED: 503 for a filing whose target crashed with it.
+test("Front reports no unknown outcome with a status that says not run", async () => {
+  const statuses = await Promise.all(
+    Object.values(RefusalReason).map(async (reason) => {
+      const refusal = outcomeUnknown(reason, "Lost", 1_000);
+      const run = () => Promise.resolve(err(refusal));
+      const res = await send({ deps: { runner: { run } } });
+      assert.equal((await bodyOf(res)).outcome, "outcome-unknown");
+      return [reason, res.status] as const;
+    }),
+  );
+  assert.deepEqual(
+    statuses.filter(([, status]) => [408, 421, 429, 503].includes(status)),
+    [],
+  );
+});
+
 test("Front reports an unknown outcome when the run throws", async () => {
   const run = () => Promise.reject(new Error("boom"));
   const response = await problem({ deps: { runner: { run } } });
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -29,6 +29,9 @@
   [RefusalReason.Internal]: 500,
 };
 const DEFAULT_STATUS = 503;
+/** Statuses after which callers and proxies take a request for not run. */
+const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
+const BAD_GATEWAY = 502;
 
 /** A problem document with this system's extension members. */
 export interface Problem {
@@ -47,7 +50,7 @@
   return {
     type: `urn:cassiapost:refusal:${refusal.reason}`,
     title: titleOf(refusal),
-    status: STATUS_BY_REASON[refusal.reason] ?? DEFAULT_STATUS,
+    status: statusOf(refusal),
     detail: refusal.detail,
     outcome: refusal.proof,
     requestId,
@@ -65,6 +68,13 @@
   };
 }
 
+function statusOf({ reason, proof }: Refusal): number {
+  const status = STATUS_BY_REASON[reason] ?? DEFAULT_STATUS;
+  return proof === Proof.OutcomeUnknown && NOT_RUN_STATUSES.includes(status)
+    ? BAD_GATEWAY
+    : status;
+}
+
 function titleOf(refusal: Refusal): string {
   const words = refusal.reason.replaceAll("-", " ");
   const title = words.charAt(0).toUpperCase() + words.slice(1);
