An oversized request is refused as not run only once its key is closed

Cause: the body limit answered 413 with `not-run` before the front looked at the key. `not-run` covers every earlier request with a caller's key, and one of these may have run (docs/OUTCOMES.md, first point of failure).

Change: the limit stands at the route of the pipelines and confirms the refusal as the other checks do. Other paths read no body.

--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -61,14 +61,17 @@
   /** Creates the application that handles the HTTP requests. */
   app(): Hono {
     const app = new Hono();
-    app.use(bodyLimit({
+    const limit = bodyLimit({
       maxSize: this.#deps.maxBodyBytes,
-      onError: () =>
+      onError: async (c) =>
         problemResponse(
-          notRun(RefusalReason.BodyTooLarge, "The body is too large"),
+          await this.#confirm(
+            c,
+            notRun(RefusalReason.BodyTooLarge, "The body is too large"),
+          ),
         ),
-    }));
-    app.post("/v1/pipelines/:name", (c) => this.#serve(c));
+    });
+    app.post("/v1/pipelines/:name", limit, (c) => this.#serve(c));
     app.get(
       "/readyz",
       (c) => this.isReady ? c.text("ready\n") : c.text("not ready\n", 503),
--- a/src/entry/front_test.ts
+++ b/src/entry/front_test.ts
@@ -172,6 +172,18 @@
   assert.equal((await bodyOf(res)).detail, "Full");
 });
 
+// Guards against "not run" for a key of which an earlier request has run.
+test("Front confirms that an oversized request with a key has not run", async () => {
+  const runner = {
+    run: () => Promise.reject(new Error("not expected")),
+    confirm: () =>
+      Promise.resolve(outcomeUnknown(RefusalReason.KeyRunning, "It ran")),
+  };
+  const res = await send({ body: "x".repeat(501), deps: { runner } });
+  assert.equal((await bodyOf(res)).outcome, "outcome-unknown");
+  assert.equal(res.status, 409);
+});
+
 // Guards against REFUSED: 503 for a filing whose target crashed with it.
 test("Front reports no unknown outcome with a status that says not run", async () => {
   const statuses = await Promise.all(
