--- a/src/entry/front_test.ts
+++ b/src/entry/front_test.ts
@@ -6,6 +6,7 @@
   EMPTY_LISTS,
   type Lists,
   notRun,
+  outcomeUnknown,
   RefusalReason,
   sha256,
   type StageResult,
@@ -171,6 +172,35 @@
   assert.equal((await bodyOf(res)).detail, "Full");
 });
 
+// Guards against "not run" for a key of which an earlier request has run.
+test("Front confirms that an oversized request with a key has not run", async () => {
+  const runner = {
+    run: () => Promise.reject(new Error("not expected")),
+    confirm: () =>
+      Promise.resolve(outcomeUnknown(RefusalReason.KeyRunning, "It ran")),
+  };
+  const res = await send({ body: "x".repeat(501), deps: { runner } });
+  assert.equal((await bodyOf(res)).outcome, "outcome-unknown");
+  assert.equal(res.status, 409);
+});
+
+// Guards against REFUSED: 503 for a filing whose target crashed with it.
+test("Front reports no unknown outcome with a status that says not run", async () => {
+  const statuses = await Promise.all(
+    Object.values(RefusalReason).map(async (reason) => {
+      const refusal = outcomeUnknown(reason, "Lost", 1_000);
+      const run = () => Promise.resolve(err(refusal));
+      const res = await send({ deps: { runner: { run } } });
+      assert.equal((await bodyOf(res)).outcome, "outcome-unknown");
+      return [reason, res.status] as const;
+    }),
+  );
+  assert.deepEqual(
+    statuses.filter(([, status]) => [408, 421, 429, 503].includes(status)),
+    [],
+  );
+});
+
 test("Front reports an unknown outcome when the run throws", async () => {
   const run = () => Promise.reject(new Error("boom"));
   const response = await problem({ deps: { runner: { run } } });
