A stop doesn't wait for connections without a TLS handshake

What operators saw: a connection to a TLS address that sent nothing kept the process from stopping until the handshake timed out (120 s), so the stop ran into its limit and exited with code 1.

Cause: the HTTP server knows a TLS connection only once its handshake is complete; the end of the server waits for all connections.

Change: after the drain, the raw connections are closed as well.

Result: control_test: not closed after 2 s before, closed now. This doesn't explain the open `stop_timed_out service=listen`: there the callers' address had no TLS.

--- a/src/process/control_test.ts
+++ b/src/process/control_test.ts
@@ -1,8 +1,11 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { mkdtempSync, writeFileSync } from "node:fs";
+import { connect } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Agent, request } from "undici";
 import { Metrics } from "../telemetry/mod.ts";
 import { KeyStore, type PemTexts, type TlsFiles } from "../tls/mod.ts";
@@ -11,6 +14,9 @@
 import { createControlApp } from "./control.ts";
 import { listen, type ListeningServer } from "./server.ts";
 
+/** Time within which an idle server has to close, in milliseconds. */
+const CLOSE_MS = 2_000;
+
 const STATE = {
   process: "p",
   domain: "d",
@@ -117,3 +123,18 @@
   await Promise.all([after.close(), stale.close()]);
   await server.close();
 });
+
+// Guards against a stop that waits for a connection without a TLS handshake.
+test("ListeningServer.close() does not wait for a silent connection with TLS", async () => {
+  const authority = await TestAuthority.create();
+  const server = await serveWith(storeOf(await authority.issue()).keys);
+  const socket = connect(server.port, "127.0.0.1");
+  socket.on("error", () => {});
+  await once(socket, "connect");
+  const isClosed = await Promise.race([
+    server.close().then(() => true),
+    sleep(CLOSE_MS, undefined, { ref: false }).then(() => false),
+  ]);
+  socket.destroy();
+  assert.equal(isClosed, true);
+});
--- a/src/process/server.ts
+++ b/src/process/server.ts
@@ -149,6 +149,8 @@
     this.#idleCloser.closeFromNowOn();
     await Promise.race([closed, this.#untilIdle()]);
     this.#server.closeAllConnections();
+    // The HTTP server knows no connection whose TLS handshake is not complete.
+    this.traffic.closeAll();
     this.#server.close();
     await closed;
   }
--- a/src/process/traffic.ts
+++ b/src/process/traffic.ts
@@ -1,12 +1,12 @@
 /**
- * Counts the bytes of the connections of a server.
+ * Knows the connections of a server and counts their bytes.
  *
  * @module
  */
 
 import type { Socket } from "node:net";
 
-/** Byte counter of a set of connections. */
+/** A set of connections and the count of their bytes. */
 export class Traffic {
   readonly #openSockets = new Set<Socket>();
   #closedBytes = 0;
@@ -20,6 +20,11 @@
     });
   }
 
+  /** Closes all connections. */
+  closeAll(): void {
+    this.#openSockets.forEach((socket) => socket.destroy());
+  }
+
   /** Returns the bytes read and written so far. */
   get bytes(): number {
     const open = [...this.#openSockets].reduce(
