Entries and agents handle signals from the start on; a planned stop of each, as processes

What operators would see: SIGHUP ended an entry or an agent without a drain, and so did a SIGTERM while it started: the handlers were set after the start, and there was none for SIGHUP.

--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -23,26 +23,38 @@
   );
 }
 
-/** Runs until SIGTERM or SIGINT, then drains and ends the process. */
-export function runDaemon(kernel: Kernel, opts: { drainMs: number }): void {
-  let isStopping = false;
-  const stop = () => {
-    if (isStopping) return;
-    isStopping = true;
-    setTimeout(() => {
-      console.error(`event=stop_timed_out service=${kernel.draining}`);
-      process.exit(1);
-    }, opts.drainMs + GRACE_MS).unref();
-    kernel.stop().then(
-      () => process.exit(0),
-      (err: unknown) => {
-        console.error(String(err));
-        process.exit(1);
-      },
-    );
-  };
-  // The handlers stay installed: without them a second signal would end the
+/**
+ * Starts a daemon and runs it until SIGTERM or SIGINT, then drains and ends the
+ * process. A signal during the start stops it once it has started.
+ */
+export async function runDaemon(
+  start: () => Promise<Kernel>,
+  opts: { drainMs: number },
+): Promise<void> {
+  const stopping = new AbortController();
+  // The handlers stay installed: without them a further signal would end the
   // process at once.
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
+  process.on("SIGTERM", () => stopping.abort());
+  process.on("SIGINT", () => stopping.abort());
+  // Settings are read at the start only.
+  process.on("SIGHUP", () => {});
+  const kernel = await start();
+  const stop = () => stopKernel(kernel, opts.drainMs + GRACE_MS);
+  if (stopping.signal.aborted) stop();
+  else stopping.signal.addEventListener("abort", stop);
+}
+
+/** Stops gracefully, within `timeoutMs`, and ends the process. */
+function stopKernel(kernel: Kernel, timeoutMs: number): void {
+  setTimeout(() => {
+    console.error(`event=stop_timed_out service=${kernel.draining}`);
+    process.exit(1);
+  }, timeoutMs).unref();
+  kernel.stop().then(
+    () => process.exit(0),
+    (err: unknown) => {
+      console.error(String(err));
+      process.exit(1);
+    },
+  );
 }
--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -60,6 +60,6 @@
       const cfg = unwrapChecked(path, readChecked(path, daemon.schema));
       if (cfg.tls) unwrapChecked(path, KeyStore.open(cfg.tls));
       if (flags.check) return;
-      runDaemon(await daemon.start(cfg), cfg);
+      await runDaemon(() => daemon.start(cfg), cfg);
     });
 }
--- a/src/launch/deployment.ts
+++ b/src/launch/deployment.ts
@@ -27,6 +27,8 @@
   readonly seed: number;
   /** True when the processes use TLS between each other. */
   readonly tls?: boolean;
+  /** Folder of the deployment's files; the sample of its name by default. */
+  readonly files?: string;
 }
 
 /** A running deployment. */
@@ -59,7 +61,7 @@
     const dir = join(ROOT, ".run", name);
     const fleet = new Fleet(dir);
     const tls = opts.tls ? await issueCertificate(dir) : undefined;
-    const samples = join(ROOT, "samples", name);
+    const samples = opts.files ?? join(ROOT, "samples", name);
     const deployment = deploymentSchema.parse(
       readJson(join(samples, "deployment.json")),
     );
