A failed connection counts as unsent only if it failed to open

What callers saw: "not run" for a call whose open connection ended with EHOSTUNREACH or ENETUNREACH while it was written or read, which Linux reports for an established connection that has lost its route; and for a call beside whose status 500 the target states x-not-run.

Cause: agents, entries and the store's client went by the code of the error alone, each with a list of its own.

Change: isNotSent in src/http asks for a failed connect, through causes and the errors of several addresses. The statement of a target counts beside 4xx and 503 only.

--- a/src/agent/target_failure.ts
+++ b/src/agent/target_failure.ts
@@ -5,9 +5,14 @@
  * @module
  */
 
+import { isNotSent } from "../http/mod.ts";
 import { RefusalReason, type StageCall } from "../model/mod.ts";
 import type { TargetFailure } from "./target_client.ts";
 
+const HTTP_CLIENT_ERROR = 400;
+const HTTP_SERVER_ERROR = 500;
+const HTTP_UNAVAILABLE = 503;
+
 /** Response header that states that the target did not run the call. */
 export const NOT_RUN_HEADER = "x-not-run";
 /** Response header that states that the target is in a cold start. */
@@ -18,19 +23,10 @@
 /** Detail of a failure by a response that belongs to another call. */
 export const OTHER_CALL = "The answer belongs to another call";
 
-/** Codes of errors that occur before the request is sent. */
-const NOT_SENT_CODES = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
 /** Returns the failure of a call whose connection failed. */
 export function connectionFailure(err: unknown): TargetFailure {
-  const code = String((err as { code?: unknown }).code ?? "");
   return {
-    mayHaveRun: !NOT_SENT_CODES.has(code),
+    mayHaveRun: !isNotSent(err),
     reason: RefusalReason.TargetUnreachable,
     detail: `The connection to the target failed: ${String(err)}`,
     cold: !isTimeout(err),
@@ -53,13 +49,19 @@
   return echoed !== undefined && echoed !== callId;
 }
 
+/** True for a status beside which a target may state that it ran nothing. */
+function isRefusal(status: number): boolean {
+  return status === HTTP_UNAVAILABLE ||
+    (status >= HTTP_CLIENT_ERROR && status < HTTP_SERVER_ERROR);
+}
+
 /** Returns the failure of a call whose response has an error status. */
 export function statusFailure(
   status: number,
   headers: Headers,
 ): TargetFailure {
   return {
-    mayHaveRun: headers[NOT_RUN_HEADER] === undefined,
+    mayHaveRun: !(isRefusal(status) && headers[NOT_RUN_HEADER] !== undefined),
     reason: RefusalReason.TargetFailed,
     detail: `The target answered with status ${status}`,
     cold: headers[COLD_HEADER] !== undefined,
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -6,6 +6,7 @@
  */
 
 import { err, ok, type Result } from "neverthrow";
+import { isNotSent } from "../http/mod.ts";
 import { timeoutSignal, Watchdog } from "../kernel/mod.ts";
 import {
   type CallEvent,
@@ -213,25 +214,6 @@
   return { outcome: err(refusal), unsettled: true };
 }
 
-const NOT_SENT_CODES = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
-
-/** True when the error proves that nothing was written to the agent's socket. */
-function isNotSent(failure: unknown): boolean {
-  return causes(failure).some(({ code }) =>
-    NOT_SENT_CODES.includes(String(code))
-  );
-}
-
-function causes(failure: unknown): { code?: unknown }[] {
-  if (!(failure instanceof Error)) return [];
-  return [failure as { code?: unknown }, ...causes(failure.cause)];
-}
-
 function responseLost(detail: string): Refusal {
   return outcomeUnknown(RefusalReason.Silent, detail, RETRY_AFTER_MS);
 }
--- a/src/http/mod.ts
+++ b/src/http/mod.ts
@@ -9,6 +9,7 @@
 export * from "./bounded_client.ts";
 export * from "./client_errors.ts";
 export * from "./idle_connections.ts";
+export { isNotSent } from "./not_sent.ts";
 export type { OwnResponse, SkippedResponse } from "./response_filter.ts";
 export * from "./text_request.ts";
 export { endsWithConnection } from "./truncation.ts";
--- a/src/store/http.ts
+++ b/src/store/http.ts
@@ -11,7 +11,7 @@
 
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import { type Agent, request } from "undici";
-import { boundedAgent } from "../http/mod.ts";
+import { boundedAgent, isNotSent } from "../http/mod.ts";
 import { timeoutSignal } from "../kernel/mod.ts";
 import { PlatformError, PlatformErrorKind } from "./error.ts";
 import type {
@@ -36,14 +36,6 @@
 const HTTP_TOO_MANY_REQUESTS = 429;
 const HTTP_UNAVAILABLE = 503;
 
-/** Codes of connection errors that prove that the request was not sent. */
-const NOT_SENT_CODES = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
 /** Client that exchanges JSON over HTTP with one service of the platform. */
 export class PlatformClient {
   readonly #url: string;
@@ -97,8 +89,7 @@
 }
 
 function connectionError(err: unknown): PlatformError {
-  const code = String((err as { code?: unknown }).code ?? "");
-  const kind = NOT_SENT_CODES.has(code)
+  const kind = isNotSent(err)
     ? PlatformErrorKind.Unavailable
     : PlatformErrorKind.Unanswered;
   return new PlatformError(kind, `Platform call failed: ${String(err)}`);
