Held or skipped bytes that stop end their connection

What callers saw: since late copies are skipped, a copy that is cut in its body, the copy of an answer to HEAD, or a head that never ends held a request to its deadline (504 after 4 s); before, these ended within 0.2 s.

Change: bytes that are held or skipped and do not go on for 1.2 s, past the second for which a sound server may fall silent, end the connection.

--- a/src/http/response_filter.ts
+++ b/src/http/response_filter.ts
@@ -27,6 +27,12 @@
 /** Largest head of a response that is skipped, in bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
 
+/**
+ * Longest pause inside bytes that are held or skipped, in milliseconds: sound
+ * servers may pause for a second. What is longer is no response, or a cut one.
+ */
+const MAX_PAUSE_MS = 1_200;
+
 const HEAD_START = "HTTP/1.1 ";
 const HEAD_END = "\r\n\r\n";
 const BARE_LINE_FEED = /(^|[^\r])\n/;
@@ -66,6 +72,7 @@
   #foreign: ForeignResponse | undefined;
   #skippedResponses = 0;
   #skippedBytes = 0;
+  #pauseTimer: NodeJS.Timeout | undefined;
 
   /** `onSkippedBytes` is called with the number of bytes that were skipped. */
   constructor(onSkippedBytes: (bytes: number) => void) {
@@ -89,6 +96,7 @@
     this.#foreign = undefined;
     this.#skippedResponses = 0;
     this.#skippedBytes = 0;
+    clearTimeout(this.#pauseTimer);
   }
 
   /**
@@ -113,9 +121,27 @@
         return undefined;
       }
     }
+    this.#limitPause();
     return rest;
   }
 
+  /** Closes the connection if the bytes that are held do not go on. */
+  #limitPause(): void {
+    clearTimeout(this.#pauseTimer);
+    const socket = this.#socket;
+    if (!socket || (this.#held.length === 0 && !this.#foreign)) return;
+    const { bytesRead } = socket;
+    const closeIfPaused = () => {
+      if (socket.bytesRead !== bytesRead) return;
+      socket.destroy(new Error("response stopped before its end"));
+    };
+    // After a stall of this process, timers run before the sockets are read.
+    this.#pauseTimer = setTimeout(
+      () => setImmediate(closeIfPaused),
+      MAX_PAUSE_MS,
+    ).unref();
+  }
+
   #readNext(read: () => Buffer | null): Buffer | null {
     for (let bytes = read(); bytes !== null; bytes = read()) {
       const passed = this.push(bytes);
