Sound streams pass the check of events

What callers saw: streams were cut whose identifiers are above 2^53, that begin with a byte order mark, go on with a retry line, have fields with capitals or dots, or whose caller sent an empty Last-Event-Id, or any on a route whose streams may not be resumed.

Change: identifiers are compared exactly, a mark and control lines are known, a field's name may have any letters, and Last-Event-Id counts where streams may be resumed.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -233,7 +233,7 @@
       heldBytes: this.#deps.heldBytes,
       usualMs: this.#deps.firstByteTimes.of(route.name),
       isResumed: this.#response.hasBegun,
-      lastEventId: this.#lastEventId,
+      lastEventId: route.isResumable ? this.#lastEventId : undefined,
       expectsEvent: () => this.#expectsEvent,
       isOver: () => this.#conclusion.isOver,
       onAccepted,
--- a/src/serving/event_order.ts
+++ b/src/serving/event_order.ts
@@ -18,20 +18,25 @@
   readonly fault?: string;
 }
 
-/** Start of a line: an optional field name in lower case, then a colon. */
-const FIELD = /^([a-z][a-z0-9_-]*)?(?::|$)/;
+/** Start of a line: an optional field name, then a colon. */
+const FIELD = /^([A-Za-z][\w.-]*)?(?::|$)/;
+/** Line of an event that carries nothing of the stream. */
+const CONTROL_LINE = /^(?::|retry:)/;
 const NUMBER = /^\d+$/;
+/** Its bytes in UTF-8, each read as one character. */
+const BYTE_ORDER_MARK = "\u00EF\u00BB\u00BF";
 
 /** Checks the events of one response. */
 export class EventOrder {
   #lastId: string | undefined;
   /** True until the first event after those of another response. */
   #isJoin: boolean;
+  #isStart = true;
 
   /** `after` identifies the last event of the stream that the caller has. */
   constructor(after?: string) {
-    this.#lastId = after;
-    this.#isJoin = after !== undefined;
+    this.#lastId = after || undefined;
+    this.#isJoin = this.#lastId !== undefined;
   }
 
   /** Checks text that ends with a blank line. */
@@ -44,7 +49,7 @@
       const line = text.slice(at, text[end - 1] === "\r" ? end - 1 : end);
       at = end + 1;
       if (line !== "") {
-        fields.push(line);
+        fields.push(this.#withoutMark(line));
         continue;
       }
       const id = idOf(fields);
@@ -58,14 +63,21 @@
     return { length, lastId };
   }
 
+  /** Removes the mark that may begin the first line. */
+  #withoutMark(line: string): string {
+    const isMarked = this.#isStart && line.startsWith(BYTE_ORDER_MARK);
+    this.#isStart = false;
+    return isMarked ? line.slice(BYTE_ORDER_MARK.length) : line;
+  }
+
   #faultOf(
     fields: readonly string[],
     id: string | undefined,
   ): string | undefined {
     if (!fields.every((line) => FIELD.test(line))) return "no event";
     if (id === undefined) {
-      const isComment = fields.every((line) => line.startsWith(":"));
-      return this.#isJoin && !isComment
+      const isControl = fields.every((line) => CONTROL_LINE.test(line));
+      return this.#isJoin && !isControl
         ? "event without identifier"
         : undefined;
     }
@@ -87,5 +99,5 @@
 /** True unless both are numbers and the first one is not the greater one. */
 function isAfter(id: string, last: string | undefined): boolean {
   if (last === undefined || !NUMBER.test(id) || !NUMBER.test(last)) return true;
-  return Number(id) > Number(last);
+  return BigInt(id) > BigInt(last);
 }
--- a/src/serving/sound_streams_test.ts
+++ b/src/serving/sound_streams_test.ts
@@ -11,7 +11,10 @@
 test("identifiers above 2^53 increase", () => {
   const last = "9007199254740992";
   const next = "9007199254740993";
-  assert.equal(faultOf(`id: ${last}\ndata: a\n\nid: ${next}\ndata: b\n\n`), undefined);
+  assert.equal(
+    faultOf(`id: ${last}\ndata: a\n\nid: ${next}\ndata: b\n\n`),
+    undefined,
+  );
 });
 
 test("a byte order mark begins a stream", () => {
--- a/src/telemetry/stall_before_stop_test.ts
+++ b/src/telemetry/stall_before_stop_test.ts
@@ -9,7 +9,10 @@
 
 // Guards against requests that a stop ends early, since its signal came after a stall.
 test("a signal that comes after a stall is not dated back to its beginning", async () => {
-  const monitor = new StallMonitor({ log: SILENT_LOGGER, metrics: new Metrics() });
+  const monitor = new StallMonitor({
+    log: SILENT_LOGGER,
+    metrics: new Metrics(),
+  });
   const end = new AbortController();
   const running = monitor.run(end.signal);
   await sleep(50);
