A stop is dated back only by a stall that has just ended

What callers saw: a signal up to 0.2 s after a stall had ended counted as sent at the stall's beginning, so a planned stop ended requests by up to the whole stall too soon.

Change: a stall counts until the sockets and signals that waited meanwhile were read, two passes of the event loop later.

--- a/src/telemetry/stall_monitor.ts
+++ b/src/telemetry/stall_monitor.ts
@@ -19,7 +19,8 @@
   readonly #deps: { readonly log: Logger; readonly metrics: Metrics };
   /** Monotonic time of the next check. */
   #dueAt = Infinity;
-  #lastStall = { ms: 0, endedAt: -Infinity };
+  /** Stall after which the sockets and signals were not yet read twice. */
+  #freshStallMs = 0;
 
   constructor(deps: { log: Logger; metrics: Metrics }) {
     this.#deps = deps;
@@ -31,10 +32,9 @@
     while (!signal.aborted) {
       this.#dueAt = monotonicMs() + CHECK_PAUSE_MS;
       await sleep(CHECK_PAUSE_MS, signal);
-      const endedAt = monotonicMs();
-      const ms = Math.round(endedAt - this.#dueAt);
+      const ms = Math.round(monotonicMs() - this.#dueAt);
       if (signal.aborted || ms < MIN_STALL_MS) continue;
-      this.#lastStall = { ms, endedAt };
+      this.#recordStall(ms);
       metrics.count("process_stalls_total");
       log.warn("process_stalled", { stalledMs: ms });
     }
@@ -45,10 +45,13 @@
    * none. What this process notices now may have happened at its beginning.
    */
   get justEndedMs(): number {
-    const now = monotonicMs();
-    const { ms, endedAt } = this.#lastStall;
-    const unseenMs = now - this.#dueAt;
-    if (unseenMs >= MIN_STALL_MS) return unseenMs;
-    return now - endedAt < MIN_STALL_MS ? ms : 0;
+    const unseenMs = monotonicMs() - this.#dueAt;
+    return unseenMs >= MIN_STALL_MS ? unseenMs : this.#freshStallMs;
+  }
+
+  /** What waited during the stall is read in the next pass of the event loop. */
+  #recordStall(ms: number): void {
+    this.#freshStallMs = ms;
+    setImmediate(() => setImmediate(() => this.#freshStallMs = 0));
   }
 }
