--- a/src/serving/event_order.ts
+++ b/src/serving/event_order.ts
@@ -20,6 +20,8 @@
 
 /** Start of a line: an optional field name, then a colon. */
 const FIELD = /^([A-Za-z][\w.-]*)?(?::|$)/;
+/** The same where no identifier shows that the lines are no HTTP headers. */
+const BARE_FIELD = /^([a-z][a-z0-9_-]*)?(?::|$)/;
 /** Line of an event that carries nothing of the stream. */
 const CONTROL_LINE = /^(?::|retry:)/;
 const NUMBER = /^\d+$/;
@@ -74,7 +76,8 @@
     fields: readonly string[],
     id: string | undefined,
   ): string | undefined {
-    if (!fields.every((line) => FIELD.test(line))) return "no event";
+    const field = id === undefined ? BARE_FIELD : FIELD;
+    if (!fields.every((line) => field.test(line))) return "no event";
     if (id === undefined) {
       const isControl = fields.every((line) => CONTROL_LINE.test(line));
       return this.#isJoin && !isControl
