--- a/src/gateway/attempt_preparer.ts
+++ b/src/gateway/attempt_preparer.ts
@@ -7,7 +7,11 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMs } from "../kernel/mod.ts";
-import type { ChainClient, StagedInputs } from "./chain_client.ts";
+import type {
+  ChainClient,
+  StagedInputs,
+  StageHandler,
+} from "./chain_client.ts";
 import type { FirstByteTimes } from "./first_byte_times.ts";
 import type { RateLimits } from "../rates/mod.ts";
 import {
@@ -47,6 +51,8 @@
 export interface Unprepared {
   readonly reason: string;
   readonly retryAfterMs: number;
+  /** Other process that refused the stages. */
+  readonly stageHandler?: StageHandler;
 }
 
 const NO_LONGER_NEEDED: Unprepared = {
@@ -142,8 +148,9 @@
       signal,
     });
     const now = monotonicMs();
-    return outcome.mapErr(({ reason, waitMs, refusedShare = 0 }) => ({
+    return outcome.mapErr(({ reason, waitMs, refusedShare = 0, handler }) => ({
       reason,
+      stageHandler: handler,
       retryAfterMs: queueRetryAfterMs({
         remainingMs: this.#deadlineAt - now,
         dueInMs: dueAt - now,
--- a/src/gateway/attempt_preparer_test.ts
+++ b/src/gateway/attempt_preparer_test.ts
@@ -42,6 +42,7 @@
       ...opts.req,
     },
     catalog: new Catalog(spec),
+    standing: {},
     route: ROUTE,
     pool: pool("plain"),
     priority: 0,
--- a/src/gateway/build_recorder_test.ts
+++ b/src/gateway/build_recorder_test.ts
@@ -15,6 +15,9 @@
 import { FleetView } from "./fleet_view.ts";
 import { type SourceError, StatePart, type StateSource } from "./ports.ts";
 
+/** Peer that reports the changes. */
+const PEER = { peer: "b", targetsReadAt: 0 };
+
 const BOUNDS = { contactMs: 3_000, drainMs: 2_000 };
 
 const MINUTE_MS = 60_000;
@@ -40,7 +43,7 @@
       ...one,
     }));
     this.views.forEach((view) =>
-      view.merge(changes, { [StatePart.Peers]: this.#version }, 0)
+      view.merge(changes, { [StatePart.Peers]: this.#version }, PEER)
     );
     return ok();
   }
@@ -81,7 +84,7 @@
 
 function list(records: SharedRecords, changes: readonly StateChange[]): void {
   records.views.forEach((view) =>
-    view.merge(changes, { [StatePart.Peers]: 1 }, 0)
+    view.merge(changes, { [StatePart.Peers]: 1 }, PEER)
   );
 }
 
@@ -127,7 +130,7 @@
   withPausedClock(async () => {
     const records = new SharedRecords();
     const abort = startEntries(records, 1);
-    records.views[0]?.merge(LISTED, {}, 0);
+    records.views[0]?.merge(LISTED, {}, PEER);
     await sleep(MINUTE_MS);
     assert.deepEqual(records.writes, []);
     abort.abort();
--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -66,10 +66,20 @@
   readonly waitMs?: number;
   /** Share of the newest chains of this process that were refused. */
   readonly refusedShare?: number;
+  /** Process that refused the stages, if it was another one. */
+  readonly handler?: StageHandler;
+}
+
+/** Other process that handled a request, and the catalog that it had. */
+export interface StageHandler {
+  readonly owner: string;
+  readonly catalog?: number;
 }
 
 /** Results of the final stages, which the request itself reads. */
 export interface StagedInputs {
+  /** Process that ran the stages, if it was another one. */
+  readonly handler?: StageHandler;
   readonly results: readonly ResultHandle[];
   /** Releases the results once they have been read; later calls do nothing. */
   release(): void;
@@ -160,10 +170,12 @@
     }
     if (response.kind === "refused") {
       const { reason, waitMs } = response;
-      return err({ reason, waitMs, refusedShare });
+      const handler = handlerOf({ response, owner });
+      return err({ reason, waitMs, refusedShare, handler });
     }
     let isReleased = false;
     return ok({
+      handler: handlerOf({ response, owner }),
       results: response.results.flatMap(({ results }) => results),
       release: () => {
         if (isReleased) return;
@@ -319,6 +331,13 @@
   }
 }
 
+function handlerOf(
+  { response, owner }: OwnedResponse,
+): StageHandler | undefined {
+  if (!owner || response.kind === "leaving") return undefined;
+  return { owner: owner.name, catalog: response.catalog };
+}
+
 /** Resolves with true if `signal` aborts before `work` settles. */
 async function isAbortedBefore(
   signal: AbortSignal,
@@ -368,6 +387,7 @@
     shard,
     isResumed: request.isResumed,
     isRetry: request.isRetry,
+    catalog: request.catalog.version,
     stages: route.stages.map(({ pool, after, resultBytes }, i) => ({
       pool,
       after: [...after],
--- a/src/gateway/chain_service.ts
+++ b/src/gateway/chain_service.ts
@@ -29,17 +29,18 @@
 
   async run(chain: StageChain, gone: AbortSignal): Promise<ChainResponse> {
     const { runner, isLeaving } = this.#deps;
+    const catalog = this.#deps.catalog()?.version;
     if (isLeaving()) return { kind: "leaving" };
     const owner = chain.mayDecline ? this.#otherOwnerOf(chain) : undefined;
     if (owner !== undefined) {
       const reason = "another entry owns the stages";
-      return { kind: "refused", reason, owner };
+      return { kind: "refused", reason, owner, catalog };
     }
     const startedAt = monotonicMs();
     const response = await runner.run(chain, gone);
     return response.kind === "leaving"
       ? response
-      : { ...response, heldMs: monotonicMs() - startedAt };
+      : { ...response, heldMs: monotonicMs() - startedAt, catalog };
   }
 
   #otherOwnerOf(
--- a/src/gateway/change_log.ts
+++ b/src/gateway/change_log.ts
@@ -5,10 +5,38 @@
  */
 
 import { monotonicMs } from "../kernel/mod.ts";
-import type { FleetState, StateChange } from "../serving/mod.ts";
+import type { CatalogSpec, FleetState, StateChange } from "../serving/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 
-/** Logs the changes that made a state what it is; heartbeats are left out. */
+/** Most names of routes in one field of a log line. */
+const MAX_LOGGED_ROUTES = 8;
+
+/** Names of the routes that a catalog adds, drops or sends to other pools. */
+export function catalogDifference(
+  before: CatalogSpec | undefined,
+  after: CatalogSpec,
+): Record<string, string | undefined> {
+  if (!before) return {};
+  const poolsOf = ({ routes }: CatalogSpec) =>
+    new Map(routes.map(({ name, pools }) => [name, JSON.stringify(pools)]));
+  const [old, current] = [poolsOf(before), poolsOf(after)];
+  const list = (names: Iterable<string>) =>
+    [...names].slice(0, MAX_LOGGED_ROUTES).join(",") || undefined;
+  return {
+    added: list([...current.keys()].filter((name) => !old.has(name))),
+    dropped: list([...old.keys()].filter((name) => !current.has(name))),
+    moved: list(
+      [...current].flatMap(([name, pools]) =>
+        old.has(name) && old.get(name) !== pools ? [name] : []
+      ),
+    ),
+  };
+}
+
+/**
+ * Logs the changes that made a state what it is; heartbeats and the catalog are
+ * left out.
+ */
 export function logChanges(
   log: Logger,
   before: FleetState,
@@ -20,11 +48,6 @@
 ): void {
   changes.forEach((change) => {
     const { version } = change;
-    if (change.kind === "catalog") {
-      const { version: catalog } = change.catalog;
-      log.info("catalog_applied", { version, catalog, from });
-      return;
-    }
     if (change.kind === "domain") {
       const { failureDomain, isOut } = change;
       log.info("domain_changed", {
--- a/src/gateway/conclusion.ts
+++ b/src/gateway/conclusion.ts
@@ -6,6 +6,8 @@
 
 import { monotonicMs } from "../kernel/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
+import { catalogFields } from "./catalog_trace.ts";
+import type { StageHandler } from "./chain_client.ts";
 import { type CallerResponse, type Refusal, RefusalKind } from "./ports.ts";
 import type { Admitted, AttemptEnd } from "./relay.ts";
 
@@ -33,6 +35,8 @@
   readonly mayHaveRun: boolean;
   /** Build to which a stream keeps. */
   readonly build?: string;
+  /** Other process that ran the stages, or refused them last. */
+  readonly stageHandler?: StageHandler;
 }
 
 /** Services that conclusions use. */
@@ -158,8 +162,8 @@
     // Aborting ends the open attempts.
     const { openAttempts } = this.#history();
     this.#over.abort(outcome);
-    const { req, route } = this.#admitted;
-    const { attempts, unsentAttempts, build } = this.#history();
+    const { req, route, standing } = this.#admitted;
+    const { attempts, unsentAttempts, build, stageHandler } = this.#history();
     const tookMs = monotonicMs() - req.receivedAt;
     this.#deps.metrics.count("requests_total", { route: route.name, outcome });
     this.#deps.metrics.durations("request", { outcome }).record(tookMs);
@@ -171,6 +175,9 @@
       unsentAttempts,
       openAttempts,
       build,
+      ...catalogFields(standing),
+      stageOwner: stageHandler?.owner,
+      stageCatalog: stageHandler?.catalog,
       ...fields,
     });
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -21,6 +21,7 @@
   type PreparerDeps,
   type Unprepared,
 } from "./attempt_preparer.ts";
+import type { StageHandler } from "./chain_client.ts";
 import { Conclusion, type ConclusionDeps } from "./conclusion.ts";
 import { Handover, type RunningAttempt } from "./handover.ts";
 import type { CallerResponse, TargetClient } from "./ports.ts";
@@ -68,6 +69,8 @@
   #unsentAttempts = 0;
   /** True once a target may have begun to run the request. */
   #mayHaveRun = false;
+  /** Other process that ran the stages, or refused them last. */
+  #stageHandler: StageHandler | undefined;
   #current: RunningAttempt | undefined;
   #handover: Handover | undefined;
   #lastEventId: string | undefined;
@@ -98,6 +101,7 @@
       openAttempts: this.#open.size,
       mayHaveRun: this.#mayHaveRun || this.#open.size > 0,
       build: this.#origin?.build,
+      stageHandler: this.#stageHandler,
     });
     this.#conclusion = new Conclusion(admitted, response, history, deps);
   }
@@ -173,11 +177,16 @@
     return !this.#response.hasBegun && neededMs > stop.remainingMs;
   }
 
-  #prepare(
+  async #prepare(
     signal: AbortSignal,
   ): Promise<Result<PreparedAttempt, Unprepared>> {
     const choice = { exclude: this.#tried, sameBuildAs: this.#origin };
-    return this.#preparer.prepare(choice, signal);
+    const prepared = await this.#preparer.prepare(choice, signal);
+    this.#stageHandler = prepared.match(
+      ({ inputs }) => inputs.handler,
+      ({ stageHandler }) => stageHandler,
+    );
+    return prepared;
   }
 
   /**
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -85,6 +85,7 @@
       {
         req,
         catalog,
+        standing: {},
         route: STREAM,
         pool: pool("plain"),
         priority: 0,
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -8,6 +8,7 @@
 import { monotonicMs, SharedRun, sleep, timeoutSignal } from "../kernel/mod.ts";
 import {
   type BuildHolder,
+  type Catalog,
   eraOf,
   FleetState,
   LAPSE_GRACE_MS,
@@ -17,7 +18,8 @@
   type TargetStart,
 } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
-import { logChanges } from "./change_log.ts";
+import { type CatalogStanding, CatalogTrace } from "./catalog_trace.ts";
+import { catalogDifference, logChanges } from "./change_log.ts";
 import { type FollowBounds, type FollowSpec, followSpecs } from "./follow.ts";
 import {
   type SourceError,
@@ -51,6 +53,21 @@
 /** Pause between such reads, which all callers share, in milliseconds. */
 const CHANGES_PAUSE_MS = 200;
 
+/** What a peer reports of the changes that it sends. Times are monotonic. */
+export interface PeerReport {
+  /** Name of the peer, or its address while no name is known. */
+  readonly peer: string;
+  /** Time at which the peer last read the targets. */
+  readonly targetsReadAt: number;
+  /** Time at which the peer last read the configuration, if it says so. */
+  readonly configurationReadAt?: number;
+  /**
+   * False when the peer knows no rollouts: its changes then lack rows that its
+   * versions cover.
+   */
+  readonly knowsRollouts?: boolean;
+}
+
 /** View of the fleet and the tasks that keep it up to date. */
 export class FleetView {
   readonly #source: StateSource;
@@ -73,6 +90,7 @@
   #targetsReadAt = Number.NEGATIVE_INFINITY;
   #failedAt = Number.NEGATIVE_INFINITY;
   #isStoreLost = false;
+  readonly #catalogTrace = new CatalogTrace();
   readonly #changes = new SharedRun(
     () => this.#readChanges(),
     { pauseMs: CHANGES_PAUSE_MS },
@@ -90,6 +108,14 @@
     this.#source = deps.source;
     this.#log = deps.log;
     this.#metrics = deps.metrics;
+    this.#metrics.gauge(
+      "catalog_version",
+      () => this.#state.catalog?.version ?? 0,
+    );
+    this.#metrics.gauge(
+      "catalog_confirmed_age_ms",
+      () => this.configurationAgeMs,
+    );
   }
 
   get state(): FleetState {
@@ -131,6 +157,19 @@
     return monotonicMs() - this.#targetsReadAt;
   }
 
+  /**
+   * Time since the configuration was read, here or by a peer that told this
+   * process, in milliseconds.
+   */
+  get configurationAgeMs(): number {
+    return this.#catalogTrace.confirmedAgeMs;
+  }
+
+  /** How the catalog in force became known. */
+  get catalogStanding(): CatalogStanding {
+    return this.#catalogTrace.standing;
+  }
+
   /** True while the builds of all pools are known as of a short time ago. */
   get knowsBuilds(): boolean {
     return this.versionOf(StatePart.Peers) > 0 &&
@@ -191,18 +230,19 @@
   }
 
   /**
-   * Merges the changes and versions that a peer knows; it read the targets at
-   * monotonic time `targetsReadAt`. Where a peer knows no rollouts, its changes
-   * lack rows that its versions cover: this process goes on from its own ones.
+   * Merges the changes and versions that a peer knows. Where the peer knows no
+   * rollouts, this process goes on from its own versions.
    */
   merge(
     changes: readonly StateChange[],
     versions: Partial<Record<StatePart, number>>,
-    targetsReadAt: number,
-    { knowsRollouts = true }: { readonly knowsRollouts?: boolean } = {},
+    report: PeerReport,
   ): void {
-    this.#apply(changes, "peer");
+    const { peer, targetsReadAt, knowsRollouts = true } = report;
+    const { configurationReadAt = Number.NEGATIVE_INFINITY } = report;
+    this.#apply(changes, peer);
     this.#targetsReadAt = Math.max(this.#targetsReadAt, targetsReadAt);
+    this.#catalogTrace.confirmed(configurationReadAt);
     Object.values(StatePart).forEach((part) => {
       const version = versions[part];
       const known = this.versionOf(part);
@@ -282,6 +322,9 @@
       this.#targetsReadAt = Math.max(this.#targetsReadAt, startedAt);
     }
     this.#apply(changes.map((change) => this.#withLapse(change)), "store");
+    if (part === StatePart.Configuration) {
+      this.#catalogTrace.confirmed(startedAt);
+    }
     this.#versions.set(part, Math.max(version, this.versionOf(part)));
   }
 
@@ -379,9 +422,30 @@
     this.#state = before.apply(changes, monotonicMs());
     if (this.#state === before) return;
     logChanges(this.#log, before, { changes, from });
+    this.#logCatalog(before.catalog, from);
     this.#notify();
   }
 
+  /**
+   * Logs that another catalog is in force. It was written at most
+   * `unconfirmedMs` before.
+   */
+  #logCatalog(before: Catalog | undefined, from: string): void {
+    const { catalog } = this.#state;
+    if (!catalog || catalog === before) return;
+    const unconfirmedMs = this.configurationAgeMs;
+    this.#catalogTrace.applied(catalog, from);
+    this.#log.info("catalog_applied", {
+      catalog: catalog.version,
+      before: before?.version,
+      from,
+      unconfirmedMs: Number.isFinite(unconfirmedMs)
+        ? Math.round(unconfirmedMs)
+        : undefined,
+      ...catalogDifference(before?.spec, catalog.spec),
+    });
+  }
+
   /** Tells all listeners; one that fails keeps the change from no other. */
   #notify(): void {
     this.#listeners.forEach((listener) => {
--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -14,6 +14,9 @@
   type StateSource,
 } from "./ports.ts";
 
+/** Peer that reports the changes. */
+const PEER = { peer: "b", targetsReadAt: 0 };
+
 const BOUNDS = { contactMs: 3_000, drainMs: 2_000 };
 
 /** Time for which the store fails in tests of its return, in ms. */
@@ -88,7 +91,7 @@
     source.rows = { changes: [targetChange("b", 12)], version: 12 };
     for (let i = 0; i < 20; i++) {
       await sleep(200);
-      view.merge([], { [StatePart.Targets]: 5 }, 0);
+      view.merge([], { [StatePart.Targets]: 5 }, PEER);
     }
     assert.deepEqual(
       [...view.state.targets].filter(([, { target }]) => target)
@@ -233,7 +236,8 @@
     view.run(abort.signal);
     // In the pause after the second call that has failed.
     await sleep(600);
-    view.merge([], { [StatePart.Configuration]: 20 }, 0, {
+    view.merge([], { [StatePart.Configuration]: 20 }, {
+      ...PEER,
       knowsRollouts: false,
     });
     isReachable = true;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
   type Route,
   RouteHistory,
 } from "../serving/mod.ts";
+import { catalogFields } from "./catalog_trace.ts";
 import { STOPPED_RETRY_AFTER_MS } from "./conclusion.ts";
 import { Exchange, type ExchangeDeps } from "./exchange.ts";
 import type { FleetView } from "./fleet_view.ts";
@@ -148,6 +149,7 @@
     return ok({
       req,
       catalog,
+      standing: this.#view.catalogStanding,
       route,
       pool,
       organisation,
@@ -186,7 +188,7 @@
       request: req.id,
       kind,
       reason,
-      catalog: this.#view.state.catalog?.version,
+      ...catalogFields(this.#view.catalogStanding),
       storeAgeMs: Math.round(Math.min(this.#view.storeAgeMs, 1e9)),
     });
     response.refuse(refusal);
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -254,7 +254,8 @@
     return {
       changes: [...changes, ...unrecorded].map(encodeChange),
       ...encodeVersions(known),
-      targetsAgeMs: Math.min(this.#view.targetsAgeMs, Number.MAX_SAFE_INTEGER),
+      targetsAgeMs: finite(this.#view.targetsAgeMs),
+      configurationAgeMs: finite(this.#view.configurationAgeMs),
       isLeaving: this.#isLeaving,
       upMs: monotonicMs() - this.#startedAt,
       notices: notices && this.#board.respond(from, notices),
@@ -349,6 +350,7 @@
       }
       const { notices, targetsAgeMs = Infinity, knowsRollouts = false } =
         response;
+      const { configurationAgeMs = Infinity } = response;
       if (notices) this.#board.handleResponse(boardKey, notices);
       const own = this.#versions();
       this.#view.merge(
@@ -356,8 +358,12 @@
           decodeChange(change, own[partOf(change)] ?? 0)
         ),
         decodeVersions(response, own),
-        startedAt - targetsAgeMs,
-        { knowsRollouts },
+        {
+          peer: peer.name ?? peer.url,
+          targetsReadAt: startedAt - targetsAgeMs,
+          configurationReadAt: startedAt - configurationAgeMs,
+          knowsRollouts,
+        },
       );
     } catch (err) {
       this.#metrics.count("peer_failures_total");
@@ -439,6 +445,11 @@
   }
 }
 
+/** Age as JSON can express it. */
+function finite(ageMs: number): number {
+  return Math.min(ageMs, Number.MAX_SAFE_INTEGER);
+}
+
 function partOf({ kind }: StateChange): StatePart {
   if (kind === "target") return StatePart.Targets;
   if (kind === "catalog" || kind === "domain" || kind === "rollout-order") {
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -23,6 +23,7 @@
   type HeldBytes,
   HeldShare,
 } from "./answer_body.ts";
+import type { CatalogStanding } from "./catalog_trace.ts";
 import type { StagedInputs } from "./chain_client.ts";
 import {
   type CallerRequest,
@@ -39,6 +40,8 @@
 export interface Admitted {
   readonly req: CallerRequest;
   readonly catalog: Catalog;
+  /** How that catalog was known when it decided the request. */
+  readonly standing: CatalogStanding;
   readonly route: Route;
   readonly pool: Pool;
   readonly organisation?: Organisation;
--- a/src/gateway/stream_binding_test.ts
+++ b/src/gateway/stream_binding_test.ts
@@ -39,6 +39,7 @@
   return {
     req: requestOf(overrides),
     catalog: new Catalog(catalogSpec({ routes: [split], pools })),
+    standing: {},
     route: split,
     pool: pool("plain"),
     priority: 0,
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -78,6 +78,11 @@
   readonly eras?: PartNumbers;
   /** Time since the peer's list of targets was read, in milliseconds. */
   readonly targetsAgeMs?: number;
+  /**
+   * Time since the peer's configuration was read, in milliseconds; absent in
+   * builds that do not report it.
+   */
+  readonly configurationAgeMs?: number;
   readonly isLeaving: boolean;
   /** Time since the peer's start, in milliseconds. */
   readonly upMs: number;
@@ -122,6 +127,8 @@
   isResumed: z.boolean().optional(),
   /** True when the caller has sent the request before. */
   isRetry: z.boolean().optional(),
+  /** Version of the catalog that decided the request, for logs. */
+  catalog: z.number().optional(),
 });
 
 /** All stages of one request, sent to the owner of their pools. */
@@ -147,6 +154,8 @@
     readonly waitMs?: number;
     /** Time between the chain's arrival and this response, in milliseconds. */
     readonly heldMs?: number;
+    /** Version of the owner's catalog. */
+    readonly catalog?: number;
   }
   | {
     readonly kind: "refused";
@@ -155,6 +164,7 @@
     readonly owner?: string;
     readonly waitMs?: number;
     readonly heldMs?: number;
+    readonly catalog?: number;
   }
   /** This process no longer accepts chains. */
   | { readonly kind: "leaving" };
