--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -77,10 +77,13 @@
   #state = new FleetState();
   readonly #versions = new Map<StatePart, number>();
   /**
-   * Parts that need a snapshot. Updates from peers do not replace it: the peers
-   * may have lost the same changes.
+   * Parts that need a snapshot, and the monotonic times since which they do.
+   * Updates from peers do not replace it: the peers may have lost the same
+   * changes.
    */
-  readonly #needSnapshot = new Set<StatePart>(Object.values(StatePart));
+  readonly #needSnapshot = new Map<StatePart, number>(
+    Object.values(StatePart).map((part) => [part, Number.NEGATIVE_INFINITY]),
+  );
   /** Monotonic times at which a restored store is to be read again, by part. */
   readonly #reviewAt = new Map<StatePart, number>();
   readonly #listeners = new Set<(state: FleetState) => void>();
@@ -286,7 +289,7 @@
   /** Makes one call to the store; false when it failed. */
   async #poll(part: StatePart, signal: AbortSignal): Promise<boolean> {
     if (monotonicMs() >= (this.#reviewAt.get(part) ?? Infinity)) {
-      this.#needSnapshot.add(part);
+      this.#markForSnapshot(part);
     }
     const isSnapshot = this.#needSnapshot.has(part);
     const after = this.versionOf(part);
@@ -302,12 +305,24 @@
     if (signal.aborted) return false;
     if (read.isErr()) return this.#handleError(part, read.error);
     const { changes, version } = read.value;
-    this.#needSnapshot.delete(part);
+    this.#recordSnapshot(part, startedAt);
     const all = isSnapshot ? this.#withRemovals(part, read.value) : changes;
     this.#recordRead(part, startedAt, { changes: all, version });
     return true;
   }
 
+  #markForSnapshot(part: StatePart): void {
+    this.#needSnapshot.set(part, monotonicMs());
+  }
+
+  /** Records a read; what made a snapshot necessary later still does. */
+  #recordSnapshot(part: StatePart, startedAt: number): void {
+    const markedAt = this.#needSnapshot.get(part);
+    if (markedAt !== undefined && markedAt <= startedAt) {
+      this.#needSnapshot.delete(part);
+    }
+  }
+
   /**
    * Applies what the store has returned. It is as of the start of the call at
    * least; this process may have stood still since.
@@ -338,7 +353,7 @@
     if (error.kind === "history-lost") {
       this.#log.warn("store_history_lost", { part });
       this.#recordResponse();
-      this.#needSnapshot.add(part);
+      this.#markForSnapshot(part);
       return true;
     }
     this.#failedAt = monotonicMs();
@@ -356,7 +371,7 @@
   #recordRestored(part: StatePart, era: number, from: string): void {
     this.#log.warn("store_restored", { part, era, from });
     this.#metrics.count("store_restored_total", { part });
-    this.#needSnapshot.add(part);
+    this.#markForSnapshot(part);
     const reviewMs = RESTORED_REVIEW_MS[part];
     if (reviewMs === undefined) return;
     this.#reviewAt.set(part, monotonicMs() + reviewMs);
--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { RolloutWritten } from "../rollout/mod.ts";
+import { versionInEra } from "../serving/mod.ts";
 import { targetChange } from "../serving/testing.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
@@ -245,3 +246,32 @@
     abort.abort();
     assert.equal(view.state.rollouts.of("plain")?.order.to, "v2");
   }, { seed: 1 }));
+
+test("a restoration that a peer tells during a call is followed by a snapshot", () =>
+  withPausedClock(async () => {
+    const source = new TruncatingSource();
+    let snapshots = 0;
+    source.snapshot = () => {
+      snapshots += 1;
+      return Promise.resolve(ok(source.rows));
+    };
+    source.follow = async (_part, { after }, signal) => {
+      await sleep(1_000, signal);
+      return ok({ changes: [], version: after });
+    };
+    const view = new FleetView({
+      bounds: BOUNDS,
+      source,
+      log: SILENT_LOGGER,
+      metrics: new Metrics(),
+    });
+    const abort = new AbortController();
+    view.run(abort.signal);
+    // The call of the part runs from 1 s to 2 s.
+    await sleep(1_500);
+    const before = snapshots;
+    view.merge([], { [StatePart.Peers]: versionInEra(1, 2) }, PEER);
+    await sleep(5_000);
+    abort.abort();
+    assert.equal(snapshots, before + 1);
+  }, { seed: 1 }));
