--- a/src/gateway/change_log.ts
+++ b/src/gateway/change_log.ts
@@ -5,34 +5,48 @@
  */
 
 import { monotonicMs } from "../kernel/mod.ts";
-import type { CatalogSpec, FleetState, StateChange } from "../serving/mod.ts";
+import type {
+  CatalogSpec,
+  FleetState,
+  Route,
+  StateChange,
+} from "../serving/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 
 /** Most names of routes in one field of a log line. */
 const MAX_LOGGED_ROUTES = 8;
 
-/** Names of the routes that a catalog adds, drops or sends to other pools. */
+/**
+ * Names of the routes that a catalog adds, drops or sends to other pools. A
+ * route that stays at its address may have another name.
+ */
 export function catalogDifference(
   before: CatalogSpec | undefined,
   after: CatalogSpec,
 ): Record<string, string | undefined> {
   if (!before) return {};
-  const poolsOf = ({ routes }: CatalogSpec) =>
-    new Map(routes.map(({ name, pools }) => [name, JSON.stringify(pools)]));
-  const [old, current] = [poolsOf(before), poolsOf(after)];
-  const list = (names: Iterable<string>) =>
-    [...names].slice(0, MAX_LOGGED_ROUTES).join(",") || undefined;
+  const [old, current] = [routesByAddress(before), routesByAddress(after)];
+  const list = (routes: readonly Route[]) =>
+    routes.slice(0, MAX_LOGGED_ROUTES).map(({ name }) => name).join(",") ||
+    undefined;
+  const pools = (route?: Route) => JSON.stringify(route?.pools);
   return {
-    added: list([...current.keys()].filter((name) => !old.has(name))),
-    dropped: list([...old.keys()].filter((name) => !current.has(name))),
+    added: list([...current].flatMap(([at, one]) => old.has(at) ? [] : one)),
+    dropped: list([...old].flatMap(([at, one]) => current.has(at) ? [] : one)),
     moved: list(
-      [...current].flatMap(([name, pools]) =>
-        old.has(name) && old.get(name) !== pools ? [name] : []
+      [...current].flatMap(([at, one]) =>
+        old.has(at) && pools(old.get(at)) !== pools(one) ? one : []
       ),
     ),
   };
 }
 
+function routesByAddress({ routes }: CatalogSpec): ReadonlyMap<string, Route> {
+  return new Map(
+    routes.map((one) => [`${one.hostname} ${one.pathPrefix}`, one]),
+  );
+}
+
 /**
  * Logs the changes that made a state what it is; heartbeats and the catalog are
  * left out.
