--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -5,7 +5,13 @@
  * @module
  */
 
-import { monotonicMs, SharedRun, sleep, timeoutSignal } from "../kernel/mod.ts";
+import {
+  monotonicMs,
+  SharedRun,
+  sleep,
+  timeoutSignal,
+  Watchdog,
+} from "../kernel/mod.ts";
 import {
   type BuildHolder,
   type Catalog,
@@ -294,14 +300,16 @@
     const isSnapshot = this.#needSnapshot.has(part);
     const after = this.versionOf(part);
     const waitMs = Math.round(this.#specs[part].waitMs);
-    const timeout = timeoutSignal(
+    // Time in which this process could not have read the response counts little.
+    const timeout = new Watchdog(
       (isSnapshot ? 0 : waitMs) + RESPONSE_SLACK_MS,
-      signal,
     );
+    const ended = AbortSignal.any([timeout.signal, signal]);
     const startedAt = monotonicMs();
     const read = isSnapshot
-      ? await this.#source.snapshot(part, timeout)
-      : await this.#source.follow(part, { after, waitMs }, timeout);
+      ? await this.#source.snapshot(part, ended)
+      : await this.#source.follow(part, { after, waitMs }, ended);
+    timeout.end();
     if (signal.aborted) return false;
     if (read.isErr()) return this.#handleError(part, read.error);
     const { changes, version } = read.value;
--- a/src/kernel/sleep.ts
+++ b/src/kernel/sleep.ts
@@ -40,7 +40,8 @@
 
 /**
  * Returns a signal that aborts after `ms` milliseconds, or when one of `others`
- * aborts.
+ * aborts. What has arrived by then is read first: after a stall of this process
+ * its timers run before its sockets.
  */
 export function timeoutSignal(
   ms: number,
@@ -48,7 +49,8 @@
 ): AbortSignal {
   const controller = new AbortController();
   const delay = Math.max(0, Math.ceil(ms));
-  setTimeout(() => controller.abort(new TimeoutError(delay)), delay).unref();
+  const abort = () => controller.abort(new TimeoutError(delay));
+  setTimeout(() => setImmediate(abort).unref(), delay).unref();
   return others.length === 0
     ? controller.signal
     : AbortSignal.any([controller.signal, ...others]);
