--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -249,10 +249,14 @@
       ? this.#view.state.changes(monotonicMs())
         .filter((change) => change.version > (versions[partOf(change)] ?? 0))
       : [];
+    // In a restored store the versions of a part do not order its catalogs.
+    const missed = changes.some(({ kind }) => kind === "catalog")
+      ? []
+      : this.#newerCatalog(sent.catalog);
     const unrecorded = this.#view.unrecordedBuilds
       .map((one) => ({ kind: "build", version: UNRECORDED, ...one }) as const);
     return {
-      changes: [...changes, ...unrecorded].map(encodeChange),
+      changes: [...changes, ...missed, ...unrecorded].map(encodeChange),
       ...encodeVersions(known),
       targetsAgeMs: finite(this.#view.targetsAgeMs),
       configurationAgeMs: finite(this.#view.configurationAgeMs),
@@ -263,6 +267,15 @@
     };
   }
 
+  /** The own catalog, if it is newer than that of a peer which reports one. */
+  #newerCatalog(
+    peerCatalog = Number.POSITIVE_INFINITY,
+  ): readonly StateChange[] {
+    const { state } = this.#view;
+    const { version = 0 } = state.catalog ?? {};
+    return version > peerCatalog ? state.catalogChanges() : [];
+  }
+
   /**
    * Asks each peer that is due and has no request in flight; with news, also
    * peers that are not due.
@@ -337,6 +350,7 @@
     const request = {
       from: this.#self.name,
       ...encodeVersions(this.#versions()),
+      catalog: this.#view.state.catalog?.version,
       notices: this.#board.messageTo(boardKey),
       origins: origins.length > 0 ? origins : undefined,
     };
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -164,9 +164,7 @@
     const records = changes.reduce(
       (records, change) => {
         const known = withBuild(records, change, now);
-        return change.version > versionOf(known, change)
-          ? applyChange(known, change, now)
-          : known;
+        return isNewer(known, change) ? applyChange(known, change, now) : known;
       },
       this.#records,
     );
@@ -186,22 +184,21 @@
     return this.#records.leaving.has(startKey(start));
   }
 
+  /** Returns the change that puts the catalog in force, if one is known. */
+  catalogChanges(): readonly StateChange[] {
+    const { version, value } = this.#records.catalog;
+    return value ? [{ kind: "catalog", version, catalog: value.spec }] : [];
+  }
+
   /**
    * Returns the changes that lead from an empty state to this one at monotonic
    * time `now`.
    */
   changes(now = 0): StateChange[] {
-    const { catalog, targets, domains, peers, builds, quarantines, rollouts } =
+    const { targets, domains, peers, builds, quarantines, rollouts } =
       this.#records;
-    const catalogChanges: StateChange[] = catalog.value
-      ? [{
-        kind: "catalog",
-        version: catalog.version,
-        catalog: catalog.value.spec,
-      }]
-      : [];
     return [
-      ...catalogChanges,
+      ...this.catalogChanges(),
       ...[...targets].map(([id, { version, target, lapsesAt }]) =>
         ({
           kind: "target",
@@ -325,6 +322,12 @@
   }
 }
 
+/** True when a change is newer than what is known of its row. */
+function isNewer(records: FleetRecords, change: StateChange): boolean {
+  if (change.kind === "catalog") return isNewerCatalog(records.catalog, change);
+  return change.version > versionOf(records, change);
+}
+
 /** Returns the known version of the row of a change; 0 when unknown. */
 function versionOf(records: FleetRecords, change: StateChange): number {
   switch (change.kind) {
@@ -370,7 +373,6 @@
   const { version } = change;
   switch (change.kind) {
     case "catalog": {
-      if (isOlderCatalog(records.catalog, change)) return records;
       const value = new Catalog(change.catalog);
       return {
         ...records,
@@ -435,15 +437,19 @@
 }
 
 /**
- * True when a restored store brings a catalog that is older than the known one.
- * The known one stays in force until the operator has written it again.
+ * True when a catalog is newer than the known one. A restored store may list an
+ * older one under a newer version; the operator's versions tell them apart.
  */
-function isOlderCatalog(
+function isNewerCatalog(
   { version, value }: FleetRecords["catalog"],
   change: Extract<StateChange, { kind: "catalog" }>,
 ): boolean {
-  return value !== undefined && eraOf(change.version) > eraOf(version) &&
-    change.catalog.version < value.spec.version;
+  const isComparable = value === undefined ||
+    eraOf(change.version) === eraOf(version) ||
+    change.catalog.version === value.spec.version;
+  return isComparable
+    ? change.version > version
+    : change.catalog.version > value.spec.version;
 }
 
 /**
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -56,6 +56,11 @@
   versions: versionsSchema,
   /** Eras of these versions; absent in builds that know none. */
   eras: versionsSchema.optional(),
+  /**
+   * Operator's version of the sender's catalog; absent without one and in builds
+   * that do not report it.
+   */
+  catalog: z.number().optional(),
   notices: noticeMessageSchema.optional(),
   /** Origins of the sender of which the receiver keeps a copy. */
   origins: sentOriginsSchema.optional(),
