--- a/src/gateway/stream_binding.ts
+++ b/src/gateway/stream_binding.ts
@@ -53,13 +53,18 @@
   return ok({ ...admitted, pool, origin, ageMs: 0 });
 }
 
-/** Pool in which a stream goes on; undefined if its route has left the pool. */
+/**
+ * Pool in which a stream goes on; undefined if its route sends nothing to that
+ * pool any more.
+ */
 export function poolOfOrigin(
   origin: StreamOrigin,
   route: Route,
   catalog: Catalog,
 ): Pool | undefined {
-  return route.pools.some(({ pool }) => pool === origin.pool)
+  return route.pools.some(({ pool, weight }) =>
+      weight > 0 && pool === origin.pool
+    )
     ? catalog.pool(origin.pool)
     : undefined;
 }
--- a/src/gateway/stream_binding_test.ts
+++ b/src/gateway/stream_binding_test.ts
@@ -86,6 +86,19 @@
   }
 });
 
+test("a stream does not go on at a pool that its route sends nothing to", async () => {
+  const admitted = admittedOf(RESUMED);
+  const pools = admitted.route.pools.map((one) => ({
+    ...one,
+    weight: one.pool === "other" ? 0 : 1,
+  }));
+  const bound = await bindToOrigin(
+    { ...admitted, route: { ...admitted.route, pools } },
+    originsOf({ pool: "other", build: "v1" }),
+  );
+  assert.equal(bound._unsafeUnwrapErr().kind, RefusalKind.NotRun);
+});
+
 test("a stream that is taken up is due like a new one", async () => {
   const admitted = { ...admittedOf(RESUMED), ageMs: 4_000 };
   const origins = originsOf({ pool: "plain", build: "v1" });
