--- a/src/entry/front_test.ts
+++ b/src/entry/front_test.ts
@@ -11,6 +11,7 @@
   sha256,
   type StageResult,
 } from "../model/mod.ts";
+import { sleep } from "../kernel/mod.ts";
 import { Metrics, SILENT_LOGGER, Tracing } from "../telemetry/mod.ts";
 import { Front, type FrontDeps } from "./front.ts";
 import type { PipelineRequest } from "./runner.ts";
@@ -103,6 +104,60 @@
   };
 };
 
+/** Sends a request and changes the lists before its body has ended. */
+async function sendSlowly(after: Partial<FrontDeps["lists"]>) {
+  const lists: { current: Lists; isConfirmed: boolean } = {
+    current: LISTS,
+    isConfirmed: true,
+  };
+  let hasRun = false;
+  const run = () => {
+    hasRun = true;
+    return Promise.resolve(ok([RESULT]));
+  };
+  const text = '{"input": {}}';
+  const body = new ReadableStream<Uint8Array>({
+    async pull(controller) {
+      await sleep(20);
+      Object.assign(lists, after);
+      controller.enqueue(new TextEncoder().encode(text));
+      controller.close();
+    },
+  }, { highWaterMark: 0 });
+  const res = await app({ lists, runner: { run } }).request(
+    "/v1/pipelines/tags",
+    {
+      method: "POST",
+      headers: {
+        authorization: "Bearer secret",
+        "content-length": String(text.length),
+      },
+      body,
+      duplex: "half",
+    } as RequestInit,
+  );
+  return { status: res.status, hasRun };
+}
+
+test("a request whose key is revoked while its body is read does not run", async () => {
+  const current = {
+    ...LISTS,
+    version: 2,
+    organisations: { organisations: [] },
+  };
+  assert.deepEqual(await sendSlowly({ current }), {
+    status: 401,
+    hasRun: false,
+  });
+});
+
+test("a request does not run under lists that expired while its body was read", async () => {
+  assert.deepEqual(await sendSlowly({ isConfirmed: false }), {
+    status: 503,
+    hasRun: false,
+  });
+});
+
 test("Front responds with the result and the request's identifiers", async () => {
   const res = await send({ headers: { "idempotency-key": "k1" } });
   const body = await bodyOf(res);
--- a/src/entry/intake.ts
+++ b/src/entry/intake.ts
@@ -53,8 +53,12 @@
     if (deadlineMs.isErr()) return err(deadlineMs.error);
     const input = await inputOf(c);
     if (input.isErr()) return err(input.error);
+    // The lists may have changed, or expired, while the body was read.
+    if (!this.#lists.isConfirmed) return err(notConfirmed());
+    const current = this.#identify(c);
+    if (current.isErr()) return err(current.error);
     return ok({
-      ...identity.value,
+      ...current.value,
       input: input.value,
       deadlineAt: arrivedAt + deadlineMs.value,
       signal: c.req.raw.signal,
