--- a/src/gateway/chain_client.ts
+++ b/src/gateway/chain_client.ts
@@ -32,8 +32,9 @@
 /** Shares that are asked to run one chain before it is refused. */
 const MAX_SHARES = 2;
 /**
- * Pause before the owner is determined again when an entry declines a chain
- * whose owner has not responded, in milliseconds: that entry checks it first.
+ * Pause before the owner is determined again when an entry declines a chain, in
+ * milliseconds: it first checks the owner that has not responded, or reads the
+ * configuration that it lacks.
  */
 const DECLINED_PAUSE_MS = 250;
 /**
@@ -367,9 +368,13 @@
   return Math.max(0, waitMs) + Math.max(0, tookMs - heldMs);
 }
 
-/** True when the entry that was asked does not own the stages. */
+/**
+ * True when the entry that was asked does not own the stages, or does not know
+ * them yet.
+ */
 function isDeclined(response: ChainResponse): boolean {
-  return response.kind === "refused" && response.owner !== undefined;
+  return response.kind === "refused" &&
+    (response.owner !== undefined || response.isBehind === true);
 }
 
 function chainOf(request: ShardRequest): StageChain {
--- a/src/gateway/chain_service.ts
+++ b/src/gateway/chain_service.ts
@@ -15,6 +15,8 @@
   readonly runner: Pick<ShardRunners, "run">;
   readonly owners: Pick<StageOwners, "otherOwnerOf">;
   catalog(): Catalog | undefined;
+  /** Reads the catalog as it is after the call; false when that fails. */
+  readCatalog(): Promise<boolean>;
   /** True once this process accepts no further chains. */
   isLeaving(): boolean;
 }
@@ -29,8 +31,13 @@
 
   async run(chain: StageChain, gone: AbortSignal): Promise<ChainResponse> {
     const { runner, isLeaving } = this.#deps;
-    const catalog = this.#deps.catalog()?.version;
     if (isLeaving()) return { kind: "leaving" };
+    if (this.#lacksPoolOf(chain)) await this.#deps.readCatalog();
+    const catalog = this.#deps.catalog()?.version;
+    if (this.#lacksPoolOf(chain)) {
+      const reason = "the owner of the stages has an older configuration";
+      return { kind: "refused", reason, isBehind: true, catalog };
+    }
     const owner = chain.mayDecline ? this.#otherOwnerOf(chain) : undefined;
     if (owner !== undefined) {
       const reason = "another entry owns the stages";
@@ -43,6 +50,13 @@
       : { ...response, heldMs: monotonicMs() - startedAt, catalog };
   }
 
+  /** True when the sender's newer catalog has a pool that this one lacks. */
+  #lacksPoolOf({ stages, catalog: sent }: StageChain): boolean {
+    const catalog = this.#deps.catalog();
+    if (sent === undefined || sent <= (catalog?.version ?? 0)) return false;
+    return stages.some(({ pool }) => !catalog?.pool(pool)?.batch);
+  }
+
   #otherOwnerOf(
     { stages, shard = WHOLE_GROUP }: StageChain,
   ): string | undefined {
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -166,6 +166,7 @@
     runner,
     owners: peers.owners,
     catalog: () => view.state.catalog,
+    readCatalog: () => view.readChanges(),
     isLeaving: () => isLeaving,
   });
   const chains = new ChainClient({ runner, peers, clients, targets, log });
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -167,6 +167,8 @@
     readonly reason: string;
     /** Name of the entry that owns the stages instead of the receiver. */
     readonly owner?: string;
+    /** True when the receiver lacks a pool of the sender's newer catalog. */
+    readonly isBehind?: boolean;
     readonly waitMs?: number;
     readonly heldMs?: number;
     readonly catalog?: number;
