--- a/src/gateway/stage_owners_test.ts
+++ b/src/gateway/stage_owners_test.ts
@@ -92,6 +92,7 @@
       runner,
       owners: this.peers.owners,
       catalog: () => fleet.view.state.catalog,
+      readCatalog: () => Promise.resolve(true),
       isLeaving: () => false,
     });
     this.client = new ChainClient({
