--- a/src/agent/broken_answer_test.ts
+++ b/src/agent/broken_answer_test.ts
@@ -26,15 +26,20 @@
 const Ending = { Close: "close", Reset: "reset" } as const;
 type Ending = typeof Ending[keyof typeof Ending];
 
-/** Writes `text` in place of a response; returns what the client made of it. */
+/**
+ * Writes `text` in place of a response; returns what the client made of it. The
+ * target reads the first bytes of the request only.
+ */
 async function run(
   create: Create,
   text: string,
   ending: Ending,
+  call = CALL,
 ): Promise<string> {
   const server = createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => {
+      socket.pause();
       socket.write(text);
       setTimeout(() => {
         if (ending === Ending.Close) socket.end();
@@ -47,7 +52,7 @@
   const client = create(`http://127.0.0.1:${port}`);
   try {
     const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
-    const outcome = await client.run(CALL, { signal, onText: () => {} });
+    const outcome = await client.run(call, { signal, onText: () => {} });
     return outcome.match(
       ({ output }) => `output ${JSON.stringify(output)}`,
       ({ mayHaveRun, reason }) =>
@@ -129,11 +134,12 @@
   create: Create,
   answers: Readonly<Record<string, string>>,
   endings: readonly Ending[] = Object.values(Ending),
+  call = CALL,
 ): Promise<void> {
   const seen = await Promise.all(
     Object.entries(answers).flatMap(([name, text]) =>
       endings.map(async (ending) => {
-        const outcome = await run(create, text, ending);
+        const outcome = await run(create, text, ending, call);
         return outcome.startsWith("unknown")
           ? []
           : [`${name}, ${ending}: ${outcome}`];
@@ -156,6 +162,28 @@
     "another transfer coding": `${HEAD}Transfer-Encoding: identity\r\n\r\n12`,
   }, [Ending.Reset]));
 
+/** A call whose body does not fit into the buffers of its connection. */
+const UPLOAD = { ...CALL, input: { text: "x".repeat(3_000_000) } } as StageCall;
+
+test("an answer that is reset while its call is being sent is not complete", async () => {
+  const answers = {
+    "no length": `${UNFRAMED}12`,
+    "a length": framed("12", 4),
+    "chunks": CHUNKED + chunk("12"),
+  };
+  await assertUnknown(service, answers, [Ending.Reset], UPLOAD);
+  await assertUnknown(engine, answers, [Ending.Reset], UPLOAD);
+});
+
+test("no status but that of a success passes for an output", async () => {
+  const statuses = ["000", "00", "099", "101", "201", "299", "700", "999"];
+  const answers = Object.fromEntries(
+    statuses.map((status) => [status, framed("1234").replace("200", status)]),
+  );
+  await assertUnknown(service, answers, [Ending.Close]);
+  await assertUnknown(engine, answers, [Ending.Close]);
+});
+
 test("an error inside a stream counts as a failure of the engine", async () => {
   const names = Object.keys(SHORT_STREAMS).filter((name) =>
     name.startsWith("an error") || name.startsWith("text") ||
