--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -121,10 +121,6 @@
       "catalog_version",
       () => this.#state.catalog?.version ?? 0,
     );
-    this.#metrics.gauge(
-      "catalog_confirmed_age_ms",
-      () => this.configurationAgeMs,
-    );
   }
 
   get state(): FleetState {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -110,6 +110,7 @@
 
   /** Serves one request; resolves when it has ended. */
   async serve(req: CallerRequest, response: CallerResponse): Promise<void> {
+    this.#recordConfigurationAge();
     const admitted = this.#admit(req);
     if (admitted.isErr()) return this.#refuse(req, response, admitted.error);
     this.#inHand += 1;
@@ -168,6 +169,14 @@
     return history;
   }
 
+  /** Records how old the configuration may be that decides a request. */
+  #recordConfigurationAge(): void {
+    const { configurationAgeMs } = this.#view;
+    if (!Number.isFinite(configurationAgeMs)) return;
+    this.#deps.metrics.durations("configuration_age", {})
+      .record(configurationAgeMs);
+  }
+
   /** Logs that the caller left while the origin of its stream was sought. */
   #logGone({ id }: CallerRequest): void {
     this.#deps.log.info("request_ended", {
