--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -33,6 +33,7 @@
   type StateRead,
   type StateSource,
 } from "./ports.ts";
+import { removalsBy } from "./snapshot_removals.ts";
 
 /**
  * Time that a response may take beyond the wait of its call, in milliseconds.
@@ -388,37 +389,14 @@
     this.#log.info("store_regained", {});
   }
 
-  /**
-   * Adds changes for what a snapshot no longer lists: targets are removed, and
-   * failure domains return to service. Peers stay.
-   */
-  #withRemovals(
-    part: StatePart,
-    read: { changes: readonly StateChange[]; version: number },
-  ): readonly StateChange[] {
+  /** Returns what a snapshot has changed: what it lists, and what it lacks. */
+  #withRemovals(part: StatePart, read: StateRead): readonly StateChange[] {
     if (part === StatePart.Peers || this.#awaitsRewrites(part)) {
       return read.changes;
     }
     // After a restoration the targets have had the time to report again.
     const hasLapsed = this.#reviewAt.delete(part) ? false : undefined;
-    const { version } = read;
-    const present = new Set(read.changes.map(keyOf));
-    const gone = this.#state.changes()
-      .filter((change) =>
-        part === StatePart.Targets
-          ? change.kind === "target"
-          : (change.kind === "domain" && change.isOut) ||
-            change.kind === "rollout-order"
-      )
-      .filter((change) => !present.has(keyOf(change)))
-      .map((change): StateChange => {
-        if (change.kind === "target") {
-          return { kind: "target", version, id: change.id, hasLapsed };
-        }
-        return change.kind === "rollout-order"
-          ? { kind: "rollout-order", version, pool: change.pool }
-          : { ...change, version, isOut: false } as StateChange;
-      });
+    const gone = removalsBy(read, { part, known: this.#state, hasLapsed });
     return [...read.changes, ...gone];
   }
 
@@ -477,23 +455,3 @@
     });
   }
 }
-
-function keyOf(change: StateChange): string {
-  switch (change.kind) {
-    case "catalog":
-      return "catalog";
-    case "target":
-      return `target/${change.id}`;
-    case "domain":
-      return `domain/${change.failureDomain}`;
-    case "peer":
-      return `peer/${change.name}`;
-    case "quarantine":
-      return `quarantine/${change.segment}`;
-    case "build":
-      return `build/${change.pool}/${change.build}`;
-    case "rollout-order":
-    case "rollout-verdict":
-      return `${change.kind}/${change.pool}`;
-  }
-}
