--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -4,7 +4,7 @@
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { RolloutWritten } from "../rollout/mod.ts";
 import { versionInEra } from "../serving/mod.ts";
-import { targetChange } from "../serving/testing.ts";
+import { catalogChange, targetChange } from "../serving/testing.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
 import { FleetView } from "./fleet_view.ts";
@@ -275,3 +275,25 @@
     abort.abort();
     assert.equal(snapshots, before + 1);
   }, { seed: 1 }));
+
+test("the standing of a catalog tells who brought it, and who confirmed it when", () =>
+  withPausedClock(async () => {
+    const view = new FleetView({
+      bounds: BOUNDS,
+      source: new TruncatingSource(),
+      log: SILENT_LOGGER,
+      metrics: new Metrics(),
+    });
+    view.merge([catalogChange({ version: 7 })], {}, PEER);
+    await sleep(500);
+    assert.deepEqual(view.catalogStanding, {
+      catalog: 7,
+      from: "b",
+      inForceMs: 500,
+      confirmedMs: undefined,
+    });
+    const configurationReadAt = monotonicMs() - 200;
+    view.merge([], {}, { ...PEER, configurationReadAt });
+    await sleep(100);
+    assert.equal(view.catalogStanding.confirmedMs, 300);
+  }, { seed: 1 }));
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -258,8 +258,8 @@
     return {
       changes: [...changes, ...missed, ...unrecorded].map(encodeChange),
       ...encodeVersions(known),
-      targetsAgeMs: finite(this.#view.targetsAgeMs),
-      configurationAgeMs: finite(this.#view.configurationAgeMs),
+      targetsAgeMs: Math.min(this.#view.targetsAgeMs, Number.MAX_SAFE_INTEGER),
+      configurationAgeMs: ifKnown(this.#view.configurationAgeMs),
       isLeaving: this.#isLeaving,
       upMs: monotonicMs() - this.#startedAt,
       notices: notices && this.#board.respond(from, notices),
@@ -459,9 +459,9 @@
   }
 }
 
-/** Age as JSON can express it. */
-function finite(ageMs: number): number {
-  return Math.min(ageMs, Number.MAX_SAFE_INTEGER);
+/** An age that is not infinite. */
+function ifKnown(ageMs: number): number | undefined {
+  return Number.isFinite(ageMs) ? ageMs : undefined;
 }
 
 function partOf({ kind }: StateChange): StatePart {
