--- a/src/gateway/configuration_simulation.ts
+++ b/src/gateway/configuration_simulation.ts
@@ -9,7 +9,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import { NoticeBoard } from "../notices/mod.ts";
-import { NO_BACKUPS } from "../origins/testing.ts";
 import {
   eraOf,
   type ListedPeer,
@@ -17,12 +16,12 @@
   type StateChange,
   versionInEra,
 } from "../serving/mod.ts";
-import { catalogChange } from "../serving/testing.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import type { EntryPeerClients, SyncRequest } from "../wire/mod.ts";
 import { FleetView } from "./fleet_view.ts";
 import { Peers } from "./peers.ts";
 import {
+  INITIAL_LIMITS,
   type SourceError,
   StatePart,
   type StateRead,
@@ -31,6 +30,14 @@
 
 const LATENCY_MS = 5;
 
+/** Exchange of copies of gateways that have no streams. */
+const NO_BACKUPS = {
+  backupFor: () => [],
+  backupHeld: () => {},
+  backupLost: () => {},
+  keepBackup: () => {},
+};
+
 /** How a link handles calls. */
 export const SimLink = {
   Up: "up",
@@ -127,7 +134,13 @@
     const { config, row } = this.#state;
     const version = versionInEra(this.#era, row);
     if (part === StatePart.Configuration) {
-      return row > after ? [catalogChange({ version: config }, version)] : [];
+      const catalog = {
+        version: config,
+        routes: [],
+        pools: [],
+        limits: INITIAL_LIMITS,
+      };
+      return row > after ? [{ kind: "catalog", version, catalog }] : [];
     }
     if (part !== StatePart.Peers || after > 0) return [];
     return this.#entries.map((peer) => ({
