--- a/review/lib-2/streams.mjs
+++ b/review/lib-2/streams.mjs
@@ -46,8 +46,11 @@
   };
 }
 
-/** Reads one stream; resolves with what its caller got. */
-export function readStream(front, id) {
+/**
+ * Reads one stream; resolves with what its caller got. `headers` are added, and
+ * `signal` makes the caller leave.
+ */
+export function readStream(front, id, { headers = {}, signal } = {}) {
   const [host, port] = front.split(":");
   return new Promise((resolve) => {
     let text = "";
@@ -57,6 +60,8 @@
       resolve({ id, how, status, events });
     };
     const req = request({
+      agent: false,
+      signal,
       host,
       port,
       method: "POST",
@@ -67,6 +72,7 @@
         "Request-Id": id,
         "Deadline-Ms": 20_000,
         "Content-Length": 0,
+        ...headers,
       },
     }, (res) => {
       res.on("data", (bytes) => text += bytes);
