--- a/review/10/play.mjs
+++ b/review/10/play.mjs
@@ -1,152 +1,114 @@
 /**
- * One caller sends a request of many pieces now and then. Other callers of the
- * route have to be served.
+ * All processes are killed at once while a service has one version, and the
+ * first server of the next version joins before they are back.
  */
 
-import { request } from "node:http";
+import { setMaxListeners } from "node:events";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import {
   Bed,
+  BOUNDS,
   BROKEN,
-  configuration,
   HELD,
   NOT_RUN,
   Record,
-  route,
   run,
   sleep,
   TROUBLE,
 } from "../lib-2/bed.mjs";
-import { SEGMENTS, StageServer } from "../lib-2/stage.mjs";
-import { Server, streamAtOnce } from "../lib-2/server.mjs";
-
-const RUN_MS = 45_000;
-/** Pause between two requests of the other callers, in milliseconds. */
-const PAUSE_MS = 200;
-/** Pause between two requests of the one caller, in milliseconds. */
-const LARGE_PAUSE_MS = 2000;
-const ORDINARY = "1,8,6";
-const LARGE = "1,1000,1000";
-/** Share of the other callers' requests that counts as served. */
-const SERVED_SHARE = 0.25;
-const STAGES = ["portal", "archive", "print"];
+import {
+  readStream,
+  startServers,
+  STREAM_CONFIG,
+  writer,
+} from "../lib-2/streams.mjs";
+import { Server } from "../lib-2/server.mjs";
 
-function call(front, id, pieces) {
-  const [host, port] = front.split(":");
-  return new Promise((resolve) => {
-    const req = request({
-      host,
-      port,
-      method: "POST",
-      path: "/r/draft",
-      agent: false,
-      headers: {
-        "Host": "api.example",
-        "X-Api-Key": "key-a",
-        "Request-Id": id,
-        "Deadline-Ms": 15_000,
-        "Token-Usage": "800,50",
-        "Chunk-Count": pieces,
-        "Chunk-Key": "7c1e07a291bd",
-        "Content-Length": 0,
-      },
-    }, (res) => {
-      let text = "";
-      res.on("data", (bytes) => text += bytes);
-      res.on("end", () => {
-        const reason = res.statusCode === 200 ? "" : ` ${text.trim()}`;
-        resolve(`${res.statusCode}${reason}`);
-      });
-      res.on("error", (err) => resolve(err.code ?? "cut"));
-    });
-    req.on("error", (err) => resolve(err.code ?? "error"));
-    req.end();
-  });
-}
+const STREAMS = 24;
+const DOWN_MS = 2000;
+/** Tries of a client to take its stream up, and the pause between them. */
+const TRIES = 4;
+const RETRY_MS = 400;
 
 await run(async () => {
   const record = new Record(dirname(fileURLToPath(import.meta.url)));
-  const bed = await Bed.start({
-    count: 2,
-    config: configuration({
-      routes: [route({
-        routeType: "streaming",
-        streamResume: true,
-        timeoutMs: 15_000,
-        targetLatencyMs: 2700,
-        targetGapMs: 600,
-        service: "model",
-        stages: STAGES.map((service, i) => ({
-          service,
-          after: i === 0 ? [] : [i - 1],
-          byteCount: 6000,
-        })),
-      })],
-      services: [
-        { name: "model", maxConnections: 370, engine: { slots: 64 } },
-        ...STAGES.map((name) => ({
-          name,
-          maxConnections: 370,
-          segments: SEGMENTS,
-        })),
-      ],
-    }),
-  });
-  const stageServers = await Promise.all(
-    STAGES.flatMap((service) =>
-      [0, 1, 2, 3].map((n) =>
-        new StageServer({ id: `${service}-${n}`, service }).start()
-      )
-    ),
-  );
-  const models = await Promise.all(
-    ["a", "b"].map((name) =>
-      new Server({
-        id: `s-${name}`,
-        service: "model",
-        serve: streamAtOnce(2),
-      }).start()
-    ),
-  );
-  [...stageServers, ...models].forEach((server) => {
-    bed.register(server);
-    bed.onStop(() => server.stop());
-  });
+  const serve = writer(record, { events: 60, eventMs: 250 });
+  const bed = await Bed.start({ count: 2, config: STREAM_CONFIG });
   try {
+    await startServers(bed, ["a", "b"], serve);
     if (!await bed.ready()) return NOT_RUN;
-    await sleep(2500);
-    const results = {};
-    const calls = [];
-    const startedAt = performance.now();
-    let largeAt = startedAt + 2000;
-    for (let n = 0; performance.now() - startedAt < RUN_MS; n++) {
-      if (TROUBLE && performance.now() >= largeAt) {
-        largeAt += LARGE_PAUSE_MS;
-        const id = `large-${n}`;
-        record.line(`${id} is sent: ${LARGE} pieces`);
-        call(bed.entries[0].front, id, LARGE)
-          .then((result) => record.line(`${id}: ${result}`));
-      }
-      const id = `ordinary-${n}`;
-      calls.push(
-        call(bed.entries[n % 2].front, id, ORDINARY).then((result) => {
-          record.line(`${id}: ${result}`);
-          results[result] = (results[result] ?? 0) + 1;
+    // Both processes know each other and have written what they write at first.
+    await sleep(8000);
+    record.line(`${STREAMS} streams begin`);
+    const leave = new AbortController();
+    setMaxListeners(0, leave.signal);
+    const streams = Array.from(
+      { length: STREAMS },
+      (_, i) =>
+        readStream(bed.entries[i % 2].front, `stream-${i}`, {
+          signal: leave.signal,
         }),
-      );
-      await sleep(PAUSE_MS);
+    );
+    await sleep(2500);
+    if (TROUBLE) {
+      bed.entries.forEach((entry) => entry.signal("SIGKILL"));
+      record.line("all processes are killed");
+    } else {
+      leave.abort();
+      record.line("the clients leave");
+    }
+    const broken = await Promise.all(streams);
+    await sleep(DOWN_MS / 2);
+    const next = await new Server({
+      id: "s-next",
+      service: "model",
+      version: "v2",
+      serve,
+    }).start();
+    bed.register(next);
+    bed.onStop(() => next.stop());
+    record.line("a server of v2 joins; both servers of v1 go on");
+    await sleep(DOWN_MS / 2);
+    if (TROUBLE) {
+      bed.entries.forEach((entry) => entry.start());
+      record.line("the processes start again");
     }
-    await Promise.all(calls);
-    const served = results["200"] ?? 0;
+    if (!await bed.ready()) return NOT_RUN;
+    // From then on the machines are in touch.
+    await sleep(BOUNDS.contactMs + 1000);
+    record.line("the clients take their streams up, and new ones begin");
+    const takeUp = async ({ id, events }, i) => {
+      const last = events.at(-1)?.n ?? 0;
+      const headers = { "Last-Event-Id": String(last), "Resumes": id };
+      for (let n = 1; n <= TRIES; n++) {
+        const { front } = bed.entries[(i + n) % 2];
+        const got = await readStream(front, `${id}-try-${n}`, { headers });
+        record.line(
+          `${id} taken up after event ${last}, try ${n}: ${got.status} ${got.how}, ${got.events.length} events`,
+        );
+        if (got.events.length > 0) return true;
+        await sleep(RETRY_MS);
+      }
+      return false;
+    };
+    const begin = async (_, i) => {
+      const { front } = bed.entries[i % 2];
+      const got = await readStream(front, `new-${i}`);
+      return got.events.length > 0;
+    };
+    const [went, began] = await Promise.all([
+      Promise.all(broken.filter(({ events }) => events.length > 0).map(takeUp)),
+      Promise.all(Array.from({ length: STREAMS }, begin)),
+    ]);
+    const share = (all) => all.filter((one) => one).length / all.length;
     record.line(
-      `of ${calls.length} ordinary requests: ${JSON.stringify(results)}`,
+      `${went.filter((one) => one).length} of ${went.length} streams went on, ${
+        began.filter((one) => one).length
+      } of ${began.length} new ones began`,
     );
-    const pieces = stageServers.map(({ id, pieces }) => `${id} ${pieces}`);
-    record.line(`pieces made: ${pieces.join(", ")}`);
-    const isBroken = served < SERVED_SHARE * calls.length;
-    record.line(isBroken ? "the rule is broken" : "the rule holds");
-    return isBroken ? BROKEN : HELD;
+    if (went.length < 12) return NOT_RUN;
+    return share(went) < share(began) / 2 ? BROKEN : HELD;
   } finally {
     await bed.stop();
   }
