LOST: record where streams begin before their callers see an event

Every stream that was taken up was refused, four times each, though both servers of its build served all the time.

Cause: an origin reached the store only once other entries could not deduce it, from processes that had all ended by then; and what was deduced depended on the view of the moment. After such a kill the view held two builds, or only the next one, or only the newest configuration. So streams were refused, and where a route had moved meanwhile they went on at the wrong pool.

Evidence: logs of both processes show stored_origins_read rows=0 and stream_origin_unknown builds=v1,v2 for each refusal; no read failed and no origin was found and then refused.

Change: one row of the store, changed by conditional writes only when no stream of the old value can be alive, names the origin of all streams without a record. A stream that begins elsewhere is recorded before its caller sees its first event; the record is written while the target works on that event. The row holds for one era of the store, and is not used beside entries that do not record.

--- a/src/bench/stream_origins.ts
+++ b/src/bench/stream_origins.ts
@@ -6,12 +6,19 @@
  * @module
  */
 
+import { ok } from "neverthrow";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { seededRandom, sleep } from "../kernel/mod.ts";
-import { type OriginClients, StreamOriginService } from "../origins/mod.ts";
+import {
+  type OriginClients,
+  type OriginRow,
+  type OriginStore,
+  StoredOrigins,
+  StreamOriginService,
+} from "../origins/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
-import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
+import { DurationHistogram, Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import {
   EntryPeerClients,
   entryPeerHandler,
@@ -29,6 +36,12 @@
 const TWO_BUILDS = new Set(["v1.1", "v1.2"]);
 /** Records in the larger of the two calls whose bytes are compared. */
 const LARGE_BATCH = 101;
+/** Time that the store takes to answer a call, in milliseconds. */
+const STORE_MS = 7;
+/** Time from the sending of a request to its first event, in milliseconds. */
+const FIRST_EVENT_MS = 200;
+/** Bytes of a value on the wire, which is encoded in base64. */
+const BASE64_RATIO = 4 / 3;
 const MS_PER_S = 1_000;
 const BYTES_PER_KB = 1_000;
 
@@ -46,6 +59,11 @@
       bytes_per_record: round(bytes.record),
       measured: await measure(seededRandom(seed)),
       calculated: await calculate(bytes, seededRandom(seed)),
+      recorded: await Promise.all(
+        [MEASURED_ENTRIES, DESIGN_ENTRIES].map((entries) =>
+          measureRecords(entries, seededRandom(seed))
+        ),
+      ),
     };
   },
 };
@@ -128,6 +146,81 @@
   };
 }
 
+/** Store that counts what it is sent and answers after `STORE_MS`. */
+class CountingStore implements OriginStore {
+  calls = 0;
+  bytes = 0;
+
+  write(row: OriginRow) {
+    const { writtenAtMs, origins } = row;
+    const streams = origins.map(({ stream }) => stream);
+    return this.#answer([row.key, writtenAtMs, streams], undefined);
+  }
+
+  read() {
+    return this.#answer([], { defaults: { era: 1 }, rows: [] });
+  }
+
+  readDefaults() {
+    return this.#answer([], { era: 1 });
+  }
+
+  writeDefaults() {
+    return this.#answer([], true);
+  }
+
+  async #answer<T>(sent: unknown, value: T) {
+    this.calls += 1;
+    this.bytes += JSON.stringify(sent).length * BASE64_RATIO;
+    await sleep(STORE_MS);
+    return ok(value);
+  }
+}
+
+/**
+ * Measures one of `entries` that records every stream before its caller sees an
+ * event, with targets that write their first event `FIRST_EVENT_MS` later.
+ */
+async function measureRecords(entries: number, random: () => number) {
+  const store = new CountingStore();
+  const records = new StoredOrigins({
+    store,
+    self: "edge-addis-bole-2",
+    entries: () => entries,
+    log: SILENT_LOGGER,
+    metrics: new Metrics(),
+  });
+  const abort = new AbortController();
+  records.run(abort.signal);
+  const waits = new DurationHistogram();
+  const origin = { pool: "cassia-pool", build: "v1.2" };
+  const begin = async (stream: string) => {
+    records.expect(stream, origin);
+    await sleep(FIRST_EVENT_MS);
+    const arrivedAt = performance.now();
+    await records.record(stream, origin);
+    waits.record(performance.now() - arrivedAt);
+  };
+  const begun: Promise<void>[] = [];
+  const stopAt = performance.now() + RUN_MS;
+  while (performance.now() < stopAt) {
+    await sleep(-Math.log(1 - random()) * MS_PER_S / STREAMS_PER_S);
+    begun.push(begin(streamId(begun.length)));
+  }
+  await Promise.all(begun);
+  abort.abort();
+  const seconds = RUN_MS / MS_PER_S;
+  return {
+    entries,
+    writes_per_s: round(store.calls / seconds),
+    kb_per_s: round(store.bytes / seconds / BYTES_PER_KB),
+    bytes_per_stream: round(store.bytes / begun.length),
+    wait_p50_ms: round(waits.quantile(0.5)),
+    wait_p95_ms: round(waits.quantile(0.95)),
+    wait_max_ms: round(waits.quantile(1)),
+  };
+}
+
 /** Bytes of a call without its records, and of each record, both directions. */
 async function bytesOfCalls(): Promise<{ call: number; record: number }> {
   const peers: ListedPeer[] = [];
@@ -175,7 +268,11 @@
   await Promise.all(services.map(async (service) => {
     while (performance.now() < stopAt) {
       await sleep(-Math.log(1 - random()) * MS_PER_S / STREAMS_PER_S);
-      service.begun(streamId(count++), { pool: "cassia-pool", build: "v1.2" });
+      service.begun({
+        stream: streamId(count++),
+        route: { hostname: "api.example", pathPrefix: "/r/" },
+        origin: { pool: "cassia-pool", build: "v1.2" },
+      });
     }
   }));
 }
@@ -241,6 +338,7 @@
       registrations: () => new Map(),
       isUsable: () => true,
       buildsOf: () => TWO_BUILDS,
+      observed: () => undefined,
       storeEra: () => 1,
       candidates: () => ({ pools: [], isSure: true }),
       ambiguousPools: () => new Set(),
--- a/src/gateway/configuration_simulation.ts
+++ b/src/gateway/configuration_simulation.ts
@@ -236,7 +236,12 @@
       recordBuilds: unused,
       recordQuarantines: unused,
       recordRollout: unused,
-      origins: { write: unused, read: unused },
+      origins: {
+        write: unused,
+        read: unused,
+        readDefaults: unused,
+        writeDefaults: unused,
+      },
     };
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -12,6 +12,7 @@
   RouteKind,
   type TimedCandidate,
 } from "../serving/mod.ts";
+import type { BeginningStream } from "../origins/mod.ts";
 import type { HeldBytes } from "./answer_body.ts";
 import {
   AttemptPreparer,
@@ -24,6 +25,7 @@
 import type { StageHandler } from "./chain_client.ts";
 import { Conclusion, type ConclusionDeps } from "./conclusion.ts";
 import { Handover, type RunningAttempt } from "./handover.ts";
+import { HeldResponse } from "./held_response.ts";
 import type { CallerResponse, TargetClient } from "./ports.ts";
 import type { PlannedStop } from "./planned_stop.ts";
 import { type Admitted, type AttemptEnd, Relay } from "./relay.ts";
@@ -56,7 +58,7 @@
 /** Serves one request. */
 export class Exchange {
   readonly #admitted: Admitted;
-  readonly #response: CallerResponse;
+  readonly #response: HeldResponse;
   readonly #deps: ExchangeDeps;
   readonly #startedAt = monotonicMs();
   readonly #deadlineAt: number;
@@ -88,7 +90,7 @@
   ) {
     const { req, route } = admitted;
     this.#admitted = admitted;
-    this.#response = response;
+    this.#response = new HeldResponse(response);
     this.#deps = deps;
     this.#lastEventId = req.lastEventId;
     this.#origin = admitted.origin;
@@ -103,7 +105,12 @@
       build: this.#origin?.build,
       stageHandler: this.#stageHandler,
     });
-    this.#conclusion = new Conclusion(admitted, response, history, deps);
+    this.#conclusion = new Conclusion(
+      admitted,
+      this.#response,
+      history,
+      deps,
+    );
   }
 
   /**
@@ -276,6 +283,7 @@
       },
     });
     this.#open.add(relay);
+    this.#expectOrigin(target);
     relay.attach(this.#deps.client.send({
       target,
       req,
@@ -289,14 +297,41 @@
     return { relay, ended: promise };
   }
 
-  /** Remembers which build the stream keeps to, at its first event here. */
+  /**
+   * Tells which build is likely to begin the stream: the store can record it
+   * while the target works on the first event.
+   */
+  #expectOrigin({ build }: BuildHolder): void {
+    const { req, route, origin } = this.#admitted;
+    if (!route.isResumable || origin || this.#hasEvents) return;
+    this.#deps.origins.expect(this.#beginningAt(build, req));
+  }
+
+  /**
+   * Remembers which build the stream keeps to, at its first event here. The
+   * caller sees the event once the origin is recorded.
+   */
   #recordOrigin({ build }: BuildHolder): void {
     if (this.#hasEvents) return;
     this.#hasEvents = true;
     this.#origin ??= { build };
-    const { req, route, pool } = this.#admitted;
+    const { req, route } = this.#admitted;
     if (!route.isResumable) return;
-    this.#deps.origins.begun(streamOf(req), { pool: pool.name, build });
+    const recorded = this.#deps.origins.begun(this.#beginningAt(build, req));
+    // The origin of a stream that was taken up is known already.
+    if (recorded && !this.#admitted.origin) this.#response.hold(recorded);
+  }
+
+  #beginningAt(
+    build: string | undefined,
+    req: Admitted["req"],
+  ): BeginningStream {
+    const { route: { hostname, pathPrefix }, pool } = this.#admitted;
+    return {
+      stream: streamOf(req),
+      route: { hostname, pathPrefix },
+      origin: { pool: pool.name, build },
+    };
   }
 
   #recordAttempt(
--- a/src/gateway/exchange_test.ts
+++ b/src/gateway/exchange_test.ts
@@ -66,6 +66,8 @@
   stageMs = 100;
   /** Time until a target permits a request under its limit. */
   permitMs = 0;
+  /** Resolves once the origin of a stream is recorded. */
+  recorded: Promise<void> | undefined;
   releasedCount = 0;
   areStagesRefused = false;
   /** Reservations that have not ended. */
@@ -136,7 +138,8 @@
         },
         crashes: { watch: (target) => new CallWatch(target, [], NO_FINDINGS) },
         origins: {
-          begun: () => {},
+          expect: () => {},
+          begun: () => this.recorded,
           find: () => Promise.resolve(undefined),
         },
         log: SILENT_LOGGER,
@@ -431,3 +434,48 @@
     assert.equal(setup.text, RefusalKind.NotRun);
   }),
 );
+
+// Guards against ORDER: a caller reads a stream whose build is then forgotten.
+test(
+  "a caller sees the first event once the origin of its stream is recorded",
+  withSetup(async (setup) => {
+    setup.recorded = sleep(300);
+    await setup.begin();
+    setup.event(0, 2);
+    await sleep(setup.stageMs);
+    assert.equal(setup.text, "begin ");
+    await sleep(200);
+    assert.equal(setup.text, "begin id: 1 id: 2 ");
+    setup.call(0).listener.ended();
+    assert.equal(setup.isEnded, true);
+  }),
+);
+
+test(
+  "a stream that ends while it is held back is complete",
+  withSetup(async (setup) => {
+    setup.recorded = sleep(300);
+    await setup.begin();
+    setup.call(0).listener.ended();
+    assert.equal(setup.isEnded, false);
+    await sleep(300);
+    assert.equal(setup.text, "begin id: 1 ");
+    assert.equal(setup.isEnded, true);
+  }),
+);
+
+test(
+  "a stream that breaks while it is held back goes on after what was held",
+  withSetup(async (setup) => {
+    setup.recorded = sleep(300);
+    await setup.begin();
+    setup.call(0).listener.failed({ mayHaveRun: true, detail: "reset" });
+    await sleep(setup.stageMs + 1);
+    setup.call(1).listener.head(HEAD);
+    setup.event(1, 2);
+    setup.call(1).listener.ended();
+    await sleep(300);
+    assert.equal(setup.text, "begin id: 1 id: 2 ");
+    assert.equal(setup.isEnded, true);
+  }),
+);
--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -18,6 +18,7 @@
   eraOf,
   FleetState,
   LAPSE_GRACE_MS,
+  type ObservedOrigins,
   type PoolBuild,
   type RecordedQuarantine,
   type StateChange,
@@ -55,6 +56,11 @@
  * in milliseconds: a call that follows it, its pause and its slack.
  */
 const BUILD_VIEW_MS = 2_500;
+/**
+ * Time for which a build counts as in use after its last target has gone, in
+ * milliseconds: longer than the pause between the checks of what is in use.
+ */
+const OBSERVED_MS = 5_000;
 /** Longest wait for what has changed until now, in milliseconds. */
 const CHANGES_TIMEOUT_MS = 500;
 /** Pause between such reads, which all callers share, in milliseconds. */
@@ -148,6 +154,30 @@
     return this.#state.isRegistered(name, this.ownRowsEra);
   }
 
+  /**
+   * Routes and builds of the streams that may begin now; undefined until
+   * configuration, targets and builds were read.
+   */
+  get observedOrigins(): ObservedOrigins | undefined {
+    const isRead = Object.values(StatePart)
+      .every((part) => this.versionOf(part) > 0);
+    const { catalog } = this.#state;
+    if (!isRead || !catalog) return undefined;
+    const now = monotonicMs();
+    return {
+      builds: [...catalog.resumablePools].flatMap((pool) =>
+        this.#state.buildsOf(pool, now, OBSERVED_MS)
+          .map((build) => ({ pool, build }))
+      ),
+      routes: catalog.resumableRoutes.map(
+        ({ hostname, pathPrefix, pools }) => ({
+          address: { hostname, pathPrefix },
+          pools: pools.map(({ pool, weight }) => ({ pool, weight })),
+        }),
+      ),
+    };
+  }
+
   /** Era of the store from which the rows of this system were read. */
   get ownRowsEra(): number {
     return eraOf(this.versionOf(StatePart.Peers));
--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -60,7 +60,9 @@
 
   readonly origins = {
     write: () => Promise.resolve(ok()),
-    read: () => Promise.resolve(ok([])),
+    read: () => Promise.resolve(ok({ defaults: { era: 0 }, rows: [] })),
+    readDefaults: () => Promise.resolve(ok({ era: 0 })),
+    writeDefaults: () => Promise.resolve(ok(true)),
   };
 
   recordQuarantines(): Promise<Result<void, SourceError>> {
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -10,7 +10,13 @@
   Reachability,
   type WatchedTarget,
 } from "../crashes/mod.ts";
-export type { OriginRow, OriginStore } from "../origins/mod.ts";
+export type {
+  DefaultsRead,
+  DefaultsRow,
+  OriginRow,
+  OriginsRead,
+  OriginStore,
+} from "../origins/mod.ts";
 export type { RolloutWrite, RolloutWritten } from "../rollout/mod.ts";
 export * from "./fleet_view.ts";
 export * from "./ports.ts";
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -17,7 +17,12 @@
 import { RateLimits, TargetPauses } from "../rates/mod.ts";
 import type { ListedPeer } from "../serving/mod.ts";
 import { type Logger, Metrics, StallMonitor } from "../telemetry/mod.ts";
-import { StoredOrigins, StreamOriginService } from "../origins/mod.ts";
+import {
+  DefaultOriginKeeper,
+  type OriginFleet,
+  StoredOrigins,
+  StreamOriginService,
+} from "../origins/mod.ts";
 import { EntryPeerClients, entryPeerHandler } from "../wire/mod.ts";
 import { HeldBytes } from "./answer_body.ts";
 import { BuildRecorder } from "./build_recorder.ts";
@@ -187,17 +192,27 @@
     processes: () => peers.processNames,
     log,
   });
+  const fleet: OriginFleet = originFleet(view, peers);
   const origins: StreamOriginService = new StreamOriginService({
     self: cfg.self,
-    fleet: originFleet(view, peers),
+    fleet,
     clients,
-    stored: new StoredOrigins({
-      store: source.origins,
-      self: cfg.self.name,
-      entries: () => peers.processNames.length,
-      log,
-      metrics,
-    }),
+    stored: {
+      records: new StoredOrigins({
+        store: source.origins,
+        self: cfg.self.name,
+        entries: () => peers.processNames.length,
+        log,
+        metrics,
+      }),
+      defaults: new DefaultOriginKeeper({
+        store: source.origins,
+        self: cfg.self,
+        fleet,
+        log,
+        metrics,
+      }),
+    },
     log,
     metrics,
   });
--- a/src/gateway/stream_binding.ts
+++ b/src/gateway/stream_binding.ts
@@ -26,7 +26,10 @@
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 300;
 
 /** Origins of streams, as the requests of callers use them. */
-export type StreamOriginMemory = Pick<StreamOriginService, "begun" | "find">;
+export type StreamOriginMemory = Pick<
+  StreamOriginService,
+  "begun" | "expect" | "find"
+>;
 
 /**
  * Returns a request that takes a stream up with the pool and the build that
@@ -93,6 +96,7 @@
     registrations: () => view.state.registrations,
     isUsable: (peer) => peers.isUsable(peer),
     buildsOf: (pool) => new Set(view.state.buildsOf(pool, monotonicMs())),
+    observed: () => view.observedOrigins,
     storeEra: () => view.ownRowsEra,
     candidates: (stream, route) =>
       view.state.routes.candidates(stream, route, monotonicMs()),
--- a/src/gateway/stream_binding_test.ts
+++ b/src/gateway/stream_binding_test.ts
@@ -54,7 +54,8 @@
   const asked: TakenUp[] = [];
   return {
     asked,
-    begun: () => {},
+    expect: () => {},
+    begun: () => undefined,
     find: (takenUp: TakenUp) => {
       asked.push(takenUp);
       return Promise.resolve(origin);
--- a/src/origins/mod.ts
+++ b/src/origins/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export * from "./default_origin_keeper.ts";
 export type { TakenUp } from "./origin_finder.ts";
 export * from "./ports.ts";
 export * from "./stored_origins.ts";
--- a/src/origins/origin_finder.ts
+++ b/src/origins/origin_finder.ts
@@ -21,7 +21,7 @@
   NOBODY_ASKED,
 } from "./origin_lookup.ts";
 import type { OriginClients, OriginFleet } from "./ports.ts";
-import type { StoredOrigins } from "./stored_origins.ts";
+import type { StoredFinding, StoredOrigins } from "./stored_origins.ts";
 
 /** Request that takes a stream up. */
 export interface TakenUp {
@@ -33,14 +33,14 @@
 }
 
 /** How an origin was found. */
-type OriginSource = "own" | "keeper" | "store" | "deduced";
+type OriginSource = "own" | "keeper" | "store" | "default" | "deduced";
 
 /** What the finder uses. */
 export interface OriginFinderDeps {
   readonly fleet: OriginFleet;
   readonly clients: OriginClients;
   readonly keepers: Keepers;
-  readonly stored?: Pick<StoredOrigins, "find">;
+  readonly stored?: Pick<StoredOrigins, "find" | "findSince">;
   /** The origin of a stream if this entry knows it without asking. */
   known(stream: string | undefined): StreamOrigin | undefined;
   readonly log: Logger;
@@ -72,9 +72,10 @@
         startedAt,
       });
     }
-    const stored = await this.#findStored(takenUp);
-    if (stored) {
-      return this.#found(takenUp, stored, { source: "store", startedAt });
+    const stored = await this.#findStored(takenUp, findings, startedAt);
+    if (stored?.origin) {
+      const source = stored.isDefault ? "default" : "store";
+      return this.#found(takenUp, stored.origin, { source, startedAt });
     }
     const deduced = await this.#deduce(takenUp, findings);
     if (deduced) {
@@ -84,11 +85,23 @@
     return undefined;
   }
 
-  /** The origin in the store, once no entry knows it any more. */
-  async #findStored({ stream }: TakenUp): Promise<StreamOrigin | undefined> {
-    return stream === undefined
-      ? undefined
-      : await this.#deps.stored?.find(stream);
+  /**
+   * The origin in the store, once no entry knows it any more; without a record,
+   * the default one. An entry of an older program may not have recorded a stream
+   * that began elsewhere.
+   */
+  async #findStored(
+    { stream, route }: TakenUp,
+    { answers }: KeeperFindings,
+    startedAt: number,
+  ): Promise<StoredFinding | undefined> {
+    const { stored } = this.#deps;
+    if (stream === undefined || !stored) return undefined;
+    const origin = await stored.find(stream);
+    if (origin) return { origin, isDefault: false };
+    const found = await stored.findSince(startedAt, { stream, route });
+    const isRecorded = answers.every(({ recordsOrigins }) => recordsOrigins);
+    return found?.isDefault && !isRecorded ? undefined : found;
   }
 
   async #ask(
--- a/src/origins/ports.ts
+++ b/src/origins/ports.ts
@@ -7,7 +7,9 @@
 import type { Result } from "neverthrow";
 import type {
   Builds,
+  DefaultOrigins,
   ListedPeer,
+  ObservedOrigins,
   PoolCandidates,
   RouteAddress,
   StreamOrigin,
@@ -33,6 +35,11 @@
   candidates(stream: string | undefined, route: RouteAddress): PoolCandidates;
   /** Pools of which the identifier of a stream may not tell which began it. */
   ambiguousPools(): ReadonlySet<string>;
+  /**
+   * Routes and builds of the resumable streams that may begin now; undefined
+   * until they were read.
+   */
+  observed(): ObservedOrigins | undefined;
   /** Number of times that the store has been restored, as far as known. */
   storeEra(): number;
   /**
@@ -69,6 +76,29 @@
   readonly origins: readonly StoredOrigin[];
 }
 
+/** Row of the store with the origins of all streams that have no record. */
+export interface DefaultsRow {
+  /** Version of the row as the store numbers it. */
+  readonly version: number;
+  /** Empty when the row can't be read. */
+  readonly defaults: DefaultOrigins;
+}
+
+/** The default origins as the store holds them. */
+export interface DefaultsRead {
+  /** Number of times that the store has been restored. */
+  readonly era: number;
+  /** Undefined when the store has no such row. */
+  readonly row?: DefaultsRow;
+}
+
+/** All that the store holds of the origins of streams. */
+export interface OriginsRead {
+  readonly defaults: DefaultsRead;
+  /** The rows of all entries; later rows of one start follow earlier ones. */
+  readonly rows: readonly OriginRow[];
+}
+
 /** Origins of streams in the store. */
 export interface OriginStore {
   /** Writes a row and removes others in one transaction. */
@@ -77,8 +107,20 @@
     removed: readonly string[],
     signal: AbortSignal,
   ): Promise<Result<void, { readonly kind: string }>>;
-  /** Reads the rows of all entries. */
+  /** Reads the default origins and the rows of all entries. */
   read(
     signal: AbortSignal,
-  ): Promise<Result<readonly OriginRow[], { readonly kind: string }>>;
+  ): Promise<Result<OriginsRead, { readonly kind: string }>>;
+  readDefaults(
+    signal: AbortSignal,
+  ): Promise<Result<DefaultsRead, { readonly kind: string }>>;
+  /**
+   * Writes the default origins unless their row has another version than
+   * `expected`, 0 for none; resolves with false if it has.
+   */
+  writeDefaults(
+    defaults: DefaultOrigins,
+    expected: number,
+    signal: AbortSignal,
+  ): Promise<Result<boolean, { readonly kind: string }>>;
 }
--- a/src/origins/stored_origins_test.ts
+++ b/src/origins/stored_origins_test.ts
@@ -1,49 +1,25 @@
 import assert from "node:assert/strict";
-import { err, ok } from "neverthrow";
 import { test } from "node:test";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import { MAX_ORIGINS, ORIGIN_TTL_MS } from "../serving/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/paused_clock.ts";
-import type { OriginRow, OriginStore } from "./ports.ts";
 import { StoredOrigins } from "./stored_origins.ts";
+import { MemoryOriginStore } from "./testing.ts";
 
 const ORIGIN = { pool: "engines", build: "v1" };
 
-/** Store in memory that can fail. */
-class FakeStore implements OriginStore {
-  readonly rows = new Map<string, OriginRow>();
-  isAway = false;
-  writes = 0;
-  reads = 0;
-
-  write(row: OriginRow, removed: readonly string[]) {
-    this.writes += 1;
-    if (this.isAway) return Promise.resolve(err({ kind: "unreachable" }));
-    this.rows.set(row.key, row);
-    removed.forEach((key) => this.rows.delete(key));
-    return Promise.resolve(ok());
-  }
-
-  read() {
-    this.reads += 1;
-    return Promise.resolve(
-      this.isAway ? err({ kind: "unreachable" }) : ok([...this.rows.values()]),
-    );
-  }
-}
-
 function storedTest(
   title: string,
   body: (setup: {
-    readonly store: FakeStore;
+    readonly store: MemoryOriginStore;
     /** Starts an entry; returns its origins. */
     readonly start: (entries?: number) => StoredOrigins;
   }) => Promise<void>,
 ): void {
   test(title, () =>
     withPausedClock(async () => {
-      const store = new FakeStore();
+      const store = new MemoryOriginStore();
       const end = new AbortController();
       const start = (entries = 1) => {
         const stored = new StoredOrigins({
@@ -144,3 +120,106 @@
     assert.deepEqual(await stored.find("s39999"), ORIGIN);
   },
 );
+
+storedTest(
+  "a stream waits until the store has its origin",
+  async ({ store, start }) => {
+    store.latencyMs = 40;
+    const stored = start();
+    const startedAt = monotonicMs();
+    await stored.record("s1", ORIGIN);
+    assert.equal(monotonicMs() - startedAt, 40);
+    assert.equal(stored.record("s1", ORIGIN), undefined);
+    assert.deepEqual(await start().find("s1"), ORIGIN);
+  },
+);
+
+storedTest(
+  "a stream whose origin was expected does not wait",
+  async ({ store, start }) => {
+    store.latencyMs = 40;
+    const stored = start();
+    stored.expect("s1", ORIGIN);
+    await sleep(100);
+    assert.equal(stored.record("s1", ORIGIN), undefined);
+    assert.equal(store.writes, 1);
+  },
+);
+
+storedTest(
+  "streams that wait together share a write",
+  async ({ store, start }) => {
+    store.latencyMs = 5;
+    const stored = start();
+    const waits = Array.from(
+      { length: 50 },
+      (_, i) => stored.record(`s${i}`, ORIGIN),
+    );
+    await Promise.all(waits);
+    assert.equal(store.writes, 1);
+  },
+);
+
+storedTest(
+  "a stream that began elsewhere than expected has its true origin",
+  async ({ store, start }) => {
+    store.latencyMs = 20;
+    const other = { pool: "engines", build: "v2" };
+    const stored = start();
+    for (let i = 0; i < 15; i++) {
+      stored.expect(`s${i}`, other);
+      if (i % 2 === 0) await sleep(10 * i);
+      await stored.record(`s${i}`, ORIGIN);
+      assert.deepEqual(await start().find(`s${i}`), ORIGIN);
+    }
+  },
+);
+
+storedTest(
+  "a stream waits for a bounded time, and not while the store is away",
+  async ({ store, start }) => {
+    const stored = start();
+    store.latencyMs = 10_000;
+    const startedAt = monotonicMs();
+    await stored.record("s1", ORIGIN);
+    assert.equal(monotonicMs() - startedAt, 500);
+    store.latencyMs = 0;
+    store.isAway = true;
+    await sleep(15_000);
+    const awayAt = monotonicMs();
+    await stored.record("s2", ORIGIN);
+    assert.ok(monotonicMs() - awayAt < 10);
+    assert.equal(stored.record("s3", ORIGIN), undefined);
+    store.isAway = false;
+    await sleep(1_000);
+    assert.deepEqual(await start().find("s2"), ORIGIN);
+    assert.deepEqual(await start().find("s3"), ORIGIN);
+  },
+);
+
+// Guards against ORDER: a record that was left out counts as the default.
+storedTest(
+  "a stream with an identifier of any length has a record",
+  async ({ store, start }) => {
+    const [stream, other] = ["x".repeat(15_000), "x".repeat(14_999)];
+    await start().record(stream, ORIGIN);
+    assert.deepEqual(await start().find(stream), ORIGIN);
+    assert.equal(await start().find(other), undefined);
+    assert.ok(JSON.stringify([...store.rows.values()]).length < 500);
+  },
+);
+
+storedTest(
+  "a read that began before a stream ended does not show its origin",
+  async ({ start }) => {
+    const route = { hostname: "api.example", pathPrefix: "/r/" };
+    const reader = start();
+    assert.equal(await reader.find("s1"), undefined);
+    await start().record("s1", ORIGIN);
+    const found = await reader.findSince(monotonicMs(), {
+      stream: "s1",
+      route,
+    });
+    assert.deepEqual(found, { origin: ORIGIN, isDefault: false });
+  },
+);
--- a/src/origins/stream_origin_service.ts
+++ b/src/origins/stream_origin_service.ts
@@ -11,6 +11,7 @@
   type ListedPeer,
   ORIGIN_TTL_MS,
   type PoolCandidates,
+  type RouteAddress,
   type StreamOrigin,
   StreamOrigins,
 } from "../serving/mod.ts";
@@ -23,6 +24,7 @@
   OriginReceipt,
   SentOrigin,
 } from "../wire/mod.ts";
+import type { DefaultOriginKeeper } from "./default_origin_keeper.ts";
 import { Keepers } from "./keepers.ts";
 import { OriginBackups } from "./origin_backups.ts";
 import { OriginFinder, type TakenUp } from "./origin_finder.ts";
@@ -36,10 +38,24 @@
 /** Pools of a route that a peer of an older build does not name. */
 const NO_CANDIDATES: PoolCandidates = { pools: [], isSure: false };
 
+/** What the store keeps of the origins of streams. */
+export interface StoredOriginServices {
+  readonly records: StoredOrigins;
+  readonly defaults: DefaultOriginKeeper;
+}
+
+/** Stream that a caller is about to read. */
+export interface BeginningStream {
+  /** Attempt of the caller that brings the first event. */
+  readonly stream: string;
+  readonly route: RouteAddress;
+  readonly origin: StreamOrigin;
+}
+
 /** Origins of streams, as exchanges and peers use them. */
 export class StreamOriginService implements OriginApi {
   readonly #fleet: OriginFleet;
-  readonly #stored: StoredOrigins | undefined;
+  readonly #stored: StoredOriginServices | undefined;
   readonly #sharing: OriginSharing;
   readonly #finder: OriginFinder;
   readonly #log: Logger;
@@ -50,10 +66,6 @@
   readonly #backups = new OriginBackups();
   /** Pools of which the copies kept for others are shared. */
   #sharedBackups: ReadonlySet<string> = new Set();
-  /** Pools at which streams have begun here. */
-  readonly #begunPools = new Set<string>();
-  /** Those of them whose origins are stored. */
-  readonly #storedPools = new Set<string>();
   #storeEra = 0;
   #isLeaving = false;
 
@@ -63,7 +75,7 @@
       fleet: OriginFleet;
       clients: OriginClients;
       /** Without it, origins are lost when all entries end together. */
-      stored?: StoredOrigins;
+      stored?: StoredOriginServices;
       log: Logger;
       metrics: Metrics;
     },
@@ -77,6 +89,7 @@
     this.#finder = new OriginFinder({
       ...deps,
       keepers,
+      stored: deps.stored?.records,
       known: (stream) => this.known(stream),
     });
     deps.metrics.gauge("origins_own", () => this.#sharing.origins.size);
@@ -85,7 +98,8 @@
 
   /** Pushes records to their keepers and the store until `signal` aborts. */
   run(signal: AbortSignal): void {
-    this.#stored?.run(signal);
+    this.#stored?.records.run(signal);
+    this.#stored?.defaults.run(signal);
     every(FLUSH_PAUSE_MS, () => {
       this.#checkEra();
       this.#sharing.flush(signal);
@@ -102,7 +116,6 @@
   recheck(): void {
     this.#shareBackups();
     this.#sharing.recheck();
-    this.#begunPools.forEach((pool) => this.#storeOriginsOf(pool));
   }
 
   /** Stores all live origins again once the store was restored. */
@@ -110,28 +123,44 @@
     const era = this.#fleet.storeEra();
     if (era === this.#storeEra) return;
     this.#storeEra = era;
-    this.#storedPools.clear();
-    this.#begunPools.forEach((pool) => this.#storeOriginsOf(pool));
+    this.#stored?.records.forget();
+    this.#sharing.origins.live(monotonicMs())
+      .forEach(({ stream, origin }) =>
+        this.#stored?.records.expect(stream, origin)
+      );
   }
 
-  /** Stores the origins of a pool if they can't be deduced. */
-  #storeOriginsOf(pool: string): void {
-    const isShared = this.#sharing.isShared(pool);
-    if (!isShared) this.#storedPools.delete(pool);
-    if (!isShared || this.#storedPools.has(pool)) return;
-    this.#storedPools.add(pool);
-    this.#sharing.origins.live(monotonicMs())
-      .filter(({ origin }) => origin.pool === pool)
-      .forEach(({ stream, origin }) => this.#stored?.add(stream, origin));
+  /**
+   * Begins to record the origin that a stream is about to have, unless it is the
+   * default one.
+   */
+  expect(beginning: BeginningStream): void {
+    const { stream, origin } = beginning;
+    if (this.#needsRecord(beginning)) {
+      this.#stored?.records.expect(stream, origin);
+    }
   }
 
-  /** Records the origin of a stream whose first event arrives. */
-  begun(stream: string, { pool, build }: StreamOrigin): void {
+  /**
+   * Records the origin of a stream whose first event arrives. Resolves when the
+   * caller may see the event; undefined when it may at once.
+   */
+  begun(beginning: BeginningStream): Promise<void> | undefined {
+    const { stream, origin: { pool, build } } = beginning;
+    const origin = { pool, build };
     const expiresAt = monotonicMs() + ORIGIN_TTL_MS;
-    this.#sharing.add({ stream, origin: { pool, build }, expiresAt });
-    this.#begunPools.add(pool);
-    if (this.#storedPools.has(pool)) this.#stored?.add(stream, { pool, build });
-    else this.#storeOriginsOf(pool);
+    this.#sharing.add({ stream, origin, expiresAt });
+    return this.#needsRecord(beginning)
+      ? this.#stored?.records.record(stream, origin)
+      : undefined;
+  }
+
+  /** True unless a stream without a record is known to be of this origin. */
+  #needsRecord({ stream, route, origin }: BeginningStream): boolean {
+    if (!this.#stored) return false;
+    const { records, defaults } = this.#stored;
+    const isDefault = defaults.current?.covers(stream, route, origin) ?? false;
+    return !isDefault || records.hasRecord(stream);
   }
 
   /**
@@ -213,6 +242,7 @@
       builds: [...this.#fleet.buildsOf(pool)].map((build) => build ?? null),
       pools: [...pools],
       arePoolsSure: isSure,
+      recordsOrigins: this.#stored !== undefined,
       hasReadStore,
     };
   }
--- a/src/origins/stream_origin_service_test.ts
+++ b/src/origins/stream_origin_service_test.ts
@@ -3,7 +3,12 @@
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import { ORIGIN_KEEPERS, ORIGIN_TTL_MS } from "../serving/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
-import { type EntryMode, SimOriginFleet } from "./testing.ts";
+import {
+  type EntryMode,
+  MemoryOriginStore,
+  ROUTE,
+  SimOriginFleet,
+} from "./testing.ts";
 
 const ENTRIES = 8;
 const STREAMS = 20;
@@ -14,7 +19,6 @@
 /** Longest time that a lookup takes, in milliseconds. */
 const FIND_MS = 320;
 const TWO_BUILDS = new Set(["v1", "v2"]);
-const ROUTE = { hostname: "api.example", pathPrefix: "/r/" };
 
 function withFleet(
   entries: number,
@@ -34,7 +38,7 @@
 
 function beginAll(fleet: SimOriginFleet): void {
   streams.forEach((stream, i) =>
-    fleet.entry(0).service.begun(stream, {
+    fleet.begin(0, stream, {
       pool: "plain",
       build: i % 2 === 0 ? "v1" : "v2",
     })
@@ -141,7 +145,7 @@
     await sleep(SHARED_MS);
     fleet.entry(3).mode = "silent";
     for (let i = 0; i < STREAMS; i++) {
-      fleet.entry(0).service.begun(`late-${i}`, { pool: "plain" });
+      fleet.begin(0, `late-${i}`, { pool: "plain" });
     }
     await sleep(2 * SHARED_MS);
     fleet.entry(3).mode = "up";
@@ -173,7 +177,7 @@
     await sleep(SHARED_MS);
     assertHolders(fleet, 1);
     for (let i = 0; i < 10 * ENTRIES; i++) {
-      fleet.entry(0).service.begun(`more-${i}`, { pool: "plain" });
+      fleet.begin(0, `more-${i}`, { pool: "plain" });
     }
     await sleep(SHARED_MS);
     assertHolders(fleet, 1 + ORIGIN_KEEPERS);
@@ -256,7 +260,7 @@
   withFleet(ENTRIES, async (fleet) => {
     const [owner, neighbour] = [fleet.entry(0), fleet.entry(5)];
     streams.forEach((stream) =>
-      owner.service.begun(stream, { pool: "plain", build: "v1" })
+      fleet.begin(0, stream, { pool: "plain", build: "v1" })
     );
     const sent = owner.service.backupFor("entry-5");
     assert.equal(sent.length, STREAMS);
@@ -277,10 +281,112 @@
 test("a neighbour that has restarted is sent all live copies again", () =>
   withFleet(2, async (fleet) => {
     const { service } = fleet.entry(0);
-    service.begun("stream-1", { pool: "plain", build: "v1" });
+    fleet.begin(0, "stream-1", { pool: "plain", build: "v1" });
     service.backupHeld("entry-1", service.backupFor("entry-1"));
     service.backupLost("entry-1");
     assert.equal(service.backupFor("entry-1").length, 1);
     await sleep(ORIGIN_TTL_MS);
     assert.deepEqual(service.backupFor("entry-1"), []);
   }));
+
+const POOLS = [{ pool: "plain", weight: 1 }];
+const V1 = { pool: "plain", build: "v1" };
+const V2 = { pool: "plain", build: "v2" };
+/** Time after which the first default origins are written, in ms. */
+const DEFAULTS_MS = 6_000;
+
+/** Entries with a store, at which one build has been in use for a while. */
+function withStore(
+  body: (fleet: SimOriginFleet, store: MemoryOriginStore) => Promise<void>,
+): Promise<void> {
+  return withPausedClock(async () => {
+    const store = new MemoryOriginStore();
+    const fleet = new SimOriginFleet(3, 3, store);
+    observe(fleet, ["v1"]);
+    await sleep(DEFAULTS_MS);
+    await body(fleet, store).finally(() => fleet.stop());
+  }, { seed: 1 });
+}
+
+function observe(fleet: SimOriginFleet, builds: readonly string[]): void {
+  fleet.builds = new Set(builds);
+  fleet.observed = {
+    builds: builds.map((build) => ({ pool: "plain", build })),
+    routes: [{ address: ROUTE, pools: POOLS }],
+  };
+  fleet.recheck();
+}
+
+function restartAll(fleet: SimOriginFleet): void {
+  fleet.entries.forEach((_, i) => fleet.restart(i, { registersAnew: true }));
+}
+
+// Guards against LOST: all entries end before the second build joins (review/10).
+test("a stream of the only build is known after all entries have ended at once", () =>
+  withStore(async (fleet, store) => {
+    assert.equal(fleet.begin(0, "s1", V1), undefined, "nothing to wait for");
+    restartAll(fleet);
+    observe(fleet, ["v1", "v2"]);
+    await sleep(DEFAULTS_MS);
+    await fleet.begin(1, "s2", V2);
+    restartAll(fleet);
+    assert.deepEqual(await find(fleet, 2, "s1"), V1);
+    assert.deepEqual(await find(fleet, 2, "s2"), V2);
+    assert.equal(store.rows.size, 1, "one row for one stream of the second");
+  }));
+
+// Guards against ORDER: the store has lost where streams began.
+test("a stream is unknown when a restored store may lack its record", () =>
+  withStore(async (fleet, store) => {
+    observe(fleet, ["v1", "v2"]);
+    const copy = store.copy();
+    await fleet.begin(0, "s1", V2);
+    store.restore(copy);
+    restartAll(fleet);
+    assert.equal(await find(fleet, 1, "s1"), undefined);
+    await sleep(ORIGIN_TTL_MS / 2);
+    assert.equal(await find(fleet, 1, "s1"), undefined);
+  }));
+
+test("an entry that outlives the restoration writes again what the store lost", () =>
+  withStore(async (fleet, store) => {
+    observe(fleet, ["v1", "v2"]);
+    const copy = store.copy();
+    await fleet.begin(0, "s1", V2);
+    fleet.begin(0, "s2", V1);
+    store.restore(copy);
+    await sleep(SHARED_MS);
+    restartAll(fleet);
+    assert.deepEqual(await find(fleet, 1, "s1"), V2);
+    assert.deepEqual(await find(fleet, 1, "s2"), V1);
+  }));
+
+// Guards against ORDER: gateways of an older program record no stream at once.
+test("no default is used beside an entry that may not record its streams", () =>
+  withStore(async (fleet) => {
+    observe(fleet, ["v1", "v2"]);
+    assert.deepEqual(await find(fleet, 1, "s1"), V1);
+    fleet.recordless = ["entry-2"];
+    fleet.restart(2, { registersAnew: true });
+    assert.equal(await find(fleet, 1, "s1"), undefined);
+  }));
+
+test("an unknown stream is not guessed while the store does not answer", () =>
+  withStore(async (fleet, store) => {
+    observe(fleet, ["v1", "v2"]);
+    store.isAway = true;
+    restartAll(fleet);
+    assert.equal(await find(fleet, 1, "s1"), undefined);
+  }));
+
+test("a release costs the store one row for the streams of a short time", () =>
+  withStore(async (fleet, store) => {
+    for (let i = 0; i < 40; i++, await sleep(50)) fleet.begin(0, `a${i}`, V1);
+    assert.equal(store.writes, 0, "no row while there is one build");
+    observe(fleet, ["v1", "v2"]);
+    for (let i = 0; i < 40; i++, await sleep(50)) {
+      fleet.begin(0, `b${i}`, V1);
+      fleet.begin(0, `c${i}`, V2);
+    }
+    assert.ok(store.writes <= 15, `${store.writes} writes in 2 s`);
+  }));
--- a/src/origins/testing.ts
+++ b/src/origins/testing.ts
@@ -5,11 +5,27 @@
  * @module
  */
 
+import { err, ok, type Result } from "neverthrow";
 import { sleep } from "../kernel/mod.ts";
-import type { ListedPeer, PoolCandidates } from "../serving/mod.ts";
+import type {
+  DefaultOrigins,
+  ListedPeer,
+  ObservedOrigins,
+  PoolCandidates,
+  StreamOrigin,
+} from "../serving/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import type { OriginAnswer, OriginReceipt } from "../wire/mod.ts";
-import type { OriginClients } from "./ports.ts";
+import { DefaultOriginKeeper } from "./default_origin_keeper.ts";
+import type {
+  DefaultsRead,
+  OriginClients,
+  OriginFleet,
+  OriginRow,
+  OriginsRead,
+  OriginStore,
+} from "./ports.ts";
+import { StoredOrigins } from "./stored_origins.ts";
 import { StreamOriginService } from "./stream_origin_service.ts";
 
 /** Exchange of copies for an entry that has no streams. */
@@ -20,6 +36,74 @@
   keepBackup: () => {},
 };
 
+/** Route of all streams of the simulation. */
+export const ROUTE = { hostname: "api.example", pathPrefix: "/r/" };
+
+type StoreResult<T> = Promise<Result<T, { readonly kind: string }>>;
+
+/** Store in memory that can fail, be slow and be restored from a copy. */
+export class MemoryOriginStore implements OriginStore {
+  rows = new Map<string, OriginRow>();
+  defaults: { version: number; defaults: DefaultOrigins } | undefined;
+  era = 1;
+  isAway = false;
+  /** Time until a call is answered, in milliseconds. */
+  latencyMs = 0;
+  writes = 0;
+  reads = 0;
+  #version = 0;
+
+  /** Returns a copy to restore later. */
+  copy(): Pick<MemoryOriginStore, "rows" | "defaults"> {
+    return { rows: new Map(this.rows), defaults: this.defaults };
+  }
+
+  restore(copy: Pick<MemoryOriginStore, "rows" | "defaults">): void {
+    this.rows = new Map(copy.rows);
+    this.defaults = copy.defaults;
+    this.era += 1;
+  }
+
+  write(row: OriginRow, removed: readonly string[]): StoreResult<void> {
+    this.writes += 1;
+    return this.#answer(() => {
+      this.rows.set(row.key, row);
+      removed.forEach((key) => this.rows.delete(key));
+    });
+  }
+
+  read(): StoreResult<OriginsRead> {
+    this.reads += 1;
+    return this.#answer(() => ({
+      defaults: { era: this.era, row: this.defaults },
+      rows: [...this.rows.values()]
+        .sort((a, b) => a.key < b.key ? -1 : 1),
+    }));
+  }
+
+  readDefaults(): StoreResult<DefaultsRead> {
+    return this.#answer(() => ({ era: this.era, row: this.defaults }));
+  }
+
+  writeDefaults(
+    defaults: DefaultOrigins,
+    expected: number,
+  ): StoreResult<boolean> {
+    return this.#answer(() => {
+      if ((this.defaults?.version ?? 0) !== expected) return false;
+      this.defaults = { version: ++this.#version, defaults };
+      return true;
+    });
+  }
+
+  async #answer<T>(perform: () => T): StoreResult<T> {
+    if (this.isAway) return err({ kind: "unreachable" });
+    const value = perform();
+    if (this.latencyMs > 0) await sleep(this.latencyMs);
+    return ok(value);
+  }
+}
+
 /** How an entry responds to its peers. */
 export type EntryMode = "up" | "silent" | "refusing" | "old";
 
@@ -47,9 +131,16 @@
   /** Pools that may have begun any stream. */
   candidates: PoolCandidates = { pools: ["plain"], isSure: true };
   ambiguousPools: ReadonlySet<string> = new Set();
+  /** What all entries see of the routes and builds; undefined: not read. */
+  observed: ObservedOrigins | undefined;
+  /** Names of entries that record no streams, as older programs. */
+  recordless: readonly string[] = [];
+  /** Undefined for a fleet that stores nothing. */
+  readonly store: MemoryOriginStore | undefined;
   #registrations: ReadonlyMap<string, number>;
 
-  constructor(count: number, domains = 3) {
+  constructor(count: number, domains = 3, store?: MemoryOriginStore) {
+    this.store = store;
     const peers = Array.from({ length: count }, (_, i) => ({
       name: `entry-${i}`,
       url: `http://entry-${i}`,
@@ -71,6 +162,15 @@
     return entry;
   }
 
+  /** Begins a stream at an entry. */
+  begin(
+    i: number,
+    stream: string,
+    origin: StreamOrigin,
+  ): Promise<void> | undefined {
+    return this.entry(i).service.begun({ stream, route: ROUTE, origin });
+  }
+
   /** Restarts an entry, which loses its records. */
   restart(i: number, opts: { registersAnew: boolean }): void {
     const entry = this.entry(i);
@@ -107,21 +207,42 @@
 
   #start(peer: ListedPeer, peers: readonly ListedPeer[]) {
     const abort = new AbortController();
+    const fleet: OriginFleet = {
+      peers: () => peers,
+      registrations: () => this.#registrations,
+      isUsable: () => true,
+      buildsOf: () => this.ownBuilds.get(peer.name) ?? this.builds,
+      observed: () => this.observed,
+      storeEra: () => this.store?.era ?? 1,
+      candidates: () => this.candidates,
+      ambiguousPools: () => this.ambiguousPools,
+      readChanges: () => Promise.resolve(!this.stale.includes(peer.name)),
+    };
+    const log = SILENT_LOGGER;
+    const metrics = new Metrics();
+    const store = this.recordless.includes(peer.name) ? undefined : this.store;
     const service = new StreamOriginService({
       self: peer,
-      fleet: {
-        peers: () => peers,
-        registrations: () => this.#registrations,
-        isUsable: () => true,
-        buildsOf: () => this.ownBuilds.get(peer.name) ?? this.builds,
-        storeEra: () => 1,
-        candidates: () => this.candidates,
-        ambiguousPools: () => this.ambiguousPools,
-        readChanges: () => Promise.resolve(!this.stale.includes(peer.name)),
-      },
+      fleet,
       clients: this.#clients(),
-      log: SILENT_LOGGER,
-      metrics: new Metrics(),
+      stored: store && {
+        records: new StoredOrigins({
+          store,
+          self: peer.name,
+          entries: () => peers.length,
+          log,
+          metrics,
+        }),
+        defaults: new DefaultOriginKeeper({
+          store,
+          self: peer,
+          fleet,
+          log,
+          metrics,
+        }),
+      },
+      log,
+      metrics,
     });
     service.run(abort.signal);
     return { service, abort };
--- a/src/serving/builds.ts
+++ b/src/serving/builds.ts
@@ -68,10 +68,14 @@
     return this.#with({ pool, build, version, seenAt });
   }
 
-  /** Returns the builds that streams of a pool may have begun at. */
-  of(pool: string, now: number): readonly string[] {
+  /** Returns the builds of a pool that were in use within a time before `now`. */
+  of(
+    pool: string,
+    now: number,
+    memoryMs = BUILD_MEMORY_MS,
+  ): readonly string[] {
     return [...this.#records.values()]
-      .filter((one) => one.pool === pool && now < one.seenAt + BUILD_MEMORY_MS)
+      .filter((one) => one.pool === pool && now < one.seenAt + memoryMs)
       .map(({ build }) => build);
   }
 
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -206,13 +206,17 @@
     return this.#pools.get(name);
   }
 
+  /** Routes of streams that may be resumed. */
+  get resumableRoutes(): readonly Route[] {
+    return this.spec.routes.filter(({ kind, isResumable }) =>
+      kind === RouteKind.Stream && isResumable
+    );
+  }
+
   /** Names of the pools of streams that may be resumed. */
   get resumablePools(): ReadonlySet<string> {
     return new Set(
-      this.spec.routes
-        .filter(({ kind, isResumable }) =>
-          kind === RouteKind.Stream && isResumable
-        )
+      this.resumableRoutes
         .flatMap(({ pools }) => pools.map(({ pool }) => pool)),
     );
   }
@@ -225,7 +229,10 @@
 }
 
 /** Returns the pool of a request, always the same one for the same id. */
-export function poolFor(route: Route, requestId: string): string | undefined {
+export function poolFor(
+  route: Pick<Route, "pools">,
+  requestId: string,
+): string | undefined {
   const total = route.pools.reduce((sum, { weight }) => sum + weight, 0);
   const point = hashOf(requestId) % Math.max(1, total);
   const upTo = runningTotals(route.pools);
--- a/src/serving/fleet_state.ts
+++ b/src/serving/fleet_state.ts
@@ -248,14 +248,18 @@
 
   /**
    * Returns the builds that streams of a pool may have begun at: those of its
-   * listed targets and those that it had lately. Undefined stands for listed
-   * targets that report no build.
+   * listed targets and those that it had within `memoryMs`. Undefined stands for
+   * listed targets that report no build.
    */
-  buildsOf(pool: string, now: number): readonly (string | undefined)[] {
+  buildsOf(
+    pool: string,
+    now: number,
+    memoryMs?: number,
+  ): readonly (string | undefined)[] {
     const listed = [...this.#records.targets.values()]
       .filter(({ lapsesAt }) => lapsesAt === undefined || now < lapsesAt)
       .flatMap(({ target }) => target?.pool === pool ? [target.build] : []);
-    const recent = this.#records.builds.of(pool, now);
+    const recent = this.#records.builds.of(pool, now, memoryMs);
     return [...new Set([...listed, ...recent])];
   }
 
--- a/src/serving/mod.ts
+++ b/src/serving/mod.ts
@@ -14,6 +14,7 @@
 export * from "./chain_admission.ts";
 export * from "./choice.ts";
 export * from "./closure.ts";
+export * from "./default_origins.ts";
 export * from "./fleet_state.ts";
 export * from "./origin_keepers.ts";
 export * from "./pressure.ts";
--- a/src/wire/origins.ts
+++ b/src/wire/origins.ts
@@ -68,6 +68,11 @@
   pools: z.array(z.string()).default([]),
   /** False when the peer may not know all versions of the route. */
   arePoolsSure: z.boolean().default(false),
+  /**
+   * True when the peer records the origins of streams in the store before their
+   * callers see them, unless they are the default ones.
+   */
+  recordsOrigins: z.boolean().default(false),
   /** True when the peer has read the store after the question. */
   hasReadStore: z.boolean().default(false),
 });
--- a/src/wire/origins_test.ts
+++ b/src/wire/origins_test.ts
@@ -42,6 +42,7 @@
         builds: ["v1", null],
         pools: route ? ["plain"] : [],
         arePoolsSure: route !== undefined,
+        recordsOrigins: true,
         hasReadStore: true,
       }),
   }));
@@ -74,6 +75,7 @@
       builds: ["v1", null],
       pools: ["plain"],
       arePoolsSure: true,
+      recordsOrigins: true,
       hasReadStore: true,
     });
     const unknown = { stream: "s2", pool: "plain" };
