A few entries of a large fleet record the streams of all

Cause: each entry may write its share of 100 rows a second, once in 3.6 s at 360 entries; a stream outside its default waited for that (1.6 s in the median).

Change: of more than 50 entries one in 16 writes for the others, which write themselves if it fails. No row of defaults is written while there are no routes.

--- a/src/bench/notices.ts
+++ b/src/bench/notices.ts
@@ -78,6 +78,7 @@
     permit: () => Promise.resolve({ isGranted: false, waitMs: 412.5 }),
     runChain: () => Promise.resolve({ kind: "leaving" }),
     keepOrigins: () => ({ start: "", isLeaving: false }),
+    recordOrigins: () => Promise.resolve({ isRecorded: false }),
     findOrigin: () => Promise.reject(new Error("not used")),
   }));
   #url = "";
--- a/src/bench/stream_origins.ts
+++ b/src/bench/stream_origins.ts
@@ -11,9 +11,11 @@
 import type { AddressInfo, Socket } from "node:net";
 import { seededRandom, sleep } from "../kernel/mod.ts";
 import {
+  ENTRIES_PER_WRITER,
   type OriginClients,
   type OriginRow,
   type OriginStore,
+  OriginWriters,
   StoredOrigins,
   StreamOriginService,
 } from "../origins/mod.ts";
@@ -24,6 +26,7 @@
   entryPeerHandler,
   type OriginBatch,
   type OriginReceipt,
+  type RecordBatch,
 } from "../wire/mod.ts";
 import type { Experiment } from "./experiment.ts";
 
@@ -40,6 +43,8 @@
 const STORE_MS = 7;
 /** Time from the sending of a request to its first event, in milliseconds. */
 const FIRST_EVENT_MS = 200;
+/** Time of a call to another entry, both directions, in milliseconds. */
+const RTT_MS = 2;
 /** Bytes of a value on the wire, which is encoded in base64. */
 const BASE64_RATIO = 4 / 3;
 const MS_PER_S = 1_000;
@@ -130,6 +135,7 @@
       counts.records += records.length;
       return Promise.resolve({ start: "start", isLeaving: false });
     },
+    recordOrigins: () => Promise.reject(new Error("not used")),
     findOrigin: () => Promise.reject(new Error("not used")),
   });
   const abort = new AbortController();
@@ -178,43 +184,78 @@
 }
 
 /**
- * Measures one of `entries` that records every stream before its caller sees an
- * event, with targets that write their first event `FIRST_EVENT_MS` later.
+ * Measures an entry that writes for itself and, in a large fleet, for others.
+ * All record every stream before its caller sees an event, with targets that
+ * write their first event `FIRST_EVENT_MS` later.
  */
 async function measureRecords(entries: number, random: () => number) {
   const store = new CountingStore();
-  const records = new StoredOrigins({
-    store,
-    self: "edge-addis-bole-2",
-    entries: () => entries,
-    log: SILENT_LOGGER,
-    metrics: new Metrics(),
-  });
+  const metrics = new Metrics();
   const abort = new AbortController();
-  records.run(abort.signal);
+  const peers = Array.from({ length: entries }, (_, i) => peerOf(i, i));
   const waits = new DurationHistogram();
+  const start = (self: ListedPeer, writer?: StoredOrigins) => {
+    const clients = {
+      recordOrigins: async (_url: string, { records }: RecordBatch) => {
+        await sleep(RTT_MS);
+        return { isRecorded: await writer?.recordFor(records) ?? false };
+      },
+    };
+    const fleet = { peers: () => peers, isUsable: () => true };
+    const records = new StoredOrigins({
+      store,
+      self: self.name,
+      writers: new OriginWriters({
+        self,
+        fleet,
+        clients,
+        log: SILENT_LOGGER,
+        metrics,
+      }),
+      log: SILENT_LOGGER,
+      metrics,
+    });
+    records.run(abort.signal);
+    return records;
+  };
   const origin = { pool: "cassia-pool", build: "v1.2" };
-  const begin = async (stream: string) => {
+  const begin = async (records: StoredOrigins, stream: string) => {
     records.expect(stream, origin);
     await sleep(FIRST_EVENT_MS);
     const arrivedAt = performance.now();
     await records.record(stream, origin);
     waits.record(performance.now() - arrivedAt);
   };
+  const isWriter = (self: ListedPeer) =>
+    new OriginWriters({
+      self,
+      fleet: { peers: () => peers, isUsable: () => true },
+      clients: { recordOrigins: () => Promise.reject() },
+      log: SILENT_LOGGER,
+      metrics,
+    }).choose() === undefined;
+  const writer = start(peers.find(isWriter) ?? peerOf(0, 0));
+  const others = peers.filter((peer) => !isWriter(peer))
+    .slice(0, ENTRIES_PER_WRITER - 1).map((peer) => start(peer, writer));
   const begun: Promise<void>[] = [];
   const stopAt = performance.now() + RUN_MS;
-  while (performance.now() < stopAt) {
-    await sleep(-Math.log(1 - random()) * MS_PER_S / STREAMS_PER_S);
-    begun.push(begin(streamId(begun.length)));
-  }
+  await Promise.all([writer, ...others].map(async (records) => {
+    while (performance.now() < stopAt) {
+      await sleep(-Math.log(1 - random()) * MS_PER_S / STREAMS_PER_S);
+      begun.push(begin(records, streamId(begun.length)));
+    }
+  }));
   await Promise.all(begun);
   abort.abort();
   const seconds = RUN_MS / MS_PER_S;
   return {
     entries,
+    entries_per_writer: 1 + others.length,
+    streams_per_s: round(begun.length / seconds),
     writes_per_s: round(store.calls / seconds),
     kb_per_s: round(store.bytes / seconds / BYTES_PER_KB),
     bytes_per_stream: round(store.bytes / begun.length),
+    relays_per_s: round(metrics.total("origin_relays_total") / seconds),
     wait_p50_ms: round(waits.quantile(0.5)),
     wait_p95_ms: round(waits.quantile(0.95)),
     wait_max_ms: round(waits.quantile(1)),
@@ -301,6 +342,7 @@
     permit: () => Promise.resolve({ isGranted: true, waitMs: 0 }),
     runChain: () => Promise.resolve({ kind: "leaving" }),
     keepOrigins: (batch) => service.keepOrigins(batch),
+    recordOrigins: (batch) => service.recordOrigins(batch),
     findOrigin: (query) => service.findOrigin(query),
   }));
   server.on("connection", (socket: Socket) => sockets.push(socket));
--- a/src/gateway/peers_test.ts
+++ b/src/gateway/peers_test.ts
@@ -47,6 +47,7 @@
     }),
     freeResults: () => {},
     keepOrigins: () => ({ start: "a", isLeaving: false }),
+    recordOrigins: () => Promise.resolve({ isRecorded: false }),
     findOrigin: () => Promise.reject(new Error("not used")),
     explainRoute: () => ({ kind: "rejected", reason: "none" }),
     permit: () => Promise.resolve({ isGranted: true, waitMs: 0 }),
--- a/src/gateway/start.ts
+++ b/src/gateway/start.ts
@@ -20,6 +20,7 @@
 import {
   DefaultOriginKeeper,
   type OriginFleet,
+  OriginWriters,
   StoredOrigins,
   StreamOriginService,
 } from "../origins/mod.ts";
@@ -201,7 +202,13 @@
       records: new StoredOrigins({
         store: source.origins,
         self: cfg.self.name,
-        entries: () => peers.processNames.length,
+        writers: new OriginWriters({
+          self: cfg.self,
+          fleet,
+          clients,
+          log,
+          metrics,
+        }),
         log,
         metrics,
       }),
@@ -325,6 +332,7 @@
               freeResults: (results) => runner.release(results),
               runChain: (chain, gone) => chainService.run(chain, gone),
               keepOrigins: (batch) => origins.keepOrigins(batch),
+              recordOrigins: (batch) => origins.recordOrigins(batch),
               permit: (request) => rates.handlePermit(request),
               reportRollout: (report) => rollouts.handleReport(report),
               findOrigin: (query) => origins.findOrigin(query),
--- a/src/origins/default_origin_keeper.ts
+++ b/src/origins/default_origin_keeper.ts
@@ -101,7 +101,8 @@
     const known = read.row?.defaults;
     const now = monotonicMs();
     const next = this.#recent.defaultsAfter(known, { era, now });
-    if (isSame(known, next)) {
+    const isEmpty = !known && next.routes.length === 0;
+    if (isEmpty || isSame(known, next)) {
       this.#differsSince = undefined;
       return;
     }
--- a/src/origins/mod.ts
+++ b/src/origins/mod.ts
@@ -7,6 +7,7 @@
 
 export * from "./default_origin_keeper.ts";
 export type { TakenUp } from "./origin_finder.ts";
+export * from "./origin_writers.ts";
 export * from "./ports.ts";
 export * from "./stored_origins.ts";
 export * from "./stream_origin_service.ts";
--- a/src/origins/ports.ts
+++ b/src/origins/ports.ts
@@ -19,6 +19,8 @@
   OriginBatch,
   OriginQuery,
   OriginReceipt,
+  RecordBatch,
+  RecordReceipt,
 } from "../wire/mod.ts";
 
 /** What the service knows of the fleet. */
@@ -56,6 +58,11 @@
     batch: OriginBatch,
     signal: AbortSignal,
   ): Promise<OriginReceipt>;
+  recordOrigins(
+    url: string,
+    batch: RecordBatch,
+    signal: AbortSignal,
+  ): Promise<RecordReceipt>;
   findOrigin(
     url: string,
     query: OriginQuery,
--- a/src/origins/stored_origins.ts
+++ b/src/origins/stored_origins.ts
@@ -21,6 +21,7 @@
   type StreamOrigin,
 } from "../serving/mod.ts";
 import type { Logger, Metrics } from "../telemetry/mod.ts";
+import type { OriginWriters } from "./origin_writers.ts";
 import type { OriginsRead, OriginStore, StoredOrigin } from "./ports.ts";
 
 /** Pause between checks for origins to write, in milliseconds. */
@@ -28,10 +29,10 @@
 /** Shortest pause between two writes of one entry, in milliseconds. */
 const MIN_WRITE_PAUSE_MS = 500;
 /**
- * Share of that pause for each entry, in milliseconds: all entries together
+ * Share of that pause for each entry that writes, in milliseconds: all together
  * write up to 100 times a second.
  */
-const WRITE_PAUSE_PER_ENTRY_MS = 10;
+const WRITE_PAUSE_PER_WRITER_MS = 10;
 /** Shortest pause between two writes while a stream waits for its record. */
 const MIN_URGENT_PAUSE_MS = 150;
 /** Longest wait for the response to a write, in milliseconds. */
@@ -68,8 +69,8 @@
   readonly store: OriginStore;
   /** Name of this process. */
   readonly self: string;
-  /** Number of registered entries. */
-  entries(): number;
+  /** Entries that write, and the one that writes for this process. */
+  readonly writers: Pick<OriginWriters, "choose" | "count" | "send">;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
@@ -104,6 +105,8 @@
   #inFlight: ReadonlySet<string> = new Set();
   /** Origins that the store has or that are pending, by stream. */
   readonly #recorded = new Map<string, Recorded>();
+  /** Streams of others that this process is to write itself. */
+  readonly #forOthers = new Set<string>();
   /** Streams that wait for their records. */
   readonly #waiting = new Map<string, (() => void)[]>();
   /** Differs after each start: rows of an earlier one are still needed. */
@@ -169,6 +172,19 @@
     return this.#waitFor(key);
   }
 
+  /** Records origins for another entry; true once the store has all of them. */
+  async recordFor(origins: readonly StoredOrigin[]): Promise<boolean> {
+    origins.forEach(({ stream }) => this.#forOthers.add(keyOf(stream)));
+    await Promise.all(
+      origins.map(({ stream, ...origin }) => this.record(stream, origin)),
+    );
+    return origins.every(({ stream, ...origin }) => {
+      const recorded = this.#recorded.get(keyOf(stream));
+      return recorded?.writtenAt !== undefined &&
+        isSameOrigin(recorded.origin, origin);
+    });
+  }
+
   /** True when this process has recorded an origin of a stream. */
   hasRecord(stream: string): boolean {
     return this.#recorded.has(keyOf(stream));
@@ -269,7 +285,7 @@
 
   /** Pause between writes by this entry's share of all, in milliseconds. */
   get #sharePauseMs(): number {
-    return WRITE_PAUSE_PER_ENTRY_MS * this.#deps.entries();
+    return WRITE_PAUSE_PER_WRITER_MS * this.#deps.writers.count;
   }
 
   /** Longest wait for a record; the last write may just have begun. */
@@ -279,14 +295,38 @@
   }
 
   async #write(signal: AbortSignal): Promise<void> {
-    const { store, self, log, metrics } = this.#deps;
-    const now = monotonicMs();
-    this.#lastWriteAt = now;
+    const { writers, metrics } = this.#deps;
+    this.#lastWriteAt = monotonicMs();
     const origins = [...this.#pending].slice(0, MAX_ROW_ORIGINS)
       .map(([stream, origin]) => ({ stream, ...origin }));
     origins.forEach(({ stream }) => this.#pending.delete(stream));
     this.#inFlight = new Set(origins.map(({ stream }) => stream));
     if (this.#pending.size === 0) this.#isUrgent = false;
+    const isForOthers = origins.some(({ stream }) =>
+      this.#forOthers.has(stream)
+    );
+    this.#forOthers.clear();
+    const writer = isForOthers ? undefined : writers.choose();
+    const isRelayed = writer !== undefined &&
+      await writers.send(writer, origins, signal);
+    const isWritten = isRelayed || await this.#writeRow(origins, signal);
+    this.#inFlight = new Set();
+    const outcome = isWritten ? "ok" : "failed";
+    metrics.count("origin_rows_streams_total", { outcome }, origins.length);
+    this.#isReachable = isWritten;
+    if (isWritten) this.#recordWritten(origins);
+    else this.#addAgain(origins);
+    origins.forEach(({ stream }) => this.#release(stream));
+    this.#writeIfDue();
+  }
+
+  /** Writes one row; false when the store does not accept it. */
+  async #writeRow(
+    origins: readonly StoredOrigin[],
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { store, self, log, metrics } = this.#deps;
+    const now = monotonicMs();
     const number = String(this.#writes++).padStart(ROW_DIGITS, "0");
     const key = `${self}/${this.#start}/${number}`;
     const ended = this.#endedRows(now);
@@ -295,25 +335,20 @@
       ended,
       timeoutSignal(WRITE_TIMEOUT_MS, signal),
     );
-    this.#inFlight = new Set();
-    const outcome = written.isOk() ? "ok" : "failed";
-    metrics.count("origin_rows_total", { outcome });
-    metrics.count("origin_rows_streams_total", { outcome }, origins.length);
-    this.#isReachable = written.isOk();
+    metrics.count("origin_rows_total", {
+      outcome: written.isOk() ? "ok" : "failed",
+    });
     // A write without a response may have been done.
     this.#rows.set(key, now);
     if (written.isOk()) {
       ended.forEach((key) => this.#rows.delete(key));
-      this.#recordWritten(origins);
-    } else {
-      log.warn("origins_not_stored", {
-        count: origins.length,
-        reason: written.error.kind,
-      });
-      this.#addAgain(origins);
+      return true;
     }
-    origins.forEach(({ stream }) => this.#release(stream));
-    this.#writeIfDue();
+    log.warn("origins_not_stored", {
+      count: origins.length,
+      reason: written.error.kind,
+    });
+    return false;
   }
 
   /** Records that the store has origins, unless they have changed meanwhile. */
--- a/src/origins/stored_origins_test.ts
+++ b/src/origins/stored_origins_test.ts
@@ -25,7 +25,11 @@
         const stored = new StoredOrigins({
           store,
           self: "entry-0",
-          entries: () => entries,
+          writers: {
+            count: entries,
+            choose: () => undefined,
+            send: () => Promise.resolve(false),
+          },
           log: SILENT_LOGGER,
           metrics: new Metrics(),
         });
--- a/src/origins/stream_origin_service.ts
+++ b/src/origins/stream_origin_service.ts
@@ -22,6 +22,8 @@
   OriginBatch,
   OriginQuery,
   OriginReceipt,
+  RecordBatch,
+  RecordReceipt,
   SentOrigin,
 } from "../wire/mod.ts";
 import type { DefaultOriginKeeper } from "./default_origin_keeper.ts";
@@ -229,6 +231,21 @@
     return { start: this.#start, isLeaving: this.#isLeaving };
   }
 
+  async recordOrigins(
+    { from, records }: RecordBatch,
+  ): Promise<RecordReceipt> {
+    const startedAt = monotonicMs();
+    const isRecorded = !this.#isLeaving &&
+      (await this.#stored?.records.recordFor(records) ?? false);
+    this.#log.debug("origins_recorded_for", {
+      from,
+      count: records.length,
+      isRecorded,
+      tookMs: Math.round(monotonicMs() - startedAt),
+    });
+    return { isRecorded };
+  }
+
   async findOrigin(
     { stream, pool, route, readsStore = false }: OriginQuery,
   ): Promise<OriginAnswer> {
--- a/src/origins/stream_origin_service_test.ts
+++ b/src/origins/stream_origin_service_test.ts
@@ -390,3 +390,48 @@
     }
     assert.ok(store.writes <= 15, `${store.writes} writes in 2 s`);
   }));
+
+/** Entries of a fleet in which few write for the others. */
+const LARGE = 64;
+
+test("in a large fleet a few entries record the streams of all", () =>
+  withPausedClock(async () => {
+    const store = new MemoryOriginStore();
+    store.latencyMs = 5;
+    const fleet = new SimOriginFleet(LARGE, 3, store);
+    observe(fleet, ["v1"]);
+    await sleep(DEFAULTS_MS);
+    observe(fleet, ["v1", "v2"]);
+    const before = store.writes;
+    const begin = async (i: number) => {
+      await sleep(i * 10);
+      const startedAt = monotonicMs();
+      await fleet.begin(i, `s${i}`, V2);
+      return monotonicMs() - startedAt;
+    };
+    const waits = await Promise.all(fleet.entries.map((_, i) => begin(i)));
+    assert.ok(Math.max(...waits) < 500, `${Math.max(...waits)} ms`);
+    const writes = store.writes - before;
+    assert.ok(writes <= 24, `${writes} writes for ${LARGE} streams`);
+    for (let i = 0; i < LARGE; i++) {
+      assert.deepEqual(await find(fleet, (i + 1) % LARGE, `s${i}`), V2);
+    }
+    fleet.stop();
+  }, { seed: 1 }));
+
+test("an entry records its streams itself when the writers do not respond", () =>
+  withPausedClock(async () => {
+    const store = new MemoryOriginStore();
+    const fleet = new SimOriginFleet(LARGE, 3, store);
+    observe(fleet, ["v1"]);
+    await sleep(DEFAULTS_MS);
+    observe(fleet, ["v1", "v2"]);
+    fleet.entries.slice(1).forEach((entry) => entry.mode = "refusing");
+    const startedAt = monotonicMs();
+    await fleet.begin(0, "s1", V2);
+    assert.ok(monotonicMs() - startedAt < 1_000);
+    await sleep(1_000);
+    const stored = [...store.rows.values()].flatMap(({ origins }) => origins);
+    assert.deepEqual(stored.map(({ stream }) => stream), ["s1"]);
+    fleet.stop();
+  }, { seed: 1 }));
--- a/src/origins/testing.ts
+++ b/src/origins/testing.ts
@@ -15,7 +15,11 @@
   StreamOrigin,
 } from "../serving/mod.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
-import type { OriginAnswer, OriginReceipt } from "../wire/mod.ts";
+import type {
+  OriginAnswer,
+  OriginReceipt,
+  RecordReceipt,
+} from "../wire/mod.ts";
 import { DefaultOriginKeeper } from "./default_origin_keeper.ts";
 import type {
   DefaultsRead,
@@ -25,6 +29,7 @@
   OriginsRead,
   OriginStore,
 } from "./ports.ts";
+import { OriginWriters } from "./origin_writers.ts";
 import { StoredOrigins } from "./stored_origins.ts";
 import { StreamOriginService } from "./stream_origin_service.ts";
 
@@ -116,7 +121,7 @@
   mode: EntryMode;
   abort: AbortController;
   /** Calls that the entry has received, by procedure. */
-  readonly received: { keep: number; find: number };
+  readonly received: { keep: number; record: number; find: number };
 }
 
 /** Entries that share origins. */
@@ -151,7 +156,7 @@
       peer,
       ...this.#start(peer, peers),
       mode: "up",
-      received: { keep: 0, find: 0 },
+      received: { keep: 0, record: 0, find: 0 },
     }));
   }
 
@@ -229,7 +234,13 @@
         records: new StoredOrigins({
           store,
           self: peer.name,
-          entries: () => peers.length,
+          writers: new OriginWriters({
+            self: peer,
+            fleet,
+            clients: this.#clients(),
+            log,
+            metrics,
+          }),
           log,
           metrics,
         }),
@@ -255,6 +266,11 @@
           entry.received.keep += 1;
           return entry.service.keepOrigins(batch);
         }),
+      recordOrigins: (url, batch, signal) =>
+        this.#call(url, signal, (entry): Promise<RecordReceipt> => {
+          entry.received.record += 1;
+          return entry.service.recordOrigins(batch);
+        }),
       findOrigin: (url, query, signal) =>
         this.#call(url, signal, (entry): Promise<OriginAnswer> => {
           entry.received.find += 1;
--- a/src/wire/entries.ts
+++ b/src/wire/entries.ts
@@ -45,6 +45,10 @@
   type OriginBatch,
   type OriginQuery,
   type OriginReceipt,
+  recordAnswerSchema,
+  type RecordBatch,
+  type RecordReceipt,
+  recordSchema,
   sentOriginsSchema,
 } from "./origins.ts";
 
@@ -204,6 +208,8 @@
     ) => api.runChain(input, signal ?? new AbortController().signal)),
     keepOrigins: trpc.procedure.input(keepSchema)
       .mutation(({ input }) => api.keepOrigins(input)),
+    recordOrigins: trpc.procedure.input(recordSchema)
+      .mutation(({ input }) => api.recordOrigins(input)),
     permit: trpc.procedure.input(permitSchema)
       .mutation(({ input }) => api.permit(input)),
     reportRollout: trpc.procedure.input(rolloutReportSchema)
@@ -292,6 +298,17 @@
     );
   }
 
+  /** Has a peer write origins of streams to the store. */
+  async recordOrigins(
+    url: string,
+    batch: RecordBatch,
+    signal: AbortSignal,
+  ): Promise<RecordReceipt> {
+    return recordAnswerSchema.parse(
+      await this.#clientOf(url).recordOrigins.mutate(batch, { signal }),
+    );
+  }
+
   /** Asks a peer for a permit. */
   async permit(
     url: string,
--- a/src/wire/explain_test.ts
+++ b/src/wire/explain_test.ts
@@ -45,6 +45,7 @@
     freeResults: notUsed,
     runChain: notUsed,
     keepOrigins: notUsed,
+    recordOrigins: notUsed,
     permit: notUsed,
     reportRollout: notUsed,
     findOrigin: notUsed,
--- a/src/wire/origins.ts
+++ b/src/wire/origins.ts
@@ -47,6 +47,27 @@
 /** Acknowledgement of a batch. */
 export type OriginReceipt = z.infer<typeof keepAnswerSchema>;
 
+const storedOriginSchema = originSchema.extend({
+  /** Identifier of the stream. */
+  stream: z.string(),
+});
+
+export const recordSchema = z.object({
+  from: z.string(),
+  records: z.array(storedOriginSchema).max(MAX_BATCH_RECORDS),
+});
+
+/** Origins that a peer is asked to write to the store. */
+export type RecordBatch = z.infer<typeof recordSchema>;
+
+export const recordAnswerSchema = z.object({
+  /** True when the store has all of them. */
+  isRecorded: z.boolean(),
+});
+
+/** Outcome of such a write. */
+export type RecordReceipt = z.infer<typeof recordAnswerSchema>;
+
 export const findSchema = z.object({
   stream: z.string(),
   pool: z.string(),
@@ -83,5 +104,6 @@
 /** Procedures by which entries share the origins of streams. */
 export interface OriginApi {
   keepOrigins(batch: OriginBatch): OriginReceipt;
+  recordOrigins(batch: RecordBatch): Promise<RecordReceipt>;
   findOrigin(query: OriginQuery): Promise<OriginAnswer>;
 }
--- a/src/wire/origins_test.ts
+++ b/src/wire/origins_test.ts
@@ -32,6 +32,8 @@
     explainRoute: () => ({ kind: "rejected", reason: "none" }),
     permit: () => Promise.resolve({ isGranted: true, waitMs: 0 }),
     runChain: () => Promise.resolve({ kind: "leaving" }),
+    recordOrigins: ({ records }) =>
+      Promise.resolve({ isRecorded: records.length > 0 }),
     keepOrigins: (batch) => {
       kept.push(batch);
       return { start: "start-1", isLeaving: false };
