ORDER: routes whose streams may outlast their records have no default origin

Cause: records of origins are removed after 60 s; a response of a route with a longer timeout could go on at its build while its record is gone, and a caller that took it up then got the default origin.

Change: such routes have no default; their unknown streams are refused as before. fleet_view_test failed before (the routes of 120 s were listed).

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -19,6 +19,7 @@
   FleetState,
   LAPSE_GRACE_MS,
   type ObservedOrigins,
+  ORIGIN_TTL_MS,
   type PoolBuild,
   type RecordedQuarantine,
   type StateChange,
@@ -61,6 +62,11 @@
  * milliseconds: longer than the pause between the checks of what is in use.
  */
 const OBSERVED_MS = 5_000;
+/**
+ * Longest response of a route whose streams have a default origin, in
+ * milliseconds: the record of another origin must outlive the response.
+ */
+const MAX_RECORDED_MS = ORIGIN_TTL_MS - 10_000;
 /** Longest wait for what has changed until now, in milliseconds. */
 const CHANGES_TIMEOUT_MS = 500;
 /** Pause between such reads, which all callers share, in milliseconds. */
@@ -169,12 +175,12 @@
         this.#state.buildsOf(pool, now, OBSERVED_MS)
           .map((build) => ({ pool, build }))
       ),
-      routes: catalog.resumableRoutes.map(
-        ({ hostname, pathPrefix, pools }) => ({
+      routes: catalog.resumableRoutes
+        .filter(({ timeoutMs }) => timeoutMs <= MAX_RECORDED_MS)
+        .map(({ hostname, pathPrefix, pools }) => ({
           address: { hostname, pathPrefix },
           pools: pools.map(({ pool, weight }) => ({ pool, weight })),
-        }),
-      ),
+        })),
     };
   }
 
--- a/src/gateway/fleet_view_test.ts
+++ b/src/gateway/fleet_view_test.ts
@@ -3,8 +3,8 @@
 import { test } from "node:test";
 import { monotonicMs, sleep } from "../kernel/mod.ts";
 import type { RolloutWritten } from "../rollout/mod.ts";
-import { versionInEra } from "../serving/mod.ts";
-import { catalogChange, targetChange } from "../serving/testing.ts";
+import { RouteKind, versionInEra } from "../serving/mod.ts";
+import { catalogChange, route, targetChange } from "../serving/testing.ts";
 import { Metrics, SILENT_LOGGER } from "../telemetry/mod.ts";
 import { withPausedClock } from "../testing/mod.ts";
 import { FleetView } from "./fleet_view.ts";
@@ -299,3 +299,35 @@
     await sleep(100);
     assert.equal(view.catalogStanding.confirmedMs, 300);
   }, { seed: 1 }));
+
+// Guards against ORDER: the record of a stream ends before the stream.
+test("routes whose responses may outlast a record have no default origins", () => {
+  const view = new FleetView({
+    source: new TruncatingSource(),
+    bounds: BOUNDS,
+    log: SILENT_LOGGER,
+    metrics: new Metrics(),
+  });
+  const unread = view.observedOrigins;
+  assert.equal(unread, undefined);
+  const routes = [5_000, 50_000, 120_000].map((timeoutMs) =>
+    route({
+      pathPrefix: `/${timeoutMs}/`,
+      kind: RouteKind.Stream,
+      isResumable: true,
+      timeoutMs,
+    })
+  );
+  const changes = [
+    catalogChange({ routes }, 1),
+    targetChange("t1", 1, { pool: "plain", build: "v1" }),
+  ];
+  const versions = { configuration: 1, targets: 1, peers: 1 };
+  view.merge(changes, versions, PEER);
+  const observed = view.observedOrigins;
+  assert.deepEqual(observed?.builds, [{ pool: "plain", build: "v1" }]);
+  assert.deepEqual(
+    observed?.routes.map(({ address }) => address.pathPrefix),
+    ["/5000/", "/50000/"],
+  );
+});
